--- /dev/null
+++ b/Libraries/Net/HttpClient.cpp
@@ -0,0 +1,287 @@
+#include <Net/HttpClient.h>
+
+#include <Net/Await.h>
+#include <Net/FiberThreads.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Radishplank {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t idleConnectionsPerEndpoint = 64;
+constexpr auto idleConnectionLifetime = std::chrono::seconds(20);
+constexpr std::size_t bodyPieceBytes = std::size_t{16} * 1024;
+constexpr std::uint32_t answerHeaderBytes = 32 * 1024;
+
+struct PooledConnection
+{
+    explicit PooledConnection(boost::asio::io_context &context)
+        : stream(context)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    TimePoint idleSince;
+    bool isReused = false;
+};
+
+using ConnectionPointer = std::unique_ptr<PooledConnection>;
+
+/// The idle connections of one thread.
+class ConnectionPool
+{
+public:
+    static ConnectionPool &ofThread()
+    {
+        // Never destroyed: its sockets belong to an I/O context that lives as long as the process.
+        thread_local auto *pool = new ConnectionPool;
+        return *pool;
+    }
+
+    ConnectionPointer take(const Endpoint &endpoint)
+    {
+        auto &idle = m_idle[endpoint];
+        const auto now = SteadyClock().now();
+        while (!idle.empty()) {
+            auto connection = std::move(idle.back());
+            idle.pop_back();
+            if (now - connection->idleSince < idleConnectionLifetime && isQuiet(*connection))
+                return connection;
+        }
+        return {};
+    }
+
+    void give(const Endpoint &endpoint, ConnectionPointer connection)
+    {
+        auto &idle = m_idle[endpoint];
+        if (idle.size() >= idleConnectionsPerEndpoint)
+            return;
+        connection->idleSince = SteadyClock().now();
+        connection->isReused = true;
+        idle.push_back(std::move(connection));
+    }
+
+private:
+    /// Tells whether the peer has neither closed the connection nor sent stray bytes.
+    static bool isQuiet(PooledConnection &connection)
+    {
+        auto &socket = connection.stream.socket();
+        boost::system::error_code code;
+        socket.non_blocking(true, code);
+        char byte = 0;
+        socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+        return code == boost::asio::error::would_block;
+    }
+
+    std::map<Endpoint, std::vector<ConnectionPointer>> m_idle;
+};
+
+Error callError(std::string_view action, const Endpoint &endpoint,
+                const boost::system::error_code &code)
+{
+    const bool isTimeout = code == beast::error::timeout;
+    return {isTimeout ? ErrorKind::Timeout : ErrorKind::Unavailable,
+            std::string(action) + " " + endpoint.text() + ": " + code.message()};
+}
+
+class PooledAnswer : public HttpAnswer
+{
+public:
+    PooledAnswer(ConnectionPointer connection, Endpoint endpoint, HttpCallOptions options)
+        : m_connection(std::move(connection))
+        , m_endpoint(std::move(endpoint))
+        , m_options(options)
+    {
+        m_parser.header_limit(answerHeaderBytes);
+        m_parser.body_limit(boost::none);
+    }
+
+    boost::system::error_code readHead()
+    {
+        m_connection->stream.expires_after(m_options.readTimeout);
+        const auto outcome = awaitIo([&](auto handler) {
+            http::async_read_header(m_connection->stream, m_connection->buffer, m_parser,
+                                    std::move(handler));
+        });
+        if (outcome.code)
+            return outcome.code;
+        for (const auto &field : m_parser.get())
+            m_headers.add(std::string(field.name_string()), std::string(field.value()));
+        m_status = m_parser.get().result_int();
+        releaseIfDone();
+        return {};
+    }
+
+    [[nodiscard]] unsigned status() const override { return m_status; }
+    [[nodiscard]] const HttpHeaders &headers() const override { return m_headers; }
+
+    Result<std::string> readPiece() override
+    {
+        if (m_parser.is_done())
+            return std::string();
+        std::string piece(bodyPieceBytes, '\0');
+        auto &body = m_parser.get().body();
+        body.data = piece.data();
+        body.size = piece.size();
+        body.more = true;
+        m_connection->stream.expires_after(m_options.readTimeout);
+        // One read at a time, so that a token is passed on as soon as it has come.
+        const auto outcome = awaitIo([&](auto handler) {
+            http::async_read_some(m_connection->stream, m_connection->buffer, m_parser,
+                                  std::move(handler));
+        });
+        if (outcome.code && outcome.code != http::error::need_buffer)
+            return callError("reading from", m_endpoint, outcome.code);
+        piece.resize(piece.size() - body.size);
+        const bool isDone = m_parser.is_done();
+        releaseIfDone();
+        if (piece.empty() && !isDone)
+            return readPiece();
+        return piece;
+    }
+
+    Result<std::string> readBody() override
+    {
+        std::string body;
+        while (true) {
+            const auto piece = TRY(readPiece());
+            if (piece.empty())
+                return body;
+            body += piece;
+            if (body.size() > m_options.bodyBytes) {
+                return Error{ErrorKind::TooLarge,
+                             "the answer of " + m_endpoint.text() + " is too large"};
+            }
+        }
+    }
+
+    void abort() override
+    {
+        if (m_connection)
+            m_connection->stream.cancel();
+    }
+
+private:
+    void releaseIfDone()
+    {
+        if (!m_parser.is_done() || !m_connection)
+            return;
+        m_connection->stream.expires_never();
+        if (m_parser.get().keep_alive())
+            ConnectionPool::ofThread().give(m_endpoint, std::move(m_connection));
+        m_connection.reset();
+    }
+
+    ConnectionPointer m_connection;
+    Endpoint m_endpoint;
+    HttpCallOptions m_options;
+    http::response_parser<http::buffer_body> m_parser;
+    HttpHeaders m_headers;
+    unsigned m_status = 0;
+};
+
+std::variant<ConnectionPointer, HttpCallError> connect(const Endpoint &endpoint,
+                                                       const HttpCallOptions &options)
+{
+    auto connection = std::make_unique<PooledConnection>(FiberThreads::currentContext());
+    boost::system::error_code code;
+    const auto address = boost::asio::ip::make_address(endpoint.address, code);
+    if (code)
+        return HttpCallError{callError("connecting to", endpoint, code), CallProgress::NotSent};
+    connection->stream.expires_after(options.connectTimeout);
+    const auto outcome = awaitIo([&](auto handler) {
+        connection->stream.async_connect(
+                tcp::endpoint(address, endpoint.port),
+                [handler](boost::system::error_code result) mutable { handler(result, 0); });
+    });
+    if (outcome.code) {
+        return HttpCallError{callError("connecting to", endpoint, outcome.code),
+                             CallProgress::NotSent};
+    }
+    connection->stream.socket().set_option(tcp::no_delay(true), code);
+    return connection;
+}
+
+http::request<http::string_body> toMessage(const Endpoint &endpoint, const HttpRequest &request)
+{
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(http::field::host, endpoint.text());
+    for (const auto &header : request.headers.all())
+        message.insert(header.name, header.value);
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+}
+
+HttpClient::OpenResult sendOn(ConnectionPointer connection, const Endpoint &endpoint,
+                              const http::request<http::string_body> &message,
+                              const HttpCallOptions &options)
+{
+    connection->stream.expires_after(options.readTimeout);
+    const auto written = awaitIo([&](auto handler) {
+        http::async_write(connection->stream, message, std::move(handler));
+    });
+    if (written.code)
+        return HttpCallError{callError("sending to", endpoint, written.code), CallProgress::Sent};
+    auto answer = std::make_unique<PooledAnswer>(std::move(connection), endpoint, options);
+    if (const auto code = answer->readHead())
+        return HttpCallError{callError("reading from", endpoint, code), CallProgress::Sent};
+    return answer;
+}
+
+} // namespace
+
+HttpClient::OpenResult HttpClient::open(const Endpoint &endpoint, const HttpRequest &request,
+                                        const HttpCallOptions &options)
+{
+    const auto message = toMessage(endpoint, request);
+    ConnectionPointer connection;
+    if (options.reuse == ConnectionReuse::Allowed)
+        connection = ConnectionPool::ofThread().take(endpoint);
+    if (!connection) {
+        auto connected = connect(endpoint, options);
+        if (auto *error = std::get_if<HttpCallError>(&connected))
+            return std::move(*error);
+        connection = std::move(std::get<ConnectionPointer>(connected));
+    }
+    return sendOn(std::move(connection), endpoint, message, options);
+}
+
+std::variant<HttpResponse, HttpCallError> HttpClient::call(const Endpoint &endpoint,
+                                                           const HttpRequest &request,
+                                                           const HttpCallOptions &options)
+{
+    auto opened = open(endpoint, request, options);
+    if (auto *error = std::get_if<HttpCallError>(&opened))
+        return std::move(*error);
+    auto &answer = *std::get<std::unique_ptr<HttpAnswer>>(opened);
+    auto body = answer.readBody();
+    if (body.isError())
+        return HttpCallError{body.takeError(), CallProgress::Sent};
+    return HttpResponse{answer.status(), answer.headers(), body.takeValue()};
+}
+
+Result<HttpResponse> HttpClient::fetch(const Endpoint &endpoint, const HttpRequest &request,
+                                       const HttpCallOptions &options)
+{
+    auto result = call(endpoint, request, options);
+    if (auto *failure = std::get_if<HttpCallError>(&result))
+        return std::move(failure->error);
+    return std::move(std::get<HttpResponse>(result));
+}
+
+} // namespace Radishplank
