--- /dev/null
+++ b/Libraries/Catalogue/CatalogueSnapshot.cpp
@@ -0,0 +1,98 @@
+#include <Catalogue/CatalogueSnapshot.h>
+
+#include <algorithm>
+
+namespace Radishplank {
+
+namespace {
+
+std::string entryKey(const OwnerId &owner, const EntryName &name)
+{
+    return owner.text() + "/" + name.text();
+}
+
+} // namespace
+
+std::unique_ptr<const CatalogueSnapshot>
+CatalogueSnapshot::build(std::span<const StoredObject> objects, Version revision,
+                         Findings &findings)
+{
+    auto snapshot = std::make_unique<CatalogueSnapshot>();
+    snapshot->m_revision = revision;
+    for (const auto &object : objects) {
+        const auto fields = parseJsonObject(object.value);
+        if (fields.isError()) {
+            findings.add(object.key, fields.error().message);
+            continue;
+        }
+        snapshot->add(object, fields.value(), findings);
+    }
+    for (std::size_t i = 0; i < snapshot->m_owners.size(); ++i) {
+        snapshot->m_ownersByDigest[snapshot->m_owners[i].tokenDigest] = i;
+        snapshot->m_ownersById[snapshot->m_owners[i].id] = i;
+    }
+    return snapshot;
+}
+
+const Owner *CatalogueSnapshot::ownerByTokenDigest(const std::string &digest) const
+{
+    const auto found = m_ownersByDigest.find(digest);
+    return found == m_ownersByDigest.end() ? nullptr : &m_owners[found->second];
+}
+
+const Owner *CatalogueSnapshot::owner(const OwnerId &id) const
+{
+    const auto found = m_ownersById.find(id);
+    return found == m_ownersById.end() ? nullptr : &m_owners[found->second];
+}
+
+std::shared_ptr<const Entry> CatalogueSnapshot::entry(const OwnerId &owner,
+                                                      const EntryName &name) const
+{
+    const auto found = m_entries.find(entryKey(owner, name));
+    return found == m_entries.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<const Entry>> CatalogueSnapshot::entriesOf(const OwnerId &owner) const
+{
+    std::vector<std::shared_ptr<const Entry>> result;
+    for (const auto &[key, entry] : m_entries) {
+        if (entry->owner == owner)
+            result.push_back(entry);
+    }
+    std::sort(result.begin(), result.end(),
+              [](const auto &left, const auto &right) { return left->name < right->name; });
+    return result;
+}
+
+void CatalogueSnapshot::add(const StoredObject &object, const boost::json::object &fields,
+                            Findings &findings)
+{
+    const std::string_view key = object.key;
+    Findings own;
+    if (key.starts_with(ownerPrefix)) {
+        auto owner = parseOwner(OwnerId(object.key.substr(ownerPrefix.size())), fields, own);
+        if (own.isEmpty())
+            m_owners.push_back(std::move(owner));
+    } else if (key.starts_with(entryPrefix)) {
+        const auto names = object.key.substr(entryPrefix.size());
+        const auto slash = names.find('/');
+        const OwnerId owner(names.substr(0, slash));
+        const EntryName name(slash == std::string::npos ? "" : names.substr(slash + 1));
+        auto entry = parseEntry(owner, name, fields, own);
+        if (own.isEmpty())
+            m_entries[entryKey(owner, name)] = std::make_shared<const Entry>(std::move(entry));
+    } else if (key.starts_with(agentPrefix)) {
+        auto agent = parseAgent(UpstreamId(object.key.substr(agentPrefix.size())), fields, own);
+        if (own.isEmpty())
+            m_agents.push_back(std::move(agent));
+    } else if (key.starts_with(nodePrefix)) {
+        auto node = parseNode(NodeId(object.key.substr(nodePrefix.size())), fields, own);
+        if (own.isEmpty())
+            m_nodes.push_back(std::move(node));
+    }
+    for (const auto &finding : own.all())
+        findings.add(finding.place, finding.message);
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Catalogue/CatalogueSnapshot.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <Catalogue/CatalogueObjects.h>
+#include <Store/ObjectStore.h>
+
+#include <memory>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace Radishplank {
+
+/// The catalogue and the members at one revision of the store; never changes once built.
+class CatalogueSnapshot
+{
+public:
+    /// Builds a snapshot; objects that are not valid are left out and reported.
+    static std::unique_ptr<const CatalogueSnapshot> build(std::span<const StoredObject> objects,
+                                                          Version revision, Findings &findings);
+
+    [[nodiscard]] Version revision() const { return m_revision; }
+    /// Returns the owner whose token has this digest, or null.
+    [[nodiscard]] const Owner *ownerByTokenDigest(const std::string &digest) const;
+    [[nodiscard]] const Owner *owner(const OwnerId &id) const;
+    /// Returns an entry of the owner, or null; shared so that a request can keep it.
+    [[nodiscard]] std::shared_ptr<const Entry> entry(const OwnerId &owner,
+                                                     const EntryName &name) const;
+    [[nodiscard]] std::vector<std::shared_ptr<const Entry>> entriesOf(const OwnerId &owner) const;
+    [[nodiscard]] std::span<const Owner> owners() const { return m_owners; }
+    [[nodiscard]] std::span<const AgentMember> agents() const { return m_agents; }
+    [[nodiscard]] std::span<const EntryMember> nodes() const { return m_nodes; }
+
+private:
+    void add(const StoredObject &object, const boost::json::object &fields, Findings &findings);
+
+    Version m_revision = noVersion;
+    std::vector<Owner> m_owners;
+    std::unordered_map<std::string, std::size_t> m_ownersByDigest;
+    std::unordered_map<OwnerId, std::size_t> m_ownersById;
+    std::unordered_map<std::string, std::shared_ptr<const Entry>> m_entries;
+    std::vector<AgentMember> m_agents;
+    std::vector<EntryMember> m_nodes;
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Catalogue/ConfigurationReplica.cpp
@@ -0,0 +1,100 @@
+#include <Catalogue/ConfigurationReplica.h>
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace Radishplank {
+
+namespace {
+
+bool isValid(const StoredObject &object)
+{
+    const std::vector<StoredObject> alone{object};
+    Findings findings;
+    (void)CatalogueSnapshot::build(alone, object.version, findings);
+    return findings.isEmpty();
+}
+
+} // namespace
+
+ConfigurationReplica::ConfigurationReplica()
+    : m_snapshot(std::make_unique<const CatalogueSnapshot>())
+{
+}
+
+bool ConfigurationReplica::apply(std::span<const ObjectChange> changes, Version revision)
+{
+    const std::scoped_lock lock(m_mutex);
+    bool hasChanged = false;
+    for (const auto &change : changes)
+        hasChanged = adopt(change) || hasChanged;
+    const bool hasRisen = revision > m_revision;
+    m_revision = std::max(m_revision, revision);
+    if (hasChanged || (hasRisen && !changes.empty()))
+        rebuild();
+    return hasChanged;
+}
+
+bool ConfigurationReplica::applyListing(std::span<const StoredObject> objects, Version revision)
+{
+    std::vector<ObjectChange> changes;
+    std::unordered_set<std::string_view> listedKeys;
+    for (const auto &object : objects) {
+        changes.push_back({object, false});
+        listedKeys.insert(object.key);
+    }
+    {
+        const std::scoped_lock lock(m_mutex);
+        for (const auto &[key, known] : m_objects) {
+            if (!listedKeys.contains(key) && !known.isRemoval && known.object.version <= revision)
+                changes.push_back({{key, "", revision}, true});
+        }
+    }
+    return apply(changes, revision);
+}
+
+Version ConfigurationReplica::revision() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_revision;
+}
+
+std::vector<ObjectChange> ConfigurationReplica::changesSince(Version revision) const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::vector<ObjectChange> changes;
+    for (const auto &[key, change] : m_objects) {
+        if (change.object.version > revision)
+            changes.push_back(change);
+    }
+    return changes;
+}
+
+bool ConfigurationReplica::adopt(const ObjectChange &change)
+{
+    const auto found = m_objects.find(change.object.key);
+    if (found != m_objects.end() && found->second.object.version >= change.object.version)
+        return false;
+    if (!change.isRemoval && !isValid(change.object)) {
+        m_refused.increase();
+        logStateChange(
+                "configuration-object-refused",
+                {{"key", change.object.key}, {"version", std::to_string(change.object.version)}});
+        return false;
+    }
+    m_objects.insert_or_assign(change.object.key, change);
+    return true;
+}
+
+void ConfigurationReplica::rebuild()
+{
+    std::vector<StoredObject> objects;
+    for (const auto &[key, change] : m_objects) {
+        if (!change.isRemoval)
+            objects.push_back(change.object);
+    }
+    Findings findings;
+    m_snapshot.publish(CatalogueSnapshot::build(objects, m_revision, findings));
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Store/Store.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// Public header of the Store library: the platform's object store and safe writes to it.
+
+#include <Store/DecidedWrite.h>
+#include <Store/HttpObjectStore.h>
+#include <Store/MemoryObjectStore.h>
+#include <Store/ObjectStore.h>
