Serving, Batch, Control: Add the decisions and the control protocol

Slot scheduling with preemption, attempt tombstones, routing, quarantine, retry budget, shard leases with fencing: pure or templated over the store, so that tests can drive them without processes.

--- /dev/null
+++ b/Libraries/Batch/Batch.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/// Public header of the Batch library: durable jobs, held in shards under lease.
+
+#include <Batch/ItemSet.h>
+#include <Batch/ItemSplitter.h>
+#include <Batch/JobObjects.h>
+#include <Batch/JobStore.h>
+#include <Batch/LeaseObserver.h>
+#include <Batch/ShardLease.h>
--- /dev/null
+++ b/Libraries/Control/Control.capnp
@@ -0,0 +1,62 @@
+@0xe96ead66f66f0cd6;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Radishplank::Rpc");
+
+# What an agent tells of itself; counts are streams.
+struct LoadReport {
+  incarnation @0 :Text;
+  slots @1 :UInt32;
+  onlineRunning @2 :UInt32;
+  onlineQueued @3 :UInt32;
+  batchRunning @4 :UInt32;
+  batchQueued @5 :UInt32;
+  isAccepting @6 :Bool;
+}
+
+# How far an attempt had come when it was cancelled.
+enum AttemptFate {
+  neverBegan @0;   # No upstream has seen it, and this agent will never hand it to one.
+  began @1;        # An upstream has, or may have, worked on it.
+  unknown @2;      # This incarnation of the agent cannot tell.
+}
+
+struct ConfigurationObject {
+  key @0 :Text;
+  value @1 :Text;
+  version @2 :UInt64;
+  isRemoval @3 :Bool;
+}
+
+# One crash of an upstream in which a request was the only suspect.
+struct CrashNotice {
+  fingerprint @0 :Text;
+  attempt @1 :Text;
+  ageMilliseconds @2 :UInt64;
+}
+
+# An owner's use of its rate at one entry process, and what the home grants it.
+struct RateShare {
+  key @0 :Text;
+  requestsPerSecond @1 :Float64;
+}
+
+interface Gate {
+  # Hands out the control interface to holders of the cluster's secret.
+  open @0 (secret :Text) -> (control :Control);
+}
+
+interface Control {
+  # Asked of agents. Doubles as the heartbeat.
+  observe @0 () -> (report :LoadReport);
+  # Asked of agents. Idempotent, and beats a later arrival of the attempt itself.
+  cancelAttempt @1 (attempt :Text, incarnation :Text) -> (fate :AttemptFate);
+  # Asked of entry processes: what the caller lacks of the configuration, and recent crashes.
+  exchange @2 (node :Text, revision :UInt64, crashes :List(CrashNotice))
+           -> (revision :UInt64, objects :List(ConfigurationObject), crashes :List(CrashNotice),
+               stalenessMilliseconds :UInt64);
+  # Asked of an owner's home: reports the demand and lends the own part of the limit, for a time
+  # that the caller counts from before it asked.
+  pool @3 (node :Text, demands :List(RateShare), lent :List(RateShare), memberDigest :UInt64)
+       -> (isHome :Bool, granted :List(RateShare));
+}
--- /dev/null
+++ b/Libraries/Control/ControlMessages.cpp
@@ -0,0 +1,34 @@
+#include <Control/ControlMessages.h>
+
+namespace Radishplank {
+
+namespace {
+
+Error notOfThisRole()
+{
+    return {ErrorKind::InvalidInput, "this process does not take that control call"};
+}
+
+} // namespace
+
+Result<LoadReport> ControlHandler::observe()
+{
+    return notOfThisRole();
+}
+
+Result<AttemptFate> ControlHandler::cancelAttempt(const AttemptId &, const std::string &)
+{
+    return notOfThisRole();
+}
+
+Result<ExchangeAnswer> ControlHandler::exchange(const ExchangeRequest &)
+{
+    return notOfThisRole();
+}
+
+Result<PoolAnswer> ControlHandler::pool(const PoolRequest &)
+{
+    return notOfThisRole();
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Control/ControlMessages.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <Core/Core.h>
+#include <Store/ObjectStore.h>
+
+#include <string>
+#include <vector>
+
+namespace Radishplank {
+
+/// What an agent tells of itself; counts are streams.
+struct LoadReport
+{
+    std::string incarnation;
+    std::uint32_t slots = 0;
+    std::uint32_t onlineRunning = 0;
+    std::uint32_t onlineQueued = 0;
+    std::uint32_t batchRunning = 0;
+    std::uint32_t batchQueued = 0;
+    bool isAccepting = false;
+};
+
+/// How far an attempt had come when it was cancelled.
+enum class AttemptFate {
+    NeverBegan, ///< No upstream has seen it, and its agent will never hand it to one.
+    Began,      ///< An upstream has, or may have, worked on it.
+    Unknown,    ///< The agent cannot tell, because it has restarted since.
+};
+
+/// A crash of an upstream in which a request was the only suspect.
+struct CrashNotice
+{
+    std::string fingerprint;
+    AttemptId attempt;
+    Milliseconds age{0};
+};
+
+struct ExchangeRequest
+{
+    NodeId node;
+    Version revision = noVersion;
+    std::vector<CrashNotice> crashes;
+};
+
+struct ExchangeAnswer
+{
+    Version revision = noVersion;
+    std::vector<ObjectChange> changes;
+    std::vector<CrashNotice> crashes;
+    /// How long ago the answering process was known to be in step with the store.
+    Milliseconds staleness{0};
+};
+
+/// A rate of one limit: a demand, a loan or a grant.
+struct RateShare
+{
+    std::string key;
+    double requestsPerSecond = 0;
+};
+
+struct PoolRequest
+{
+    NodeId node;
+    std::vector<RateShare> demands;
+    std::vector<RateShare> lent;
+    std::uint64_t memberDigest = 0;
+};
+
+struct PoolAnswer
+{
+    bool isHome = false;
+    std::vector<RateShare> granted;
+};
+
+/// What a process answers to control calls; called on the control thread, so it must not block.
+class ControlHandler
+{
+public:
+    ControlHandler() = default;
+    virtual ~ControlHandler() = default;
+    ControlHandler(const ControlHandler &) = delete;
+    ControlHandler &operator=(const ControlHandler &) = delete;
+
+    virtual Result<LoadReport> observe();
+    virtual Result<AttemptFate> cancelAttempt(const AttemptId &attempt,
+                                              const std::string &incarnation);
+    virtual Result<ExchangeAnswer> exchange(const ExchangeRequest &request);
+    virtual Result<PoolAnswer> pool(const PoolRequest &request);
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Control/ControlThread.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <Control/ControlMessages.h>
+
+#include <memory>
+#include <string>
+
+namespace Radishplank {
+
+/// The control calls of one process, in and out, over Cap'n Proto RPC on a thread of its own.
+///
+/// Each outgoing call has a deadline. A connection on which a call has failed or timed out is
+/// abandoned, and the next call opens a new one. The calling methods suspend the calling fiber.
+class ControlThread
+{
+public:
+    /// Listens for control calls; port 0 takes a free one.
+    static Result<std::unique_ptr<ControlThread>> start(const Endpoint &listen, std::string secret,
+                                                        ControlHandler &handler);
+    ~ControlThread();
+    ControlThread(const ControlThread &) = delete;
+    ControlThread &operator=(const ControlThread &) = delete;
+
+    [[nodiscard]] Endpoint endpoint() const;
+    [[nodiscard]] const Counter &callsMade() const;
+    [[nodiscard]] const Counter &callsFailed() const;
+
+    Result<LoadReport> observe(const Endpoint &agent, Milliseconds timeout);
+    Result<AttemptFate> cancelAttempt(const Endpoint &agent, const AttemptId &attempt,
+                                      const std::string &incarnation, Milliseconds timeout);
+    Result<ExchangeAnswer> exchange(const Endpoint &peer, const ExchangeRequest &request,
+                                    Milliseconds timeout);
+    Result<PoolAnswer> pool(const Endpoint &home, const PoolRequest &request, Milliseconds timeout);
+
+private:
+    struct Implementation;
+    explicit ControlThread(std::shared_ptr<Implementation> implementation);
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Limits/Limits.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/// Public header of the Limits library: owners' rates, shared between entry processes.
+
+#include <Limits/OwnerLimits.h>
--- /dev/null
+++ b/Libraries/Serving/AttemptLedger.cpp
@@ -0,0 +1,69 @@
+#include <Serving/AttemptLedger.h>
+
+namespace Radishplank {
+
+AttemptLedger::AttemptLedger(std::string incarnation, Duration retention)
+    : m_incarnation(std::move(incarnation))
+    , m_retention(retention)
+{
+}
+
+AttemptLedger::Admission AttemptLedger::admit(const AttemptId &attempt,
+                                              const std::string &incarnation)
+{
+    if (incarnation != m_incarnation)
+        return Admission::OtherIncarnation;
+    const auto [position, isNew] = m_states.try_emplace(attempt, State::Waiting);
+    if (isNew)
+        return Admission::New;
+    return position->second == State::Cancelled ? Admission::Cancelled : Admission::Known;
+}
+
+bool AttemptLedger::hand(const AttemptId &attempt)
+{
+    const auto found = m_states.find(attempt);
+    if (found == m_states.end() || found->second == State::Cancelled)
+        return false;
+    found->second = State::Handed;
+    return true;
+}
+
+void AttemptLedger::unhand(const AttemptId &attempt)
+{
+    const auto found = m_states.find(attempt);
+    if (found != m_states.end() && found->second == State::Handed)
+        found->second = State::Waiting;
+}
+
+void AttemptLedger::finish(const AttemptId &attempt, TimePoint now)
+{
+    m_expiries.push_back({attempt, now + m_retention});
+}
+
+AttemptFate AttemptLedger::cancel(const AttemptId &attempt, const std::string &incarnation,
+                                  TimePoint now)
+{
+    // What another incarnation was given, only that one knew.
+    if (incarnation != m_incarnation)
+        return AttemptFate::Unknown;
+    const auto [position, isNew] = m_states.try_emplace(attempt, State::Cancelled);
+    if (isNew)
+        m_expiries.push_back({attempt, now + m_retention});
+    if (position->second == State::Handed)
+        return AttemptFate::Began;
+    position->second = State::Cancelled;
+    return AttemptFate::NeverBegan;
+}
+
+std::vector<AttemptId> AttemptLedger::expire(TimePoint now)
+{
+    std::vector<AttemptId> forgotten;
+    while (!m_expiries.empty() && m_expiries.front().at <= now) {
+        m_states.erase(m_expiries.front().attempt);
+        forgotten.push_back(std::move(m_expiries.front().attempt));
+        m_expiries.pop_front();
+    }
+    return forgotten;
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Serving/AttemptLine.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <Core/Core.h>
+#include <Serving/Outcome.h>
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace Radishplank {
+
+/// A piece of a model's answer.
+struct TokenLine
+{
+    std::string text;
+};
+
+/// The whole answer of a plain service.
+struct AnswerLine
+{
+    unsigned status = 200;
+    std::string contentType;
+    std::string body;
+};
+
+/// Sent when there is nothing else to send, to show that the connection works.
+struct HeartbeatLine
+{
+};
+
+enum class AttemptEnd {
+    Complete,       ///< The upstream has answered in full.
+    Preempted,      ///< Batch work gave way; what was generated is valid and can be resumed.
+    UpstreamLost,   ///< The upstream closed the connection, or could not be reached.
+    UpstreamSilent, ///< The upstream has made no progress for too long.
+    Rejected,       ///< The upstream refused the request as such.
+    Cancelled,      ///< Cancelled by the entry process, or nobody read its answer.
+    DeadlinePassed,
+};
+
+/// The last line of an attempt.
+struct EndLine
+{
+    AttemptEnd end = AttemptEnd::Complete;
+    Outcome outcome = Outcome::Ran;
+    std::string detail;
+    /// The upstream crashed and this attempt may have caused it.
+    bool isBlamed = false;
+};
+
+using AttemptLine = std::variant<TokenLine, AnswerLine, HeartbeatLine, EndLine>;
+
+/// Writes a line of the answer that an agent streams to an entry process, newline included.
+[[nodiscard]] std::string serializeLine(const AttemptLine &line);
+[[nodiscard]] Result<AttemptLine> parseLine(std::string_view text);
+
+[[nodiscard]] std::string_view attemptEndName(AttemptEnd end);
+
+/// Names of the header fields between entry processes and agents.
+namespace AttemptHeader {
+inline constexpr std::string_view secret = "Radishplank-Secret";
+inline constexpr std::string_view incarnation = "Radishplank-Incarnation";
+inline constexpr std::string_view workClass = "Radishplank-Class";
+inline constexpr std::string_view suspect = "Radishplank-Suspect";
+inline constexpr std::string_view deadline = "Radishplank-Deadline-Ms";
+inline constexpr std::string_view kind = "Radishplank-Kind";
+inline constexpr std::string_view method = "Radishplank-Method";
+inline constexpr std::string_view target = "Radishplank-Target";
+inline constexpr std::string_view outcome = "Radishplank-Outcome";
+inline constexpr std::string_view repeatable = "Radishplank-Repeatable";
+} // namespace AttemptHeader
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Serving/Serving.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// Public header of the Serving library: the decisions about one call, without any I/O.
+
+#include <Serving/AttemptLedger.h>
+#include <Serving/AttemptLine.h>
+#include <Serving/BatchWindow.h>
+#include <Serving/Outcome.h>
+#include <Serving/Quarantine.h>
+#include <Serving/RetryBudget.h>
+#include <Serving/Router.h>
+#include <Serving/SlotScheduler.h>
+#include <Serving/TokenBucket.h>
--- /dev/null
+++ b/Libraries/Serving/TokenBucket.cpp
@@ -0,0 +1,56 @@
+#include <Serving/TokenBucket.h>
+
+#include <algorithm>
+
+namespace Radishplank {
+
+namespace {
+
+constexpr double longestWaitSeconds = 60;
+
+} // namespace
+
+TokenBucket::TokenBucket(double perSecond, double burst, TimePoint now)
+    : m_perSecond(perSecond)
+    , m_burst(burst)
+    , m_tokens(burst)
+    , m_filledAt(now)
+{
+}
+
+bool TokenBucket::take(TimePoint now)
+{
+    refill(now);
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+Duration TokenBucket::waitTime(TimePoint now)
+{
+    refill(now);
+    const double missing = std::max(0.0, 1 - m_tokens);
+    const double seconds = m_perSecond > 0 ? missing / m_perSecond : longestWaitSeconds;
+    return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(std::min(seconds, longestWaitSeconds)));
+}
+
+void TokenBucket::configure(double perSecond, double burst, TimePoint now)
+{
+    refill(now);
+    m_perSecond = perSecond;
+    m_burst = burst;
+    m_tokens = std::min(m_tokens, burst);
+}
+
+void TokenBucket::refill(TimePoint now)
+{
+    if (now <= m_filledAt)
+        return;
+    const std::chrono::duration<double> passed = now - m_filledAt;
+    m_tokens = std::min(m_burst, m_tokens + passed.count() * m_perSecond);
+    m_filledAt = now;
+}
+
+} // namespace Radishplank
