--- /dev/null
+++ b/Services/radishplankd/Agent.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "Attempt.h"
+
+#include <Control/Control.h>
+#include <Net/Net.h>
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace Radishplank {
+
+struct AgentSettings
+{
+    Endpoint upstream;
+    EntryKind kind = EntryKind::Model;
+    SlotLimits slots;
+    std::string secret;
+};
+
+/// The process beside one upstream, and the only one that talks to it.
+///
+/// Every entry process's work for the upstream meets here, so this is where online goes before
+/// batch, where attempts are remembered and where old orders are refused.
+class Agent : public ControlHandler
+{
+public:
+    Agent(FiberThreads &threads, AgentSettings settings);
+
+    /// Starts the watch over the upstream and over abandoned attempts.
+    void start();
+    /// Answers an entry process: `POST /attempts/ID`, `GET /attempts/ID?from=LINE`, `POST /orders`.
+    void handle(HttpExchange &exchange);
+
+    Result<LoadReport> observe() override;
+    Result<AttemptFate> cancelAttempt(const AttemptId &attempt,
+                                      const std::string &incarnation) override;
+
+    /// Refuses new attempts and preempts batch; running online attempts go on.
+    void beginDrain();
+    [[nodiscard]] std::size_t attemptsInProgress();
+    [[nodiscard]] boost::json::object state();
+    [[nodiscard]] std::string metrics();
+
+private:
+    struct Admitted
+    {
+        AttemptPointer attempt;
+        HttpResponse refusal;
+    };
+
+    void handleNew(HttpExchange &exchange, const AttemptId &id);
+    void handleAttach(HttpExchange &exchange, const AttemptId &id, const HttpTarget &target);
+    void handleOrder(HttpExchange &exchange);
+    Admitted admit(AttemptOrder order, const std::string &incarnation);
+    void streamLines(HttpExchange &exchange, const AttemptPointer &attempt, std::size_t from);
+    void run(const AttemptPointer &attempt);
+    EndLine runGranted(const AttemptPointer &attempt);
+    void blame(const AttemptPointer &attempt, EndLine &line);
+    void apply(const SchedulerActions &actions);
+    void stop(const AttemptPointer &attempt, StopReason reason);
+    bool raiseFencing(std::int64_t fencing);
+    AttemptPointer find(const AttemptId &id);
+    void watchUpstream();
+    void sweep();
+
+    FiberThreads &m_threads;
+    AgentSettings m_settings;
+    std::atomic<bool> m_isDraining{false};
+    std::atomic<bool> m_isUpstreamUp{true};
+    std::mutex m_mutex;
+    AttemptLedger m_ledger;
+    SlotScheduler m_scheduler;
+    std::unordered_map<AttemptId, AttemptPointer> m_attempts;
+    std::unordered_map<Ticket, AttemptPointer> m_inProgress;
+    Ticket m_nextTicket = 1;
+    std::size_t m_suspectsInProgress = 0;
+    TimePoint m_suspectLostAt{};
+    std::int64_t m_highestFencing = 0;
+    Counter m_begun;
+    Counter m_refused;
+    Counter m_preempted;
+    Counter m_lost;
+    Counter m_reattached;
+    Counter m_refusedOrders;
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/AgentDaemon.cpp
@@ -0,0 +1,107 @@
+#include "AgentDaemon.h"
+
+#include "Agent.h"
+#include "ApiAnswer.h"
+#include "MemberRegistration.h"
+#include "OperatorApi.h"
+
+#include <thread>
+
+namespace Radishplank {
+
+namespace {
+
+constexpr Milliseconds drainPollInterval{20};
+/// Time for the last lines to reach the entry processes that read them.
+constexpr Milliseconds lastLinesTime{300};
+
+void serveOperators(HttpExchange &exchange, Agent &agent, const std::string &tokenDigest)
+{
+    const auto target = HttpTarget::parse(exchange.request().target);
+    if (target.path == "/healthz")
+        (void)exchange.respond({200, {}, "ok\n"});
+    else if (target.path == "/metrics")
+        (void)exchange.respond({200, {}, agent.metrics()});
+    else if (target.path == "/readyz")
+        (void)exchange.respond(agent.observe().value().isAccepting
+                                       ? HttpResponse{200, {}, "ready\n"}
+                                       : HttpResponse{503, {}, "not accepting\n"});
+    else if (!hasBearerToken(exchange.request(), tokenDigest))
+        respondError(exchange, 401, Outcome::NotRun, "unauthorized",
+                     "the operators' bearer token is required");
+    else if (target.path == "/state")
+        respondJson(exchange, 200, agent.state());
+    else
+        respondError(exchange, 404, Outcome::NotRun, "not_found", "no such path");
+}
+
+AgentSettings agentSettings(const AgentRoleSettings &settings)
+{
+    AgentSettings result;
+    result.upstream = settings.upstream;
+    result.kind = settings.kind == "model" ? EntryKind::Model : EntryKind::Service;
+    result.slots = {settings.slots, settings.onlineQueue, settings.batchQueue};
+    result.secret = settings.common.secret;
+    return result;
+}
+
+AgentMember memberOf(const AgentRoleSettings &settings, const Endpoint &data,
+                     const Endpoint &control)
+{
+    AgentMember member;
+    member.data = data;
+    member.control = control;
+    member.zone = ZoneName(settings.common.zone);
+    member.region = RegionName(settings.common.region);
+    member.pools = settings.pools;
+    member.slots = static_cast<std::int64_t>(settings.slots);
+    return member;
+}
+
+void drain(Agent &agent, HttpServer &dataServer, Milliseconds timeout)
+{
+    agent.beginDrain();
+    dataServer.beginDrain();
+    const auto until = SteadyClock().now() + timeout;
+    while (SteadyClock().now() < until
+           && (agent.attemptsInProgress() > 0 || dataServer.activeExchanges() > 0))
+        std::this_thread::sleep_for(drainPollInterval);
+    std::this_thread::sleep_for(lastLinesTime);
+}
+
+} // namespace
+
+Result<void> runAgentDaemon(const AgentRoleSettings &settings)
+{
+    const auto &common = settings.common;
+    FiberThreads threads(common.threads);
+    Agent agent(threads, agentSettings(settings));
+    HttpObjectStore store(common.store, common.storeTimeout);
+    const auto control = TRY(ControlThread::start(common.controlListen, common.secret, agent));
+    const auto dataServer
+            = TRY(HttpServer::listen(threads, settings.dataListen, {},
+                                     [&](HttpExchange &exchange) { agent.handle(exchange); }));
+    const auto tokenDigest = sha256Hex(common.operatorToken);
+    const auto operatorServer = TRY(
+            HttpServer::listen(threads, common.operatorListen, {}, [&](HttpExchange &exchange) {
+                serveOperators(exchange, agent, tokenDigest);
+            }));
+    agent.start();
+
+    const auto member = memberOf(settings, dataServer->endpoint(), control->endpoint());
+    MemberRegistration registration(store, std::string(agentPrefix) + common.node);
+    threads.spawn([&registration, member] { registration.write(toJson(member)); });
+    TRY(writeReadyFile(common.readyFile, {{"data", member.data.text()},
+                                          {"control", member.control.text()},
+                                          {"operator", operatorServer->endpoint().text()}}));
+    logStateChange("agent-started", {{"data", member.data.text()}});
+
+    waitForStopSignal();
+    logStateChange("agent-draining");
+    threads.spawn([&registration] { registration.remove(); });
+    drain(agent, *dataServer, common.drainTimeout);
+    logStateChange("agent-stopped");
+    exitProcess(0);
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/AgentDaemon.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "DaemonSettings.h"
+
+namespace Radishplank {
+
+/// Runs an agent until a stop signal, and then until its work has ended.
+Result<void> runAgentDaemon(const AgentRoleSettings &settings);
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/AttemptClient.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Upstream.h"
+
+#include <Net/Net.h>
+
+#include <functional>
+
+namespace Radishplank {
+
+/// One try of a call on one upstream.
+struct AttemptRequest
+{
+    AttemptId id;
+    EntryKind kind = EntryKind::Model;
+    WorkClass workClass = WorkClass::Online;
+    Suspicion suspicion = Suspicion::None;
+    bool isRepeatable = true;
+    TimePoint deadline;
+    std::string method;
+    std::string target;
+    std::string contentType;
+    std::string body;
+};
+
+enum class AttemptStatus {
+    Complete,
+    NotRun, ///< Proved: no upstream has seen this attempt and none will.
+    Preempted,
+    UpstreamLost,
+    Rejected,
+    Stopped, ///< The deadline passed, or the sink wanted no more.
+    Lost,    ///< The agent could not be reached again, so the fate is unknown.
+};
+
+struct AttemptResult
+{
+    AttemptStatus status = AttemptStatus::Lost;
+    std::string detail;
+    std::string finishReason;
+    AnswerLine answer;
+    bool isBlamed = false;
+    bool wasQueueFull = false;
+};
+
+/// Takes each token once and in order; returns false if nobody wants more.
+using TokenSink = std::function<bool(std::string_view token)>;
+
+/// Runs attempts at agents, across silent and broken connections.
+class AttemptClient
+{
+public:
+    AttemptClient(ControlThread &control, std::string secret);
+
+    AttemptResult run(Upstream &upstream, const AttemptRequest &request, const TokenSink &sink);
+    /// Reads the answer of an attempt that may have been begun before; never begins it.
+    AttemptResult attach(Upstream &upstream, const AttemptRequest &request, const TokenSink &sink);
+
+    [[nodiscard]] const Counter &reattached() const { return m_reattached; }
+
+private:
+    enum class ReadEnd { Ended, Broken, SinkClosed };
+    enum class LineEnd { More, Last, SinkClosed };
+    struct Progress
+    {
+        std::size_t lines = 0;
+        AttemptResult result;
+    };
+
+    [[nodiscard]] HttpRequest openingCall(const AttemptRequest &request,
+                                          const std::string &incarnation) const;
+    [[nodiscard]] HttpRequest attachCall(const AttemptRequest &request, std::size_t from) const;
+    ReadEnd readLines(HttpAnswer &answer, const TokenSink &sink, Progress &progress);
+    LineEnd takeLine(std::string_view line, const TokenSink &sink, Progress &progress);
+    AttemptResult goOn(Upstream &upstream, const AttemptRequest &request, const TokenSink &sink,
+                       Progress progress, const std::string &incarnation);
+    AttemptResult stop(Upstream &upstream, const AttemptRequest &request,
+                       const std::string &incarnation);
+    AttemptResult settle(Upstream &upstream, const AttemptRequest &request, Progress progress,
+                         const std::string &incarnation);
+
+    ControlThread &m_control;
+    std::string m_secret;
+    Counter m_reattached;
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/BatchScheduler.cpp
@@ -0,0 +1,333 @@
+#include "BatchScheduler.h"
+
+#include "ShardRunner.h"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+namespace Radishplank {
+
+namespace {
+
+constexpr Milliseconds claimInterval{100};
+constexpr Milliseconds jobWatchWait{5'000};
+constexpr Milliseconds storeRetryInterval{500};
+constexpr Milliseconds nothingToClaimWait{2'000};
+constexpr Milliseconds storePatience{3'000};
+constexpr std::size_t maxShardsHeld = 8;
+/// Jobs whose due times differ by less are ordered by fairness between owners instead.
+constexpr std::int64_t dueBucketMilliseconds = 15LL * 60 * 1000;
+
+} // namespace
+
+BatchScheduler::BatchScheduler(EntryContext &context, CallRunner &runner)
+    : m_context(context)
+    , m_runner(runner)
+    , m_jobs(context.store, FiberPause{}, storePatience)
+    , m_observer(leaseDuration)
+{
+}
+
+BatchScheduler::~BatchScheduler() = default;
+
+void BatchScheduler::start()
+{
+    m_context.threads.spawn([this] { watchJobs(); });
+    m_context.threads.spawn([this] { claimLoop(); });
+}
+
+void BatchScheduler::dropJob(const JobKey &job)
+{
+    const std::scoped_lock lock(m_mutex);
+    for (const auto &shard : m_shards) {
+        if (shard->job() == job)
+            shard->drop();
+    }
+}
+
+void BatchScheduler::beginDrain()
+{
+    m_isDraining = true;
+    const std::scoped_lock lock(m_mutex);
+    for (const auto &shard : m_shards)
+        shard->handBack();
+}
+
+std::size_t BatchScheduler::shardsHeld()
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_shards.size();
+}
+
+bool BatchScheduler::takeItem(const OwnerId &owner)
+{
+    const auto limit = m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
+        const auto *known = catalogue.owner(owner);
+        const auto members = std::max<std::size_t>(catalogue.nodes().size(), 1);
+        const auto whole = known == nullptr ? 0 : known->limits.concurrentItems;
+        // Each process owns an equal part; a limit below the number of processes leaves one each.
+        return whole == 0 ? 0 : std::max<std::size_t>(1, static_cast<std::size_t>(whole) / members);
+    });
+    const std::scoped_lock lock(m_mutex);
+    auto &load = m_owners[owner];
+    if (limit > 0 && load.inFlight >= limit)
+        return false;
+    load.inFlight += 1;
+    return true;
+}
+
+void BatchScheduler::releaseItem(const OwnerId &owner, bool isCompleted)
+{
+    const std::scoped_lock lock(m_mutex);
+    auto &load = m_owners[owner];
+    load.inFlight -= 1;
+    load.completed += isCompleted ? 1 : 0;
+}
+
+void BatchScheduler::watchJobs()
+{
+    Version revision = noVersion;
+    bool hasListed = false;
+    while (true) {
+        if (!hasListed) {
+            const auto listed = listJobs();
+            hasListed = !listed.isError();
+            revision = hasListed ? listed.value() : revision;
+        } else {
+            const auto batch = m_context.store.watch(activeJobPrefix, revision, jobWatchWait);
+            hasListed = !batch.isError();
+            if (hasListed) {
+                for (const auto &change : batch.value().changes)
+                    takeChange(change);
+                revision = batch.value().revision;
+            }
+        }
+        if (!hasListed)
+            boost::this_fiber::sleep_for(storeRetryInterval);
+    }
+}
+
+Result<Version> BatchScheduler::listJobs()
+{
+    const auto listing = TRY(listAll(m_context.store, activeJobPrefix, ListContent::KeysAndValues));
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_active.clear();
+    }
+    for (const auto &object : listing.objects)
+        takeChange({object, false});
+    return listing.revision;
+}
+
+void BatchScheduler::takeChange(const ObjectChange &change)
+{
+    const auto job = JobKey::fromActiveKey(change.object.key);
+    if (job.isError())
+        return;
+    bool isCancelled = false;
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (change.isRemoval) {
+            m_active.erase(job.value());
+            return;
+        }
+        const auto fields = parseJsonObject(change.object.value);
+        if (fields.isError())
+            return;
+        auto &active = m_active[job.value()];
+        active.dueAt = integerField(fields.value(), "dueAt", 0);
+        const auto *cancelled = fields.value().if_contains("cancelled");
+        active.isCancelled = cancelled != nullptr && cancelled->is_bool() && cancelled->as_bool();
+        isCancelled = active.isCancelled;
+    }
+    if (isCancelled)
+        dropJob(job.value());
+}
+
+void BatchScheduler::claimLoop()
+{
+    while (!m_isDraining) {
+        boost::this_fiber::sleep_for(claimInterval);
+        if (!wantsShard())
+            continue;
+        for (const auto &job : jobsInOrder()) {
+            if (claimFrom(job))
+                break;
+        }
+    }
+}
+
+bool BatchScheduler::wantsShard()
+{
+    const std::scoped_lock lock(m_mutex);
+    if (m_shards.size() >= maxShardsHeld)
+        return false;
+    // One shard with items to hand out keeps every place busy; a second only delays its outcomes.
+    return std::none_of(m_shards.begin(), m_shards.end(),
+                        [](const auto &shard) { return shard->hasWaitingItems(); });
+}
+
+std::vector<JobKey> BatchScheduler::jobsInOrder()
+{
+    struct Ranked
+    {
+        std::int64_t dueBucket;
+        double served;
+        std::int64_t dueAt;
+        JobKey job;
+    };
+    std::vector<Ranked> ranked;
+    const auto now = SteadyClock().now();
+    {
+        const std::scoped_lock lock(m_mutex);
+        for (const auto &[job, active] : m_active) {
+            if (now < active.notBefore)
+                continue;
+            const auto completed = static_cast<double>(m_owners[job.owner].completed);
+            ranked.push_back({active.dueAt / dueBucketMilliseconds, completed, active.dueAt, job});
+        }
+    }
+    m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
+        for (auto &each : ranked) {
+            if (const auto *owner = catalogue.owner(each.job.owner))
+                each.served /= owner->weight;
+        }
+    });
+    std::sort(ranked.begin(), ranked.end(), [](const Ranked &left, const Ranked &right) {
+        return std::tie(left.dueBucket, left.served, left.dueAt, left.job)
+               < std::tie(right.dueBucket, right.served, right.dueAt, right.job);
+    });
+    std::vector<JobKey> jobs;
+    for (auto &each : ranked)
+        jobs.push_back(std::move(each.job));
+    return jobs;
+}
+
+bool BatchScheduler::claimFrom(const JobKey &job)
+{
+    const auto stored = m_jobs.manifest(job);
+    if (stored.isError()) {
+        postpone(job, nothingToClaimWait);
+        return false;
+    }
+    const auto &manifest = stored.value().manifest;
+    if (manifest.state == JobState::Cancelling) {
+        finishCancelled(job);
+        return false;
+    }
+    if (manifest.state != JobState::Accepted) {
+        (void)m_jobs.removeFromIndex(job);
+        postpone(job, nothingToClaimWait);
+        return false;
+    }
+    const auto shards = m_jobs.readShards(job, manifest);
+    if (shards.isError() || !isNearEnough(job, manifest.shardItems.size())) {
+        postpone(job, nothingToClaimWait);
+        return false;
+    }
+    const auto count = shards.value().size();
+    const auto first = randomBelow(threadRandomEngine(), count);
+    bool isComplete = true;
+    const auto now = SteadyClock().now();
+    for (std::size_t i = 0; i < count; ++i) {
+        // Each process begins elsewhere, so that they do not race for the same shard.
+        const auto shard = (first + i) % count;
+        const auto &known = shards.value()[shard];
+        const bool isDone = known && known->progress.isComplete();
+        isComplete = isComplete && isDone;
+        if (isDone)
+            continue;
+        const bool isHeld = known && !known->progress.holder.empty()
+                            && !m_observer.hasLapsed(job.shardKey(shard), known->version, now);
+        if (!isHeld && claimShard(job, manifest, shard))
+            return true;
+    }
+    if (isComplete)
+        (void)m_jobs.completeIfDone(job);
+    postpone(job, nothingToClaimWait);
+    return false;
+}
+
+bool BatchScheduler::claimShard(const JobKey &job, const JobManifest &manifest, std::size_t shard)
+{
+    const auto giveUpAt = SteadyClock().now() + storePatience;
+    auto lease = FiberShardLease::claim(m_context.store, job, shard, manifest.shardItems[shard],
+                                        m_context.node.text(), FiberPause{},
+                                        [giveUpAt] { return SteadyClock().now() < giveUpAt; });
+    if (lease.isError())
+        return false;
+    m_context.metrics.shardsClaimed.increase();
+    m_observer.forget(job.shardKey(shard));
+    const auto runner = std::make_shared<ShardRunner>(m_context, m_runner, *this, lease.takeValue(),
+                                                      manifest);
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_shards.insert(runner);
+    }
+    if (m_isDraining)
+        runner->handBack();
+    m_context.threads.spawn([this, runner] { runShard(runner); });
+    return true;
+}
+
+void BatchScheduler::runShard(const std::shared_ptr<ShardRunner> &shard)
+{
+    shard->run();
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_shards.erase(shard);
+    }
+    if (shard->isComplete())
+        (void)m_jobs.completeIfDone(shard->job());
+}
+
+void BatchScheduler::finishCancelled(const JobKey &job)
+{
+    dropJob(job);
+    if (m_jobs.finishCancel(job).isError())
+        postpone(job, nothingToClaimWait);
+}
+
+bool BatchScheduler::isNearEnough(const JobKey &job, std::size_t shards) const
+{
+    // A few processes for each shard suffice to work on a job; if all of them looked at every
+    // job, the calls to the store would grow with the fleet.
+    constexpr std::size_t processesPerShard = 2;
+    constexpr std::size_t spareProcesses = 4;
+    return m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
+        const auto own = stableHash(m_context.node.text(), stableHash(job.prefix()));
+        std::size_t nearer = 0;
+        for (const auto &node : catalogue.nodes())
+            nearer += stableHash(node.id.text(), stableHash(job.prefix())) < own ? 1 : 0;
+        return nearer < shards * processesPerShard + spareProcesses;
+    });
+}
+
+void BatchScheduler::postpone(const JobKey &job, Milliseconds wait)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_active.find(job);
+    if (found != m_active.end())
+        found->second.notBefore = SteadyClock().now() + wait;
+}
+
+boost::json::object BatchScheduler::state()
+{
+    const std::scoped_lock lock(m_mutex);
+    boost::json::array shards;
+    for (const auto &shard : m_shards)
+        shards.push_back(boost::json::object{{"owner", shard->job().owner.text()},
+                                             {"job", shard->job().name.text()},
+                                             {"shard", shard->shard()},
+                                             {"hasWaitingItems", shard->hasWaitingItems()}});
+    boost::json::array usage;
+    for (const auto &[owner, load] : m_owners)
+        usage.push_back(boost::json::object{{"owner", owner.text()},
+                                            {"itemsInFlight", load.inFlight},
+                                            {"itemsCompleted", load.completed}});
+    return {{"activeJobs", m_active.size()},
+            {"shards", std::move(shards)},
+            {"usage", std::move(usage)}};
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/BatchScheduler.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "CallRunner.h"
+#include "FiberPause.h"
+
+#include <map>
+#include <set>
+
+namespace Radishplank {
+
+class ShardRunner;
+
+/// Finds jobs with work left, claims their shards and runs them on idle slots.
+class BatchScheduler
+{
+public:
+    BatchScheduler(EntryContext &context, CallRunner &runner);
+    ~BatchScheduler();
+
+    void start();
+    /// Stops what runs here of a job that has been cancelled.
+    void dropJob(const JobKey &job);
+    /// Stops claiming, ends the items in flight and hands the shards back.
+    void beginDrain();
+    [[nodiscard]] std::size_t shardsHeld();
+    [[nodiscard]] boost::json::object state();
+
+    /// Tells whether one more item of the owner may run here, and counts it.
+    bool takeItem(const OwnerId &owner);
+    void releaseItem(const OwnerId &owner, bool isCompleted);
+
+private:
+    struct ActiveJob
+    {
+        std::int64_t dueAt = 0;
+        bool isCancelled = false;
+        /// Not looked at again before this time.
+        TimePoint notBefore{};
+    };
+    struct OwnerLoad
+    {
+        std::size_t inFlight = 0;
+        std::uint64_t completed = 0;
+    };
+
+    void watchJobs();
+    Result<Version> listJobs();
+    void takeChange(const ObjectChange &change);
+    void claimLoop();
+    bool wantsShard();
+    std::vector<JobKey> jobsInOrder();
+    bool claimFrom(const JobKey &job);
+    bool claimShard(const JobKey &job, const JobManifest &manifest, std::size_t shard);
+    void finishCancelled(const JobKey &job);
+    [[nodiscard]] bool isNearEnough(const JobKey &job, std::size_t shards) const;
+    void postpone(const JobKey &job, Milliseconds wait);
+    void runShard(const std::shared_ptr<ShardRunner> &shard);
+
+    EntryContext &m_context;
+    CallRunner &m_runner;
+    FiberJobStore m_jobs;
+    std::atomic<bool> m_isDraining{false};
+    std::mutex m_mutex;
+    std::map<JobKey, ActiveJob> m_active;
+    std::map<OwnerId, OwnerLoad> m_owners;
+    std::set<std::shared_ptr<ShardRunner>> m_shards;
+    LeaseObserver m_observer;
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/CallerApi.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "BatchApi.h"
+#include "CallRunner.h"
+#include "KeyedCalls.h"
+
+namespace Radishplank {
+
+/// The HTTP interface for callers.
+class CallerApi
+{
+public:
+    CallerApi(EntryContext &context, CallRunner &runner, KeyedCalls &keyedCalls, BatchApi &batch);
+
+    void handle(HttpExchange &exchange);
+
+private:
+    void handleModel(HttpExchange &exchange, const OwnerId &owner);
+    void handleService(HttpExchange &exchange, const OwnerId &owner, const HttpTarget &target);
+    void listModels(HttpExchange &exchange, const OwnerId &owner);
+    std::optional<OwnerId> authenticate(const HttpRequest &request);
+    /// Answers the caller and returns null if the entry is unknown, or of the wrong kind or class.
+    std::shared_ptr<const Entry> findEntry(HttpExchange &exchange, const OwnerId &owner,
+                                           const std::string &name, EntryKind kind);
+    bool admit(HttpExchange &exchange, const Entry &entry);
+    void release(const Entry &entry);
+    CallResult runService(const HttpRequest &request, const CallSpec &spec);
+    void runWhole(HttpExchange &exchange, const CallSpec &spec, bool isChat);
+    void runStreamed(HttpExchange &exchange, const CallSpec &spec, bool isChat);
+
+    EntryContext &m_context;
+    CallRunner &m_runner;
+    KeyedCalls &m_keyedCalls;
+    BatchApi &m_batch;
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/ConfigurationSync.cpp
@@ -0,0 +1,210 @@
+#include "ConfigurationSync.h"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+namespace Radishplank {
+
+namespace {
+
+constexpr std::size_t watchersPerZone = 2;
+constexpr Milliseconds watchWait{5'000};
+constexpr Milliseconds exchangeInterval{500};
+constexpr Milliseconds exchangeTimeout{1'000};
+constexpr Milliseconds storeRetryInterval{500};
+/// Knowledge older than this makes a process watch the store itself. With the time to notice and
+/// to list, it keeps a change in force everywhere within 4 s.
+constexpr Milliseconds staleLimit{2'000};
+constexpr Milliseconds neverFresh{3'600'000};
+
+} // namespace
+
+ConfigurationSync::ConfigurationSync(EntryContext &context, SyncSettings settings,
+                                     std::function<void()> onChange)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_onChange(std::move(onChange))
+    , m_freshAt(SteadyClock().now() - neverFresh)
+{
+}
+
+void ConfigurationSync::start()
+{
+    m_context.threads.spawn([this] { watchLoop(); });
+    m_context.threads.spawn([this] { exchangeLoop(); });
+}
+
+ExchangeAnswer ConfigurationSync::answer(const ExchangeRequest &request)
+{
+    m_context.quarantine.take(request.crashes, SteadyClock().now());
+    ExchangeAnswer answer;
+    answer.revision = m_context.configuration.revision();
+    answer.changes = m_context.configuration.changesSince(request.revision);
+    answer.crashes = m_context.quarantine.notices(SteadyClock().now());
+    answer.staleness = staleness();
+    return answer;
+}
+
+void ConfigurationSync::announceCrashes()
+{
+    for (const auto &node : others())
+        m_context.threads.spawn([this, node] { (void)exchangeWith(node.control); });
+}
+
+Milliseconds ConfigurationSync::staleness() const
+{
+    return std::chrono::duration_cast<Milliseconds>(SteadyClock().now() - m_freshAt.load());
+}
+
+boost::json::array ConfigurationSync::memberRevisions()
+{
+    boost::json::array members;
+    members.push_back(boost::json::object{{"node", m_context.node.text()},
+                                          {"revision", m_context.configuration.revision()},
+                                          {"stalenessMs", staleness().count()}});
+    for (const auto &node : others()) {
+        ExchangeRequest request;
+        request.node = m_context.node;
+        request.revision = std::numeric_limits<Version>::max();
+        const auto answer = m_context.control.exchange(node.control, request, exchangeTimeout);
+        boost::json::object member{{"node", node.id.text()}};
+        if (answer.isError()) {
+            member["error"] = answer.error().message;
+        } else {
+            member["revision"] = answer.value().revision;
+            member["stalenessMs"] = answer.value().staleness.count();
+        }
+        members.push_back(std::move(member));
+    }
+    return members;
+}
+
+void ConfigurationSync::watchLoop()
+{
+    while (true) {
+        const bool shouldWatch = isChosenWatcher() || staleness() > staleLimit;
+        if (shouldWatch != m_isWatching.exchange(shouldWatch))
+            logStateChange(shouldWatch ? "configuration-watch-begun" : "configuration-watch-ended");
+        if (!shouldWatch) {
+            // What changes while this process does not watch may leave the store's history.
+            m_hasListed = false;
+            boost::this_fiber::sleep_for(exchangeInterval);
+            continue;
+        }
+        const auto result = m_hasListed ? watchStore() : listStore();
+        if (result.isError()) {
+            m_hasListed = m_hasListed && result.error().kind != ErrorKind::NotFound;
+            boost::this_fiber::sleep_for(storeRetryInterval);
+        }
+    }
+}
+
+Result<void> ConfigurationSync::listStore()
+{
+    const auto askedAt = SteadyClock().now();
+    const auto listing
+            = TRY(listAll(m_context.store, configurationPrefix, ListContent::KeysAndValues));
+    const bool hasChanged = m_context.configuration.applyListing(listing.objects, listing.revision);
+    m_hasListed = true;
+    noteFresh(askedAt);
+    if (hasChanged)
+        m_onChange();
+    return {};
+}
+
+Result<void> ConfigurationSync::watchStore()
+{
+    const auto since = m_context.configuration.revision();
+    const auto wait = std::min(watchWait, staleLimit / 2);
+    const auto batch = TRY(m_context.store.watch(configurationPrefix, since, wait));
+    noteFresh(SteadyClock().now());
+    if (m_context.configuration.apply(batch.changes, batch.revision))
+        m_onChange();
+    return {};
+}
+
+void ConfigurationSync::exchangeLoop()
+{
+    while (true) {
+        boost::this_fiber::sleep_for(exchangeInterval);
+        const auto peer = nextPeer();
+        if (!peer)
+            continue;
+        const auto askedAt = SteadyClock().now();
+        const auto answer = exchangeWith(*peer);
+        if (!answer.isError())
+            noteFresh(askedAt - answer.value().staleness);
+    }
+}
+
+Result<ExchangeAnswer> ConfigurationSync::exchangeWith(const Endpoint &peer)
+{
+    ExchangeRequest request;
+    request.node = m_context.node;
+    request.revision = m_context.configuration.revision();
+    request.crashes = m_context.quarantine.notices(SteadyClock().now());
+    auto answer = TRY(m_context.control.exchange(peer, request, exchangeTimeout));
+    m_context.quarantine.take(answer.crashes, SteadyClock().now());
+    if (m_context.configuration.apply(answer.changes, answer.revision))
+        m_onChange();
+    return answer;
+}
+
+bool ConfigurationSync::isChosenWatcher() const
+{
+    std::vector<std::pair<std::uint64_t, NodeId>> ranked;
+    m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
+        for (const auto &node : catalogue.nodes()) {
+            if (node.zone == m_settings.zone)
+                ranked.emplace_back(stableHash(node.id.text()), node.id);
+        }
+    });
+    std::sort(ranked.begin(), ranked.end());
+    const auto position = std::find_if(ranked.begin(), ranked.end(), [this](const auto &rank) {
+        return rank.second == m_settings.node;
+    });
+    // A process that the configuration does not list yet has to find its way in.
+    return position == ranked.end()
+           || position - ranked.begin() < static_cast<std::ptrdiff_t>(watchersPerZone);
+}
+
+std::vector<EntryMember> ConfigurationSync::others() const
+{
+    return m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
+        std::vector<EntryMember> members;
+        for (const auto &node : catalogue.nodes()) {
+            if (node.id != m_settings.node)
+                members.push_back(node);
+        }
+        return members;
+    });
+}
+
+std::optional<Endpoint> ConfigurationSync::nextPeer()
+{
+    auto &random = threadRandomEngine();
+    const auto members = others();
+    if (members.empty()) {
+        if (m_settings.seeds.empty())
+            return {};
+        return m_settings.seeds[randomBelow(random, m_settings.seeds.size())];
+    }
+    std::vector<EntryMember> near;
+    for (const auto &member : members) {
+        if (member.zone == m_settings.zone)
+            near.push_back(member);
+    }
+    // Mostly near ones, because the link between regions is paid for; now and then any, so that
+    // crashes and changes spread everywhere.
+    const auto &choices = near.empty() || randomBelow(random, 4) == 0 ? members : near;
+    return choices[randomBelow(random, choices.size())].control;
+}
+
+void ConfigurationSync::noteFresh(TimePoint at)
+{
+    auto known = m_freshAt.load();
+    while (known < at && !m_freshAt.compare_exchange_weak(known, at)) {
+    }
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/ConfigurationSync.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "EntryContext.h"
+
+#include <functional>
+
+namespace Radishplank {
+
+struct SyncSettings
+{
+    NodeId node;
+    ZoneName zone;
+    /// Control addresses asked for the configuration while no member is known.
+    std::vector<Endpoint> seeds;
+};
+
+/// Keeps the configuration of this process in step with the store, or with its peers.
+///
+/// In each availability zone a few processes, chosen by rendezvous hashing, watch the store; the
+/// others ask their peers. A process whose knowledge grows stale watches the store itself.
+class ConfigurationSync
+{
+public:
+    ConfigurationSync(EntryContext &context, SyncSettings settings, std::function<void()> onChange);
+
+    void start();
+    /// Answers a peer that asks for what it lacks.
+    ExchangeAnswer answer(const ExchangeRequest &request);
+    /// Sends the known crashes to every other entry process at once.
+    void announceCrashes();
+    /// Returns how long ago this process was known to be in step with the store.
+    [[nodiscard]] Milliseconds staleness() const;
+    /// Tells whether this process watches the store, as against asking its peers.
+    [[nodiscard]] bool isWatching() const { return m_isWatching; }
+    /// Asks every known entry process for its revision.
+    [[nodiscard]] boost::json::array memberRevisions();
+
+private:
+    void watchLoop();
+    void exchangeLoop();
+    [[nodiscard]] bool isChosenWatcher() const;
+    Result<void> listStore();
+    Result<void> watchStore();
+    Result<ExchangeAnswer> exchangeWith(const Endpoint &peer);
+    [[nodiscard]] std::vector<EntryMember> others() const;
+    [[nodiscard]] std::optional<Endpoint> nextPeer();
+    void noteFresh(TimePoint at);
+
+    EntryContext &m_context;
+    SyncSettings m_settings;
+    std::function<void()> m_onChange;
+    std::atomic<bool> m_isWatching{false};
+    std::atomic<bool> m_hasListed{false};
+    std::atomic<TimePoint> m_freshAt;
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/DaemonSettings.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <Core/Core.h>
+
+namespace Radishplank {
+
+/// Settings that both roles of the daemon have.
+struct CommonSettings
+{
+    std::string node;
+    std::string zone;
+    std::string region;
+    Endpoint controlListen{"127.0.0.1", 0};
+    Endpoint operatorListen{"127.0.0.1", 0};
+    Endpoint store;
+    Milliseconds storeTimeout{1'000};
+    std::string secret;
+    std::string operatorToken;
+    std::uint64_t threads = 2;
+    Milliseconds drainTimeout{120'000};
+    std::string logFormat = "text";
+    std::string readyFile;
+};
+
+struct EntrySettings
+{
+    CommonSettings common;
+    Endpoint callerListen{"127.0.0.1", 0};
+    std::vector<std::string> seeds;
+    Milliseconds lameDuck{2'000};
+    std::string routing = "balanced";
+};
+
+struct AgentRoleSettings
+{
+    CommonSettings common;
+    Endpoint dataListen{"127.0.0.1", 0};
+    Endpoint upstream;
+    std::string kind = "model";
+    std::vector<std::string> pools;
+    std::uint64_t slots = 4;
+    std::uint64_t onlineQueue = 16;
+    std::uint64_t batchQueue = 2;
+};
+
+void bindCommonSettings(Settings &settings, CommonSettings &values);
+void bindEntrySettings(Settings &settings, EntrySettings &values);
+void bindAgentSettings(Settings &settings, AgentRoleSettings &values);
+
+/// Checks what a single setting cannot tell; adds to the findings.
+void checkCommonSettings(const CommonSettings &values, Findings &findings);
+void checkEntrySettings(const EntrySettings &values, Findings &findings);
+void checkAgentSettings(const AgentRoleSettings &values, Findings &findings);
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/EntryContext.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "AttemptClient.h"
+#include "Fleet.h"
+
+#include <Limits/Limits.h>
+#include <Store/Store.h>
+
+namespace Radishplank {
+
+struct EntryMetrics
+{
+    Counter requests;
+    Counter refused;
+    Counter retries;
+    Counter resumed;
+    Counter unknownOutcomes;
+    Counter crashes;
+    Counter itemsCompleted;
+    Counter itemsFailed;
+    Counter itemsPreempted;
+    Counter shardsClaimed;
+    Counter shardsLost;
+    LatencyHistogram firstToken;
+    LatencyHistogram wholeAnswer;
+};
+
+/// What the parts of an entry process share; outlives all of them.
+struct EntryContext
+{
+    FiberThreads &threads;
+    ControlThread &control;
+    HttpObjectStore &store;
+    ConfigurationReplica &configuration;
+    Fleet &fleet;
+    AttemptClient &attempts;
+    OwnerLimits &limits;
+    Quarantine &quarantine;
+    RetryBudget &retryBudget;
+    EntryMetrics &metrics;
+    NodeId node;
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/EntryDaemon.cpp
@@ -0,0 +1,136 @@
+#include "EntryDaemon.h"
+
+#include "CallerApi.h"
+#include "ConfigurationSync.h"
+#include "MemberRegistration.h"
+#include "OperatorApi.h"
+
+#include <thread>
+
+namespace Radishplank {
+
+namespace {
+
+constexpr Milliseconds crashMemory{600'000};
+constexpr std::size_t maxCrashRecords = 1'000;
+constexpr double retryShare = 0.1;
+constexpr double retryReserve = 20;
+constexpr Milliseconds drainPollInterval{20};
+constexpr Milliseconds lastBytesTime{200};
+/// Batch jobs are streamed to the store, so a body's size is bounded by its job's limits instead.
+constexpr std::size_t callerBodyBytes = std::size_t{4} * 1024 * 1024;
+
+/// Passes control calls to the parts of an entry process, which exist only after the thread that
+/// makes the calls.
+class EntryControl : public ControlHandler
+{
+public:
+    std::atomic<ConfigurationSync *> sync{nullptr};
+
+    Result<ExchangeAnswer> exchange(const ExchangeRequest &request) override
+    {
+        auto *target = sync.load();
+        if (target == nullptr)
+            return Error{ErrorKind::Unavailable, "this process is starting"};
+        return target->answer(request);
+    }
+};
+
+RoutingPolicy routingPolicy(const std::string &name)
+{
+    if (name == "random")
+        return RoutingPolicy::Random;
+    return name == "round-robin" ? RoutingPolicy::RoundRobin : RoutingPolicy::Balanced;
+}
+
+SyncSettings syncSettings(const EntrySettings &settings)
+{
+    SyncSettings result;
+    result.node = NodeId(settings.common.node);
+    result.zone = ZoneName(settings.common.zone);
+    for (const auto &seed : settings.seeds)
+        result.seeds.push_back(Endpoint::parse(seed).takeValue());
+    return result;
+}
+
+void drain(HttpServer &callerServer, BatchScheduler &batch, const EntrySettings &settings)
+{
+    batch.beginDrain();
+    callerServer.beginDrain();
+    // The balancer still sends calls until it has noticed, so they are still taken.
+    std::this_thread::sleep_for(settings.lameDuck);
+    callerServer.closeIdle();
+    const auto until = SteadyClock().now() + settings.common.drainTimeout;
+    while (SteadyClock().now() < until
+           && (callerServer.activeExchanges() > 0 || batch.shardsHeld() > 0))
+        std::this_thread::sleep_for(drainPollInterval);
+    std::this_thread::sleep_for(lastBytesTime);
+}
+
+} // namespace
+
+Result<void> runEntryDaemon(const EntrySettings &settings)
+{
+    const auto &common = settings.common;
+    const NodeId node(common.node);
+    FiberThreads threads(common.threads);
+    HttpObjectStore store(common.store, common.storeTimeout);
+    EntryControl controlHandler;
+    const auto control
+            = TRY(ControlThread::start(common.controlListen, common.secret, controlHandler));
+    ConfigurationReplica configuration;
+    Fleet fleet(threads, *control, {node, ZoneName(common.zone), RegionName(common.region)},
+                routingPolicy(settings.routing));
+    AttemptClient attempts(*control, common.secret);
+    OwnerLimits limits;
+    Quarantine quarantine(crashMemory, maxCrashRecords);
+    RetryBudget retryBudget(retryShare, retryReserve);
+    EntryMetrics metrics;
+    EntryContext context{threads, *control,   store,       configuration, fleet, attempts,
+                         limits,  quarantine, retryBudget, metrics,       node};
+    ConfigurationSync sync(context, syncSettings(settings), [&] {
+        const auto agents = configuration.read([&](const CatalogueSnapshot &catalogue) {
+            limits.setMembers(catalogue.nodes().size());
+            return std::vector<AgentMember>(catalogue.agents().begin(), catalogue.agents().end());
+        });
+        fleet.update(agents);
+    });
+    controlHandler.sync = &sync;
+    CallRunner runner(context);
+    runner.onCrash = [&sync] { sync.announceCrashes(); };
+    KeyedCalls keyedCalls(context, runner);
+    BatchScheduler batch(context, runner);
+    BatchApi batchApi(context, batch);
+    CallerApi callerApi(context, runner, keyedCalls, batchApi);
+    OperatorApi operatorApi(context, sync, batch, common.operatorToken);
+
+    HttpServerLimits callerLimits;
+    callerLimits.bodyBytes = callerBodyBytes;
+    const auto callerServer
+            = TRY(HttpServer::listen(threads, settings.callerListen, callerLimits,
+                                     [&](HttpExchange &exchange) { callerApi.handle(exchange); }));
+    const auto operatorServer = TRY(
+            HttpServer::listen(threads, common.operatorListen, {},
+                               [&](HttpExchange &exchange) { operatorApi.handle(exchange); }));
+    sync.start();
+    batch.start();
+
+    const EntryMember member{node, control->endpoint(), ZoneName(common.zone),
+                             RegionName(common.region)};
+    MemberRegistration registration(store, std::string(nodePrefix) + common.node);
+    threads.spawn([&registration, member] { registration.write(toJson(member)); });
+    TRY(writeReadyFile(common.readyFile, {{"callers", callerServer->endpoint().text()},
+                                          {"control", control->endpoint().text()},
+                                          {"operator", operatorServer->endpoint().text()}}));
+    logStateChange("entry-started", {{"callers", callerServer->endpoint().text()}});
+
+    waitForStopSignal();
+    logStateChange("entry-draining");
+    operatorApi.setDraining();
+    threads.spawn([&registration] { registration.remove(); });
+    drain(*callerServer, batch, settings);
+    logStateChange("entry-stopped");
+    exitProcess(0);
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/ShardRunner.cpp
@@ -0,0 +1,377 @@
+#include "ShardRunner.h"
+
+#include <boost/fiber/operations.hpp>
+
+namespace Radishplank {
+
+namespace {
+
+constexpr int maxTries = 3;
+constexpr std::size_t groupItems = 400;
+constexpr std::size_t groupBytes = 400'000;
+constexpr Milliseconds firstCommitInterval{500};
+constexpr Milliseconds longestCommitInterval{4'000};
+constexpr Milliseconds placePollInterval{5};
+constexpr Milliseconds commitPollInterval{50};
+constexpr Milliseconds commitPatience{2'000};
+constexpr Milliseconds recoverInterval{300};
+constexpr Milliseconds itemTime{600'000};
+constexpr std::string_view defaultPath = "/v1/completions";
+
+std::string fieldOr(const boost::json::object &object, std::string_view name,
+                    std::string_view fallback)
+{
+    return textField(object, name).value_or(std::string(fallback));
+}
+
+} // namespace
+
+ShardRunner::ShardRunner(EntryContext &context, CallRunner &runner, BatchScheduler &scheduler,
+                         FiberShardLease lease, JobManifest manifest)
+    : m_context(context)
+    , m_runner(runner)
+    , m_scheduler(scheduler)
+    , m_lease(std::move(lease))
+    , m_manifest(std::move(manifest))
+    , m_committedAt(SteadyClock().now())
+    , m_commitInterval(firstCommitInterval)
+{
+}
+
+void ShardRunner::run()
+{
+    if (!load()) {
+        handBack();
+        end();
+        return;
+    }
+    boost::fibers::fiber committer([this] { commitLoop(); });
+    startItems();
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait(lock, [this] { return m_inFlight == 0; });
+    }
+    committer.join();
+    end();
+}
+
+void ShardRunner::drop()
+{
+    m_command = Command::Drop;
+}
+
+void ShardRunner::handBack()
+{
+    auto expected = Command::Run;
+    m_command.compare_exchange_strong(expected, Command::HandBack);
+}
+
+bool ShardRunner::load()
+{
+    m_entry = m_context.configuration.read([this](const CatalogueSnapshot &catalogue) {
+        return catalogue.entry(job().owner, m_manifest.entry);
+    });
+    const auto part = m_context.store.get(m_manifest.partKey(job(), shard()));
+    if (part.isError() || !m_entry) {
+        logStateChange("shard-not-loadable", {{"job", job().name.text()}});
+        return false;
+    }
+    std::size_t number = 0;
+    std::string_view rest = part.value().value;
+    while (!rest.empty()) {
+        const auto end = rest.find('\n');
+        const auto parsed = parseItem(number++, rest.substr(0, end));
+        if (parsed.isError())
+            return false;
+        rest = end == std::string_view::npos ? "" : rest.substr(end + 1);
+    }
+    m_itemsLeft = m_lease.progress().done.size() - m_lease.progress().done.count();
+    m_waitingCount = m_waiting.size();
+    return number == m_lease.progress().done.size();
+}
+
+Result<void> ShardRunner::parseItem(std::size_t number, std::string_view line)
+{
+    if (number >= m_lease.progress().done.size())
+        return Error{ErrorKind::InvalidInput, "the part has more items than its shard"};
+    if (m_lease.progress().done.contains(number))
+        return {};
+    auto fields = TRY(parseJsonObject(line));
+    auto item = std::make_shared<Item>();
+    item->number = number;
+    item->id = fieldOr(fields, "id", "");
+    auto &spec = item->spec;
+    spec.entry = m_entry;
+    spec.method = fieldOr(fields, "method", "POST");
+    spec.target = fieldOr(fields, "path", m_entry->kind == EntryKind::Model ? defaultPath : "/");
+    const auto &body = fields["body"];
+    if (m_entry->kind == EntryKind::Model && body.is_object())
+        spec.request = body.as_object();
+    else
+        spec.body = body.is_string() ? std::string(body.as_string()) : boost::json::serialize(body);
+    const auto *idempotent = fields.if_contains("idempotent");
+    const bool isMarked = idempotent != nullptr && idempotent->is_bool() && !idempotent->as_bool();
+    spec.mayRepeat = !isMarked && m_entry->mayRepeat(spec.method, spec.target);
+    spec.prefixKey = prefixKeyOf(spec.request);
+    spec.fingerprint = sha256Hex(job().owner.text() + "\n" + spec.target + "\n"
+                                 + boost::json::serialize(body));
+    if (m_lease.progress().started.contains(number)) {
+        // An earlier holder handed it out, and nobody can tell any more what came of it.
+        complete(*item, "unknown", "the item may have run, and must not run twice");
+        return {};
+    }
+    m_waiting.push_back(std::move(item));
+    return {};
+}
+
+void ShardRunner::startItems()
+{
+    while (m_command == Command::Run) {
+        {
+            const std::scoped_lock lock(m_mutex);
+            if (m_itemsLeft == 0)
+                return;
+        }
+        if (!startNext())
+            boost::this_fiber::sleep_for(placePollInterval);
+    }
+}
+
+bool ShardRunner::startNext()
+{
+    ItemPointer item;
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_waiting.empty())
+            return false;
+        item = m_waiting.front();
+    }
+    if (!m_scheduler.takeItem(job().owner))
+        return false;
+    const auto upstream
+            = m_context.fleet.takeBatchPlace(m_entry->pool, SteadyClock().now(), item->avoided);
+    if (!upstream) {
+        m_scheduler.releaseItem(job().owner, false);
+        // Better one that it has failed on before than none at all.
+        if (item->avoided.size() >= m_context.fleet.acceptingCount(m_entry->pool))
+            item->avoided.clear();
+        return false;
+    }
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_waiting.pop_front();
+        m_waitingCount = m_waiting.size();
+        m_inFlight += 1;
+    }
+    m_context.threads.spawn(
+            [self = shared_from_this(), item, upstream] { self->runItem(item, upstream); });
+    return true;
+}
+
+bool ShardRunner::markStarted(const ItemPointer &item)
+{
+    if (item->spec.mayRepeat)
+        return true;
+    const std::scoped_lock lock(m_leaseMutex);
+    const std::vector<std::size_t> items{item->number};
+    const auto giveUpAt = SteadyClock().now() + commitPatience;
+    const auto marked = m_lease.markStarted(items, FiberPause{},
+                                            [giveUpAt] { return SteadyClock().now() < giveUpAt; });
+    if (!marked.isError())
+        return true;
+    // The mark may stand in the store all the same; this holder still knows that it did not run.
+    const auto recovered = m_lease.recover();
+    if (recovered.isError() && recovered.error().kind == ErrorKind::Conflict)
+        drop();
+    return false;
+}
+
+void ShardRunner::runItem(const ItemPointer &item, const UpstreamPointer &upstream)
+{
+    AttemptResult result;
+    result.status = AttemptStatus::NotRun;
+    const auto now = SteadyClock().now();
+    if (m_command != Command::Run) {
+        upstream->releaseBatchPlace();
+    } else if (m_context.quarantine.barredFor(item->spec.fingerprint, now)) {
+        upstream->releaseBatchPlace();
+        result.status = AttemptStatus::Rejected;
+        result.detail = "the item has crashed upstreams and is not run again";
+    } else if (!markStarted(item)) {
+        upstream->releaseBatchPlace();
+    } else {
+        const bool isSuspect = m_context.quarantine.isSuspect(item->spec.fingerprint, now);
+        item->spec.deadline = now + itemTime;
+        const AttemptId id(makeUniqueId(m_context.node.text()));
+        const auto request = makeAttempt(item->spec, WorkClass::Batch, id, item->tokens,
+                                         isSuspect ? Suspicion::Suspect : Suspicion::None);
+        result = m_context.attempts.run(*upstream, request, [&](std::string_view token) {
+            item->text += token;
+            item->tokens += 1;
+            return m_command != Command::Drop;
+        });
+        if (result.status == AttemptStatus::NotRun)
+            upstream->refuseBatchPlace(SteadyClock().now());
+        else
+            upstream->releaseBatchPlace();
+        if (result.isBlamed)
+            m_runner.noteCrash(item->spec, id);
+        if (result.status == AttemptStatus::UpstreamLost || result.status == AttemptStatus::Lost)
+            item->avoided.push_back(upstream->member().id);
+    }
+    m_scheduler.releaseItem(job().owner, result.status == AttemptStatus::Complete);
+    judge(item, result);
+    const std::scoped_lock lock(m_mutex);
+    m_inFlight -= 1;
+    m_changed.notify_all();
+}
+
+void ShardRunner::judge(const ItemPointer &item, const AttemptResult &result)
+{
+    switch (result.status) {
+    case AttemptStatus::Complete: {
+        m_context.quarantine.noteSuccess(item->spec.fingerprint);
+        boost::json::object response;
+        if (m_entry->kind == EntryKind::Model) {
+            response = {{"text", item->text},
+                        {"tokens", item->tokens},
+                        {"finish_reason", result.finishReason}};
+        } else {
+            response = {{"status", result.answer.status}, {"body", result.answer.body}};
+        }
+        complete(*item, "completed", response);
+        return;
+    }
+    case AttemptStatus::NotRun:
+    case AttemptStatus::Stopped:
+        requeue(item);
+        return;
+    case AttemptStatus::Preempted:
+        m_context.metrics.itemsPreempted.increase();
+        requeue(item);
+        return;
+    case AttemptStatus::Rejected:
+        complete(*item, "failed", boost::json::value(result.detail));
+        return;
+    case AttemptStatus::UpstreamLost:
+    case AttemptStatus::Lost:
+        break;
+    }
+    item->tries += 1;
+    if (!item->spec.mayRepeat)
+        complete(*item, "unknown", boost::json::value("the item may have run: " + result.detail));
+    else if (item->tries >= maxTries)
+        complete(*item, "failed", boost::json::value("gave up: " + result.detail));
+    else
+        requeue(item);
+}
+
+void ShardRunner::requeue(const ItemPointer &item)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_waiting.push_back(item);
+    m_waitingCount = m_waiting.size();
+}
+
+void ShardRunner::complete(const Item &item, std::string_view status,
+                           const boost::json::value &detail)
+{
+    boost::json::object line{
+            {"id", item.id}, {"shard", shard()}, {"index", item.number}, {"status", status}};
+    const bool isCompleted = status == "completed";
+    line[isCompleted ? "response" : "error"] = detail;
+    const auto text = boost::json::serialize(line) + "\n";
+    const std::scoped_lock lock(m_mutex);
+    m_group.lines += text;
+    m_group.items.push_back(item.number);
+    m_group.failed += isCompleted ? 0 : 1;
+    if (m_itemsLeft > 0)
+        m_itemsLeft -= 1;
+    (isCompleted ? m_context.metrics.itemsCompleted : m_context.metrics.itemsFailed).increase();
+}
+
+void ShardRunner::commitLoop()
+{
+    while (true) {
+        boost::this_fiber::sleep_for(commitPollInterval);
+        const auto command = m_command.load();
+        if (command == Command::Drop)
+            return;
+        if (!commitDue(SteadyClock().now()))
+            continue;
+        const auto committed = commit();
+        if (committed.isError()) {
+            if (committed.error().kind == ErrorKind::Conflict) {
+                m_context.metrics.shardsLost.increase();
+                drop();
+                return;
+            }
+            boost::this_fiber::sleep_for(recoverInterval);
+            continue;
+        }
+        if (m_lease.progress().isComplete()) {
+            m_isComplete = true;
+            return;
+        }
+        const std::scoped_lock lock(m_mutex);
+        const bool isHandedBack
+                = command == Command::HandBack && m_inFlight == 0 && m_group.items.empty();
+        if (isHandedBack)
+            return;
+    }
+}
+
+bool ShardRunner::commitDue(TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto sinceCommit = now - m_committedAt;
+    const bool hasOutcomes = !m_group.items.empty();
+    const bool isLast = m_itemsLeft == 0 && m_inFlight == 0;
+    const bool isHandBack = m_command == Command::HandBack && m_inFlight == 0;
+    const bool isFull = m_group.items.size() >= groupItems || m_group.lines.size() >= groupBytes;
+    return isLast || isHandBack || isFull || (hasOutcomes && sinceCommit >= m_commitInterval)
+           || sinceCommit >= leaseRenewal;
+}
+
+Result<void> ShardRunner::commit()
+{
+    const std::scoped_lock leaseLock(m_leaseMutex);
+    FiberShardLease::Group group;
+    {
+        const std::scoped_lock lock(m_mutex);
+        std::swap(group, m_group);
+    }
+    const auto giveUpAt = SteadyClock().now() + commitPatience;
+    const auto mayGoOn = [giveUpAt] { return SteadyClock().now() < giveUpAt; };
+    const auto committed = m_lease.commit(group, FiberPause{}, mayGoOn);
+    if (!committed.isError()) {
+        m_committedAt = SteadyClock().now();
+        m_commitInterval = std::min(m_commitInterval * 2, longestCommitInterval);
+        return {};
+    }
+    const auto recovered = m_lease.recover();
+    const std::scoped_lock lock(m_mutex);
+    const bool hasTakenEffect = !recovered.isError() && !group.items.empty()
+                                && m_lease.progress().done.contains(group.items.front());
+    // A group is committed whole or not at all, so its first item stands for all of it.
+    if (!hasTakenEffect) {
+        group.lines += m_group.lines;
+        group.items.insert(group.items.end(), m_group.items.begin(), m_group.items.end());
+        group.failed += m_group.failed;
+        m_group = std::move(group);
+    }
+    if (recovered.isError())
+        return recovered.error();
+    return Error{ErrorKind::Unavailable, committed.error().message};
+}
+
+void ShardRunner::end()
+{
+    if (m_isComplete || m_command == Command::Drop)
+        return;
+    const std::scoped_lock lock(m_leaseMutex);
+    const auto giveUpAt = SteadyClock().now() + commitPatience;
+    (void)m_lease.release(FiberPause{}, [giveUpAt] { return SteadyClock().now() < giveUpAt; });
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/ShardRunner.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "BatchScheduler.h"
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <deque>
+
+namespace Radishplank {
+
+/// Runs the items of one held shard and commits their outcomes in groups.
+class ShardRunner : public std::enable_shared_from_this<ShardRunner>
+{
+public:
+    ShardRunner(EntryContext &context, CallRunner &runner, BatchScheduler &scheduler,
+                FiberShardLease lease, JobManifest manifest);
+
+    /// Works until the shard is complete, lost, dropped or handed back.
+    void run();
+    /// Ends the work: the job is cancelled, or the lease is lost.
+    void drop();
+    /// Ends the work after handing the shard back.
+    void handBack();
+
+    [[nodiscard]] const JobKey &job() const { return m_lease.job(); }
+    [[nodiscard]] std::size_t shard() const { return m_lease.shard(); }
+    /// Tells whether items still wait to be handed out.
+    [[nodiscard]] bool hasWaitingItems() const { return m_waitingCount > 0; }
+    [[nodiscard]] bool isComplete() const { return m_isComplete; }
+
+private:
+    enum class Command { Run, HandBack, Drop };
+    struct Item
+    {
+        std::size_t number = 0;
+        std::string id;
+        CallSpec spec;
+        int tries = 0;
+        /// Tokens made before the item was preempted, which a resumed attempt skips.
+        std::string text;
+        std::uint64_t tokens = 0;
+        std::vector<UpstreamId> avoided;
+    };
+    using ItemPointer = std::shared_ptr<Item>;
+
+    bool load();
+    Result<void> parseItem(std::size_t number, std::string_view line);
+    void startItems();
+    bool startNext();
+    bool markStarted(const ItemPointer &item);
+    void runItem(const ItemPointer &item, const UpstreamPointer &upstream);
+    void judge(const ItemPointer &item, const AttemptResult &result);
+    void requeue(const ItemPointer &item);
+    void complete(const Item &item, std::string_view status, const boost::json::value &detail);
+    void commitLoop();
+    bool commitDue(TimePoint now);
+    Result<void> commit();
+    void end();
+
+    EntryContext &m_context;
+    CallRunner &m_runner;
+    BatchScheduler &m_scheduler;
+    FiberShardLease m_lease;
+    JobManifest m_manifest;
+    std::shared_ptr<const Entry> m_entry;
+    std::atomic<Command> m_command{Command::Run};
+    std::atomic<bool> m_isComplete{false};
+    std::atomic<std::size_t> m_waitingCount{0};
+    boost::fibers::mutex m_mutex;
+    boost::fibers::condition_variable m_changed;
+    /// Serializes writes of the lease: groups and started marks.
+    boost::fibers::mutex m_leaseMutex;
+    std::deque<ItemPointer> m_waiting;
+    std::size_t m_inFlight = 0;
+    FiberShardLease::Group m_group;
+    TimePoint m_committedAt;
+    Milliseconds m_commitInterval;
+    std::size_t m_itemsLeft = 0;
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/Upstream.cpp
@@ -0,0 +1,126 @@
+#include "Upstream.h"
+
+#include <algorithm>
+
+namespace Radishplank {
+
+namespace {
+
+/// An agent that has not answered for so long gets no new work.
+constexpr Milliseconds reportLifetime{1'500};
+
+} // namespace
+
+Upstream::Upstream(AgentMember member, Distance distance)
+    : m_member(std::move(member))
+    , m_distance(distance)
+    , m_idHash(stableHash(m_member.id.text()))
+    // Somewhat more than the slots, so that a freed slot finds its next item waiting.
+    , m_window(static_cast<std::size_t>(m_member.slots + m_member.slots / 2 + 1))
+{
+}
+
+void Upstream::noteReport(const LoadReport &report, TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_report = report;
+    m_reportedAt = now;
+    m_hasReported = true;
+    m_sentSinceReport = 0;
+}
+
+void Upstream::noteSilence()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_hasReported = m_hasReported && SteadyClock().now() - m_reportedAt < reportLifetime;
+}
+
+void Upstream::noteUnavailable()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_report.isAccepting = false;
+}
+
+bool Upstream::isAccepting(TimePoint now) const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_hasReported && m_report.isAccepting && m_member.state == MemberState::Live
+           && now - m_reportedAt < reportLifetime;
+}
+
+std::string Upstream::incarnation() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_report.incarnation;
+}
+
+Candidate Upstream::candidate(TimePoint now) const
+{
+    const bool isEligible = isAccepting(now);
+    const std::scoped_lock lock(m_mutex);
+    Candidate candidate;
+    candidate.idHash = m_idHash;
+    candidate.distance = m_distance;
+    candidate.slots = std::max(m_report.slots, 1U);
+    const auto reported = m_report.onlineRunning + m_report.onlineQueued + m_sentSinceReport;
+    candidate.onlineLoad = std::max(reported, m_onlineInFlight);
+    candidate.isEligible = isEligible;
+    return candidate;
+}
+
+void Upstream::noteOnlineSent()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_sentSinceReport += 1;
+    m_onlineInFlight += 1;
+}
+
+void Upstream::noteOnlineEnded()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_onlineInFlight -= 1;
+    // The report may have been taken before or after this stream's end; once is enough.
+    if (m_sentSinceReport > 0)
+        m_sentSinceReport -= 1;
+    else if (m_report.onlineRunning > 0)
+        m_report.onlineRunning -= 1;
+}
+
+bool Upstream::takeBatchPlace(TimePoint now)
+{
+    if (!isAccepting(now))
+        return false;
+    const std::scoped_lock lock(m_mutex);
+    if (!m_window.mayTake(now))
+        return false;
+    m_window.take();
+    return true;
+}
+
+void Upstream::releaseBatchPlace()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_window.noteFinished();
+}
+
+void Upstream::refuseBatchPlace(TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_window.noteRefused(now);
+}
+
+boost::json::object Upstream::state(TimePoint now) const
+{
+    const bool accepting = isAccepting(now);
+    const std::scoped_lock lock(m_mutex);
+    return {{"id", m_member.id.text()},
+            {"zone", m_member.zone.text()},
+            {"accepting", accepting},
+            {"slots", m_report.slots},
+            {"onlineInFlight", m_onlineInFlight},
+            {"batchInFlight", m_window.inFlight()},
+            {"onlineReported", m_report.onlineRunning + m_report.onlineQueued},
+            {"batchReported", m_report.batchRunning + m_report.batchQueued}};
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Utilities/radishplank-standin/FaultProxy.cpp
@@ -0,0 +1,358 @@
+#include "FaultProxy.h"
+
+#include <Net/Await.h>
+
+#include <array>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <boost/fiber/operations.hpp>
+#include <deque>
+#include <set>
+
+namespace Radishplank {
+
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t pieceBytes = std::size_t{16} * 1024;
+constexpr std::size_t maxQueuedPieces = 256;
+
+enum class LinkMode { Pass, Cut, Stall };
+enum class Direction { Forward, Backward };
+
+struct DirectionState
+{
+    LinkMode mode = LinkMode::Pass;
+    std::uint64_t bytes = 0;
+    /// When the link has finished sending what was put on it.
+    TimePoint freeAt;
+};
+
+struct Piece
+{
+    std::string bytes;
+    TimePoint dueAt;
+};
+
+} // namespace
+
+struct ProxiedConnection;
+
+struct FaultProxy::Link
+{
+    std::string name;
+    Milliseconds delay{0};
+    std::uint64_t bytesPerSecond = 0;
+    std::array<DirectionState, 2> directions;
+    boost::fibers::mutex mutex;
+    boost::fibers::condition_variable changed;
+    std::set<ProxiedConnection *> connections;
+
+    DirectionState &state(Direction direction)
+    {
+        return directions[static_cast<std::size_t>(direction)];
+    }
+};
+
+/// A caller's connection, the one to the target, and what is on the way between them.
+struct ProxiedConnection : std::enable_shared_from_this<ProxiedConnection>
+{
+    ProxiedConnection(boost::asio::io_context &context, std::shared_ptr<FaultProxy::Link> proxyLink)
+        : link(std::move(proxyLink))
+        , sockets{tcp::socket(context), tcp::socket(context)}
+    {
+    }
+
+    std::shared_ptr<FaultProxy::Link> link;
+    std::array<tcp::socket, 2> sockets;
+    std::array<bool, 2> isSilenced{false, false};
+    bool isClosed = false;
+
+    tcp::socket &source(Direction direction)
+    {
+        return sockets[static_cast<std::size_t>(direction)];
+    }
+    tcp::socket &sink(Direction direction)
+    {
+        return sockets[1 - static_cast<std::size_t>(direction)];
+    }
+
+    void close()
+    {
+        isClosed = true;
+        boost::system::error_code ignored;
+        for (auto &socket : sockets)
+            socket.close(ignored);
+    }
+};
+
+namespace {
+
+using ConnectionPointer = std::shared_ptr<ProxiedConnection>;
+
+/// The queue between the reading and the writing fiber of one direction.
+struct PieceQueue
+{
+    std::deque<Piece> pieces;
+    bool isEnded = false;
+};
+
+TimePoint dueTime(FaultProxy::Link &link, Direction direction, std::size_t bytes)
+{
+    const auto now = SteadyClock().now();
+    auto &state = link.state(direction);
+    state.bytes += bytes;
+    state.freeAt = std::max(state.freeAt, now);
+    if (link.bytesPerSecond > 0) {
+        const double seconds
+                = static_cast<double>(bytes) / static_cast<double>(link.bytesPerSecond);
+        state.freeAt
+                += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
+    return state.freeAt + link.delay;
+}
+
+void readPieces(const ConnectionPointer &connection, Direction direction,
+                const std::shared_ptr<PieceQueue> &queue)
+{
+    auto &link = *connection->link;
+    while (true) {
+        std::string bytes(pieceBytes, '\0');
+        const auto outcome = awaitIo([&](auto handler) {
+            connection->source(direction).async_read_some(boost::asio::buffer(bytes),
+                                                          std::move(handler));
+        });
+        std::unique_lock lock(link.mutex);
+        if (outcome.code) {
+            queue->isEnded = true;
+            link.changed.notify_all();
+            return;
+        }
+        bytes.resize(outcome.byteCount);
+        queue->pieces.push_back({std::move(bytes), dueTime(link, direction, outcome.byteCount)});
+        link.changed.notify_all();
+        link.changed.wait(lock, [&] {
+            return queue->pieces.size() < maxQueuedPieces || connection->isClosed;
+        });
+    }
+}
+
+bool isStalled(const ProxiedConnection &connection, Direction direction)
+{
+    return connection.isSilenced[static_cast<std::size_t>(direction)]
+           || connection.link->state(direction).mode == LinkMode::Stall;
+}
+
+void writePieces(const ConnectionPointer &connection, Direction direction,
+                 const std::shared_ptr<PieceQueue> &queue)
+{
+    auto &link = *connection->link;
+    while (true) {
+        Piece piece;
+        {
+            std::unique_lock lock(link.mutex);
+            link.changed.wait(lock, [&] {
+                const bool hasWork = !queue->pieces.empty() || queue->isEnded;
+                return connection->isClosed || (hasWork && !isStalled(*connection, direction));
+            });
+            if (connection->isClosed || queue->pieces.empty())
+                break;
+            piece = std::move(queue->pieces.front());
+            queue->pieces.pop_front();
+            link.changed.notify_all();
+        }
+        boost::this_fiber::sleep_until(piece.dueAt);
+        const auto outcome = awaitIo([&](auto handler) {
+            boost::asio::async_write(connection->sink(direction), boost::asio::buffer(piece.bytes),
+                                     std::move(handler));
+        });
+        if (outcome.code)
+            break;
+    }
+    // A half-closed connection is closed whole: none of the protocols carried needs one half.
+    const std::scoped_lock lock(link.mutex);
+    connection->close();
+    link.changed.notify_all();
+}
+
+void forward(const ConnectionPointer &connection, const Endpoint &target)
+{
+    auto &link = *connection->link;
+    const tcp::endpoint endpoint(boost::asio::ip::make_address(target.address), target.port);
+    const auto outcome = awaitIo([&](auto handler) {
+        connection->sockets[1].async_connect(
+                endpoint, [handler](boost::system::error_code code) mutable { handler(code, 0); });
+    });
+    if (outcome.code) {
+        connection->close();
+        return;
+    }
+    for (auto &socket : connection->sockets)
+        socket.set_option(tcp::no_delay(true));
+    {
+        const std::scoped_lock lock(link.mutex);
+        link.connections.insert(connection.get());
+    }
+    std::vector<boost::fibers::fiber> fibers;
+    for (const auto direction : {Direction::Forward, Direction::Backward}) {
+        const auto queue = std::make_shared<PieceQueue>();
+        fibers.emplace_back([=] { readPieces(connection, direction, queue); });
+        fibers.emplace_back([=] { writePieces(connection, direction, queue); });
+    }
+    for (auto &fiber : fibers)
+        fiber.join();
+    const std::scoped_lock lock(link.mutex);
+    link.connections.erase(connection.get());
+}
+
+void acceptRoute(const std::shared_ptr<tcp::acceptor> &acceptor,
+                 const std::shared_ptr<FaultProxy::Link> &link, const Endpoint &target)
+{
+    while (true) {
+        auto connection = std::make_shared<ProxiedConnection>(FiberThreads::currentContext(), link);
+        const auto outcome = awaitIo([&](auto handler) {
+            acceptor->async_accept(
+                    connection->sockets[0],
+                    [handler](boost::system::error_code code) mutable { handler(code, 0); });
+        });
+        if (outcome.code)
+            continue;
+        if (link->state(Direction::Forward).mode == LinkMode::Cut) {
+            connection->close();
+            continue;
+        }
+        boost::fibers::fiber([connection, target] { forward(connection, target); }).detach();
+    }
+}
+
+void respondText(HttpExchange &exchange, unsigned status, std::string text)
+{
+    (void)exchange.respond({status, {}, std::move(text)});
+}
+
+} // namespace
+
+Result<std::unique_ptr<FaultProxy>> FaultProxy::create(FiberThreads &threads,
+                                                       const std::vector<std::string> &routes)
+{
+    auto proxy = std::make_unique<FaultProxy>();
+    Findings findings;
+    for (const auto &route : routes) {
+        const auto added = proxy->addRoute(threads, route);
+        if (added.isError())
+            findings.add("route " + route, added.error().message);
+    }
+    if (!findings.isEmpty())
+        return findings.toError();
+    return proxy;
+}
+
+Result<void> FaultProxy::addRoute(FiberThreads &threads, const std::string &route)
+{
+    const auto colon = route.find(':');
+    const auto equals = route.find('=');
+    if (colon == std::string::npos || equals == std::string::npos || colon > equals)
+        return Error{ErrorKind::InvalidInput, "expected LINK:LISTEN=TARGET"};
+    const auto name = route.substr(0, colon);
+    const auto listen = TRY(Endpoint::parse(route.substr(colon + 1, equals - colon - 1)));
+    const auto target = TRY(Endpoint::parse(route.substr(equals + 1)));
+    auto &link = m_links[name];
+    if (!link) {
+        link = std::make_shared<Link>();
+        link->name = name;
+    }
+    const tcp::endpoint endpoint(boost::asio::ip::make_address(listen.address), listen.port);
+    auto acceptor = std::make_shared<tcp::acceptor>(threads.context(0));
+    boost::system::error_code code;
+    acceptor->open(endpoint.protocol(), code);
+    acceptor->set_option(tcp::acceptor::reuse_address(true), code);
+    acceptor->bind(endpoint, code);
+    if (!code)
+        acceptor->listen(boost::asio::socket_base::max_listen_connections, code);
+    if (code)
+        return Error{ErrorKind::Unavailable, code.message()};
+    m_listeners.push_back({listen.address, acceptor->local_endpoint().port()});
+    threads.spawnOn(0, [acceptor, link, target] { acceptRoute(acceptor, link, target); });
+    return {};
+}
+
+void FaultProxy::handle(HttpExchange &exchange)
+{
+    constexpr std::string_view linkPrefix = "/links/";
+    const auto &target = exchange.request().target;
+    if (target == "/links") {
+        showLinks(exchange);
+        return;
+    }
+    const auto found = target.starts_with(linkPrefix)
+                               ? m_links.find(target.substr(linkPrefix.size()))
+                               : m_links.end();
+    if (found == m_links.end()) {
+        respondText(exchange, 404, "no such link");
+        return;
+    }
+    changeLink(exchange, *found->second);
+}
+
+void FaultProxy::changeLink(HttpExchange &exchange, Link &link)
+{
+    const auto body = exchange.readBody();
+    const auto change = parseJsonObject(body.isError() ? "" : body.value());
+    if (change.isError()) {
+        respondText(exchange, 400, change.error().message);
+        return;
+    }
+    Findings findings;
+    JsonReader reader(change.value(), "link", findings);
+    reader.refuseUnknown({"mode", "direction", "delayMs", "bytesPerSecond"});
+    const auto mode = reader.text("mode", "");
+    const auto direction = reader.text("direction", "both");
+    const std::scoped_lock lock(link.mutex);
+    constexpr std::int64_t highest = 10'000'000'000;
+    link.delay = Milliseconds(reader.integer("delayMs", link.delay.count(), 0, highest));
+    link.bytesPerSecond = static_cast<std::uint64_t>(reader.integer(
+            "bytesPerSecond", static_cast<std::int64_t>(link.bytesPerSecond), 0, highest));
+    if (!findings.isEmpty()) {
+        respondText(exchange, 400, findings.text());
+        return;
+    }
+    for (const auto each : {Direction::Forward, Direction::Backward}) {
+        const std::string_view name = each == Direction::Forward ? "forward" : "backward";
+        if (direction != "both" && direction != name)
+            continue;
+        if (mode == "pass")
+            link.state(each).mode = LinkMode::Pass;
+        else if (mode == "stall")
+            link.state(each).mode = LinkMode::Stall;
+        else if (mode == "cut")
+            link.state(each).mode = LinkMode::Cut;
+        for (auto *connection : link.connections) {
+            if (mode == "stall-open")
+                connection->isSilenced[static_cast<std::size_t>(each)] = true;
+        }
+    }
+    if (mode == "cut") {
+        for (auto *connection : link.connections)
+            connection->close();
+    }
+    link.changed.notify_all();
+    respondText(exchange, 200, "");
+}
+
+void FaultProxy::showLinks(HttpExchange &exchange)
+{
+    boost::json::object links;
+    for (const auto &[name, link] : m_links) {
+        const std::scoped_lock lock(link->mutex);
+        links[name] = {{"forwardBytes", link->state(Direction::Forward).bytes},
+                       {"backwardBytes", link->state(Direction::Backward).bytes},
+                       {"connections", link->connections.size()}};
+    }
+    respondText(exchange, 200, boost::json::serialize(links));
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Utilities/radishplank-standin/PlatformStandin.cpp
@@ -0,0 +1,231 @@
+#include "PlatformStandin.h"
+
+#include <Core/Core.h>
+
+#include <boost/fiber/operations.hpp>
+#include <charconv>
+
+namespace Radishplank {
+
+namespace {
+
+constexpr std::string_view objectPrefix = "/objects/";
+constexpr std::string_view vmPrefix = "/vms/";
+
+std::uint64_t number(const std::string &text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+HttpResponse json(boost::json::value value)
+{
+    return {200, {{"Content-Type", "application/json"}}, boost::json::serialize(value)};
+}
+
+HttpResponse failure(const Error &error)
+{
+    unsigned status = 500;
+    if (error.kind == ErrorKind::NotFound)
+        status = 404;
+    else if (error.kind == ErrorKind::Conflict)
+        status = 409;
+    else if (error.kind == ErrorKind::TooLarge)
+        status = 413;
+    else if (error.kind == ErrorKind::InvalidInput)
+        status = 400;
+    return {status, {}, error.message};
+}
+
+boost::json::object describe(const StoredObject &object)
+{
+    return {{"key", object.key}, {"value", object.value}, {"version", object.version}};
+}
+
+} // namespace
+
+void PlatformStandin::handle(HttpExchange &exchange)
+{
+    const auto target = HttpTarget::parse(exchange.request().target);
+    if (target.path == "/switches") {
+        (void)exchange.respond(changeSwitches(exchange));
+        return;
+    }
+    if (target.path == "/counts") {
+        (void)exchange.respond(showCounts());
+        return;
+    }
+    if (m_switches.delayMilliseconds > 0)
+        boost::this_fiber::sleep_for(Milliseconds(m_switches.delayMilliseconds));
+    if (m_switches.isOut) {
+        (void)exchange.respond({503, {}, "outage"});
+        return;
+    }
+    auto response = answer(exchange, target);
+    const bool isWrite = exchange.request().method != "GET";
+    if (isWrite && response.status == 200 && takeLostAnswer())
+        response = {504, {}, "the answer was lost"};
+    (void)exchange.respond(std::move(response));
+}
+
+HttpResponse PlatformStandin::answer(HttpExchange &exchange, const HttpTarget &target)
+{
+    if (target.path.starts_with(objectPrefix))
+        return answerObject(exchange, percentDecode(target.path.substr(objectPrefix.size())));
+    if (target.path == "/objects")
+        return answerList(target);
+    if (target.path == "/watch")
+        return answerWatch(target);
+    if (target.path.starts_with(vmPrefix))
+        return changeVm(exchange, target.path.substr(vmPrefix.size()));
+    if (target.path == "/vms")
+        return listVms();
+    return {404, {}, "no such path"};
+}
+
+HttpResponse PlatformStandin::answerObject(HttpExchange &exchange, const std::string &key)
+{
+    const auto &request = exchange.request();
+    const Version expected = number(request.headers.value("If-Version"));
+    if (request.method == "GET") {
+        m_reads.increase();
+        auto object = m_store.get(key);
+        if (object.isError())
+            return failure(object.error());
+        return {200, {{"Version", std::to_string(object.value().version)}}, object.value().value};
+    }
+    m_writes.increase();
+    if (request.method == "DELETE") {
+        const auto removed = m_store.remove(key, expected);
+        noteChange();
+        return removed.isError() ? failure(removed.error()) : HttpResponse{};
+    }
+    auto body = exchange.readBody();
+    if (body.isError())
+        return failure(body.error());
+    const auto written = m_store.put(key, body.takeValue(), expected);
+    noteChange();
+    if (written.isError())
+        return failure(written.error());
+    return {200, {{"Version", std::to_string(written.value())}}, ""};
+}
+
+HttpResponse PlatformStandin::answerList(const HttpTarget &target)
+{
+    m_reads.increase();
+    const auto content = target.parameter("values") == "true" ? ListContent::KeysAndValues
+                                                              : ListContent::KeysOnly;
+    auto page = m_store.list(target.parameter("prefix"), target.parameter("after"), content);
+    if (page.isError())
+        return failure(page.error());
+    boost::json::array objects;
+    for (const auto &object : page.value().objects)
+        objects.push_back(describe(object));
+    return json({{"objects", std::move(objects)},
+                 {"revision", page.value().revision},
+                 {"last", page.value().isLast}});
+}
+
+HttpResponse PlatformStandin::answerWatch(const HttpTarget &target)
+{
+    m_watches.increase();
+    const auto prefix = target.parameter("prefix");
+    const auto since = number(target.parameter("since"));
+    const auto until = SteadyClock().now() + Milliseconds(number(target.parameter("wait")));
+    auto batch = m_store.watch(prefix, since, Milliseconds(0));
+    while (!batch.isError() && batch.value().changes.empty() && SteadyClock().now() < until) {
+        {
+            std::unique_lock lock(m_mutex);
+            const auto revision = batch.value().revision;
+            m_changed.wait_until(lock, until, [&] { return m_store.revision() != revision; });
+        }
+        batch = m_store.watch(prefix, since, Milliseconds(0));
+    }
+    if (m_switches.isOut)
+        return {503, {}, "outage"};
+    if (batch.isError())
+        return failure(batch.error());
+    boost::json::array changes;
+    for (const auto &change : batch.value().changes) {
+        auto described = describe(change.object);
+        described["removed"] = change.isRemoval;
+        changes.push_back(std::move(described));
+    }
+    return json({{"changes", std::move(changes)}, {"revision", batch.value().revision}});
+}
+
+HttpResponse PlatformStandin::changeSwitches(HttpExchange &exchange)
+{
+    auto body = exchange.readBody();
+    if (body.isError())
+        return failure(body.error());
+    const auto parsed = parseJsonObject(body.value());
+    if (parsed.isError())
+        return failure(parsed.error());
+    Findings findings;
+    JsonReader reader(parsed.value(), "switches", findings);
+    reader.refuseUnknown({"outage", "delayMs", "loseAnswers", "vmLagMs"});
+    constexpr std::int64_t highest = 1'000'000;
+    Switches switches = m_switches;
+    switches.isOut = reader.boolean("outage", switches.isOut);
+    switches.delayMilliseconds = reader.integer("delayMs", switches.delayMilliseconds, 0, highest);
+    switches.answersToLose = reader.integer("loseAnswers", switches.answersToLose, 0, highest);
+    switches.vmListLagMilliseconds
+            = reader.integer("vmLagMs", switches.vmListLagMilliseconds, 0, highest);
+    if (!findings.isEmpty())
+        return failure(findings.toError());
+    m_switches = switches;
+    noteChange();
+    return {};
+}
+
+HttpResponse PlatformStandin::changeVm(HttpExchange &exchange, const std::string &vm)
+{
+    auto body = exchange.readBody();
+    if (body.isError())
+        return failure(body.error());
+    const std::scoped_lock lock(m_mutex);
+    m_vmChanges.push_back({vm, body.takeValue(), SteadyClock().now()});
+    return {};
+}
+
+HttpResponse PlatformStandin::listVms()
+{
+    m_reads.increase();
+    const std::scoped_lock lock(m_mutex);
+    const auto visible = SteadyClock().now() - Milliseconds(m_switches.vmListLagMilliseconds);
+    boost::json::object states;
+    for (const auto &change : m_vmChanges) {
+        if (change.at <= visible)
+            states[change.vm] = change.state;
+    }
+    return json(std::move(states));
+}
+
+HttpResponse PlatformStandin::showCounts()
+{
+    return json({{"reads", m_reads.value()},
+                 {"writes", m_writes.value()},
+                 {"watches", m_watches.value()}});
+}
+
+bool PlatformStandin::takeLostAnswer()
+{
+    const std::scoped_lock lock(m_mutex);
+    if (m_switches.answersToLose == 0)
+        return false;
+    m_switches.answersToLose -= 1;
+    return true;
+}
+
+void PlatformStandin::noteChange()
+{
+    {
+        // Taken so that no watcher misses the change between its check and its wait.
+        const std::scoped_lock lock(m_mutex);
+    }
+    m_changed.notify_all();
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Utilities/radishplank-standin/main.cpp
@@ -0,0 +1,119 @@
+#include "EngineStandin.h"
+#include "FaultProxy.h"
+#include "PlatformStandin.h"
+#include "ServiceStandin.h"
+
+#include <iostream>
+#include <span>
+
+using namespace Radishplank;
+
+namespace {
+
+constexpr std::string_view usage
+        = "radishplank-standin platform|engine|service|faultproxy [SETTING...]";
+constexpr int usageStatus = 2;
+
+struct StandinSettings
+{
+    Endpoint listen{"127.0.0.1", 0};
+    std::string readyFile;
+    std::uint64_t threads = 1;
+    EngineSettings engine;
+    Milliseconds serviceTime{20};
+    std::vector<std::string> routes;
+};
+
+void bindSettings(Settings &settings, StandinSettings &values)
+{
+    settings.bind(&values.listen, "listen", "ADDRESS:PORT",
+                  "Where to serve HTTP; port 0 is a free one.");
+    settings.bind(&values.readyFile, "ready-file", "PATH", "Written once the stand-in serves.");
+    settings.bind(&values.engine.slots, "slots", "COUNT", "Engine: streams that run at once.");
+    settings.bind(&values.engine.tokenInterval, "token-interval", "MILLISECONDS",
+                  "Engine: time of one token.");
+    settings.bind(&values.engine.batchSlopeMicroseconds, "batch-slope", "MICROSECONDS",
+                  "Engine: extra time of a token for each other running stream.");
+    settings.bind(&values.engine.prefillMicroseconds, "prefill", "MICROSECONDS",
+                  "Engine: time of one prompt word that is not cached.");
+    settings.bind(&values.engine.cacheBlocks, "cache-blocks", "COUNT",
+                  "Engine: prefix cache, in blocks of 16 words.");
+    settings.bind(&values.engine.loadLag, "load-lag", "MILLISECONDS",
+                  "Engine: age of the load that it reports.");
+    settings.bind(&values.engine.checksFencing, "check-fencing", "true|false",
+                  "Engine: refuse orders with an old fencing number.");
+    settings.bind(&values.serviceTime, "service-time", "MILLISECONDS",
+                  "Service: time of one call.");
+    settings.bind(&values.routes, "routes", "LINK:LISTEN=TARGET,...",
+                  "Fault proxy: what to forward.");
+}
+
+Result<std::unique_ptr<HttpServer>> serve(FiberThreads &threads, const StandinSettings &values,
+                                          HttpServer::Handler handler, boost::json::object ready)
+{
+    auto server = TRY(HttpServer::listen(threads, values.listen, {}, std::move(handler)));
+    ready["http"] = server->endpoint().text();
+    TRY(writeReadyFile(values.readyFile, ready));
+    return server;
+}
+
+Result<std::unique_ptr<HttpServer>> startProxy(FiberThreads &threads, const StandinSettings &values)
+{
+    auto created = TRY(FaultProxy::create(threads, values.routes));
+    const std::shared_ptr<FaultProxy> proxy(std::move(created));
+    boost::json::array listeners;
+    for (const auto &listener : proxy->listeners())
+        listeners.emplace_back(listener.text());
+    return serve(threads, values, [proxy](HttpExchange &exchange) { proxy->handle(exchange); },
+                 {{"routes", std::move(listeners)}});
+}
+
+template<typename Standin>
+Result<std::unique_ptr<HttpServer>> start(FiberThreads &threads, const StandinSettings &values,
+                                          std::shared_ptr<Standin> standin)
+{
+    return serve(threads, values, [standin](HttpExchange &exchange) { standin->handle(exchange); },
+                 {});
+}
+
+Result<std::unique_ptr<HttpServer>> startKind(FiberThreads &threads, std::string_view kind,
+                                              const StandinSettings &values)
+{
+    if (kind == "platform")
+        return start(threads, values, std::make_shared<PlatformStandin>());
+    if (kind == "engine")
+        return start(threads, values, std::make_shared<EngineStandin>(values.engine));
+    if (kind == "service")
+        return start(threads, values, std::make_shared<ServiceStandin>(values.serviceTime));
+    if (kind == "faultproxy")
+        return startProxy(threads, values);
+    return Error{ErrorKind::InvalidInput, "unknown stand-in '" + std::string(kind) + "'"};
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    StandinSettings values;
+    Settings settings;
+    bindSettings(settings, values);
+    const auto parsed
+            = settings.parse(std::span(arguments, static_cast<std::size_t>(argumentCount)));
+    if (parsed.isError()) {
+        std::cerr << parsed.error().message << '\n';
+        return usageStatus;
+    }
+    if (parsed.value().isHelpWanted || parsed.value().positional.size() != 1) {
+        std::cout << settings.helpText(usage);
+        return parsed.value().isHelpWanted ? 0 : usageStatus;
+    }
+    blockStopSignals();
+    FiberThreads threads(values.threads);
+    const auto server = startKind(threads, parsed.value().positional.front(), values);
+    if (server.isError()) {
+        std::cerr << server.error().message << '\n';
+        return 1;
+    }
+    waitForStopSignal();
+    exitProcess(0);
+}
