--- a/Libraries/Core/Result.h
+++ b/Libraries/Core/Result.h
@@ -44,7 +44,7 @@
     [[nodiscard]] const Value &value() const { return std::get<0>(m_state); }
     [[nodiscard]] Value &value() { return std::get<0>(m_state); }
     [[nodiscard]] const Error &error() const { return std::get<1>(m_state); }
-    [[nodiscard]] Value takeValue() { return std::move(std::get<0>(m_state)); }
+    Value takeValue() { return std::move(std::get<0>(m_state)); }
     [[nodiscard]] Error takeError() { return std::move(std::get<1>(m_state)); }
 
 private:
--- a/Services/radishplankd/AgentDaemon.cpp
+++ b/Services/radishplankd/AgentDaemon.cpp
@@ -88,7 +88,9 @@
             }));
     agent.start();
 
-    const auto member = memberOf(settings, dataServer->endpoint(), control->endpoint());
+    const auto member
+            = memberOf(settings, advertised(settings.dataAdvertise, dataServer->endpoint()),
+                       advertised(common.controlAdvertise, control->endpoint()));
     MemberRegistration registration(store, std::string(agentPrefix) + common.node);
     threads.spawn([&registration, member] { registration.write(toJson(member)); });
     TRY(writeReadyFile(common.readyFile, {{"data", member.data.text()},
--- a/Services/radishplankd/DaemonSettings.cpp
+++ b/Services/radishplankd/DaemonSettings.cpp
@@ -16,6 +16,8 @@
     settings.bind(&values.region, "region", "NAME", "Region of this VM.", required);
     settings.bind(&values.controlListen, "control-listen", "ADDRESS:PORT",
                   "Where to take control calls of the system's own processes.");
+    settings.bind(&values.controlAdvertise, "control-advertise", "ADDRESS:PORT",
+                  "Control address told to others, if it differs from the one listened on.");
     settings.bind(&values.operatorListen, "operator-listen", "ADDRESS:PORT",
                   "Where to serve operators: state, metrics, health.");
     settings.bind(&values.store, "store", "ADDRESS:PORT", "The platform's object store.", required);
@@ -50,6 +52,8 @@
     bindCommonSettings(settings, values.common);
     settings.bind(&values.dataListen, "data-listen", "ADDRESS:PORT",
                   "Where to take attempts from entry processes.");
+    settings.bind(&values.dataAdvertise, "data-advertise", "ADDRESS:PORT",
+                  "Data address told to others, if it differs from the one listened on.");
     settings.bind(&values.upstream, "upstream", "ADDRESS:PORT", "The upstream beside this agent.",
                   required);
     settings.bind(&values.kind, "kind", "model|service", "What the upstream is.");
@@ -62,6 +66,11 @@
                   "Batch items that may wait for a slot, so that none stays idle.");
 }
 
+Endpoint advertised(const Endpoint &setting, const Endpoint &listening)
+{
+    return setting.address.empty() ? listening : setting;
+}
+
 void checkCommonSettings(const CommonSettings &values, Findings &findings)
 {
     if (values.threads < 1 || values.threads > maxThreads)
--- a/Services/radishplankd/DaemonSettings.h
+++ b/Services/radishplankd/DaemonSettings.h
@@ -11,6 +11,7 @@
     std::string zone;
     std::string region;
     Endpoint controlListen{"127.0.0.1", 0};
+    Endpoint controlAdvertise;
     Endpoint operatorListen{"127.0.0.1", 0};
     Endpoint store;
     Milliseconds storeTimeout{1'000};
@@ -35,6 +36,7 @@
 {
     CommonSettings common;
     Endpoint dataListen{"127.0.0.1", 0};
+    Endpoint dataAdvertise;
     Endpoint upstream;
     std::string kind = "model";
     std::vector<std::string> pools;
@@ -47,6 +49,9 @@
 void bindEntrySettings(Settings &settings, EntrySettings &values);
 void bindAgentSettings(Settings &settings, AgentRoleSettings &values);
 
+/// Returns the address to tell others: the one set, or else the one listened on.
+[[nodiscard]] Endpoint advertised(const Endpoint &setting, const Endpoint &listening);
+
 /// Checks what a single setting cannot tell; adds to the findings.
 void checkCommonSettings(const CommonSettings &values, Findings &findings);
 void checkEntrySettings(const EntrySettings &values, Findings &findings);
--- /dev/null
+++ b/Tests/Integration/TestCallerInterface.cpp
@@ -0,0 +1,133 @@
+#include "Deployment.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Radishplank;
+using namespace Radishplank::Test;
+
+TEST_CASE("A caller's request and a batch travel the whole path")
+{
+    Deployment deployment;
+    deployment.addAgent("agent1");
+    deployment.addAgent("agent2");
+    deployment.addAgent("service1", {.pool = "booking", .kind = "service"});
+    deployment.addEntry("entry1");
+    deployment.addEntry("entry2");
+    deployment.putCatalogue(3);
+
+    SECTION("A whole completion")
+    {
+        const auto answer = deployment.call("entry1", completion("club logo", 7));
+        CHECK(wholeText(answer) == expectedText("club logo", 7));
+    }
+    SECTION("A stream arrives token by token")
+    {
+        const auto running = deployment.start("entry1", completion("slow logo", 100, true));
+        REQUIRE(eventually([&] { return *running.bytes > 0; }));
+        CHECK(running.answer.wait_for(std::chrono::seconds(0)) == std::future_status::timeout);
+        const auto answer = running.answer.get();
+        CHECK(answer.headers.value("Content-Type") == "text/event-stream");
+        CHECK(streamedText(answer.body) == expectedText("slow logo", 100));
+        CHECK(answer.body.ends_with("data: [DONE]\n\n"));
+    }
+    SECTION("A call of a plain service")
+    {
+        const auto answer = deployment.call("entry1", booking("slot 9"));
+        CHECK(answer.status == 200);
+        CHECK(answer.body.find("\"path\":\"/book\"") != std::string::npos);
+        CHECK(deployment.executions("service1").at("slot 9").as_int64() == 1);
+    }
+    SECTION("A batch of 1,000 items, readable from any entry process and by the command line")
+    {
+        const auto accepted = deployment.call(
+                "entry1", {"PUT", "/v1/batches/league?entry=captions", {}, jobLines(1'000, 1)});
+        REQUIRE(accepted.status == 201);
+        const auto waited = deployment.control({"--wait=true", "batch", "status", "league"});
+        CHECK(waited.status == 0);
+        CHECK(waited.output.find("state: completed") != std::string::npos);
+        const auto results
+                = deployment.call("entry2", {"GET", "/v1/batches/league/results", {}, ""});
+        std::istringstream lines(results.body);
+        std::string line;
+        std::size_t right = 0;
+        while (std::getline(lines, line)) {
+            const auto result = boost::json::parse(line).as_object();
+            const auto prompt = "proof " + std::to_string(result.at("index").as_int64());
+            right += textField(result.at("response").as_object(), "text")
+                     == expectedText(prompt, 1);
+        }
+        CHECK(right == 1'000);
+    }
+    SECTION("Bad input gets a clear error and changes nothing")
+    {
+        const auto refusal = [&](HttpRequest request, unsigned status, const std::string &text) {
+            const auto answer = deployment.call("entry1", std::move(request));
+            INFO(answer.body);
+            CHECK(answer.status == status);
+            CHECK(answer.body.find(text) != std::string::npos);
+            CHECK(answer.headers.value("Radishplank-Outcome") == "not-run");
+        };
+        refusal({"POST", "/v1/completions", {}, "{"}, 400, "malformed JSON");
+        refusal({"POST", "/v1/completions", {}, R"({"max_tokens":0})"}, 400,
+                "request.max_tokens: must lie between");
+        refusal({"POST", "/v1/completions", {}, R"({"model":"none","prompt":"x"})"}, 404,
+                "no such entry 'none'");
+        refusal({"POST", "/v1/completions", {}, std::string(5 << 20, 'x')}, 413, "larger than");
+        refusal({"PUT", "/v1/batches/bad?entry=captions", {}, jobLines(2, 1) + "{"}, 400,
+                "line 3: malformed JSON");
+        refusal({"PUT", "/v1/batches/a%2Fb?entry=captions", {}, jobLines(2, 1)}, 400,
+                "letters, digits");
+        refusal({"GET", "/v1/batches/bad", {}, ""}, 404, "does not exist");
+        const auto wrongToken = deployment.client.call(
+                deployment.entry("entry1").callers,
+                {"GET", "/v1/models", {{"Authorization", "Bearer nobody"}}, ""});
+        CHECK(wrongToken.status == 401);
+        const auto wrongOperator = deployment.client.call(
+                deployment.entry("entry1").operators,
+                {"GET", "/state", {{"Authorization", "Bearer nobody"}}, ""});
+        CHECK(wrongOperator.status == 401);
+    }
+    SECTION("The same job is the same job, and other content under its name is refused")
+    {
+        const HttpRequest submit{"PUT", "/v1/batches/twice?entry=captions", {}, jobLines(5, 1)};
+        CHECK(deployment.call("entry1", submit).status == 201);
+        CHECK(deployment.call("entry2", submit).status == 200);
+        auto other = submit;
+        other.body = jobLines(6, 1);
+        const auto refused = deployment.call("entry2", other);
+        CHECK(refused.status == 409);
+        CHECK(refused.body.find(sha256Hex(submit.body)) != std::string::npos);
+        CHECK(refused.body.find(sha256Hex(other.body)) != std::string::npos);
+    }
+    SECTION("The command line tells a conflict between operators")
+    {
+        const auto &directory = deployment.directory();
+        const auto output = runProgram(
+                "/bin/sh", {"-c", "printf '{\"pool\":\"x\"}' > " + directory + "/entry.json"},
+                directory);
+        REQUIRE(output.status == 0);
+        const auto put = [&](const std::string &version) {
+            return deployment.control({"--file=" + directory + "/entry.json",
+                                       "--if-version=" + version, "catalogue", "put",
+                                       "entries/lotka/other"});
+        };
+        CHECK(put("0").status == 0);
+        const auto conflict = put("0");
+        CHECK(conflict.status == 3);
+        CHECK(conflict.error.find("another operator has changed") != std::string::npos);
+    }
+    SECTION("State dumps name what runs, and hold no secret")
+    {
+        const auto dump
+                = deployment.control({"state", deployment.agent("agent1").operators.text()});
+        CHECK(dump.status == 0);
+        CHECK(dump.output.find("onlineRunning: 0") != std::string::npos);
+        const auto entryDump
+                = boost::json::serialize(deployment.state(deployment.entry("entry1").operators));
+        for (const std::string secret :
+             {"secret-of-the-cluster", "token-of-operators", "token-of-lotka"}) {
+            CHECK(entryDump.find(secret) == std::string::npos);
+            CHECK(deployment.entry("entry1").process->logText().find(secret) == std::string::npos);
+        }
+    }
+}
--- /dev/null
+++ b/Tests/Serving/TestAttemptLedger.cpp
@@ -0,0 +1,83 @@
+#include <Serving/Serving.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Radishplank;
+
+namespace {
+
+constexpr Milliseconds retention{60'000};
+
+} // namespace
+
+TEST_CASE("A cancelled attempt that never began never will")
+{
+    ManualClock clock;
+    AttemptLedger ledger("incarnation-1", retention);
+    const AttemptId attempt("attempt-1");
+
+    SECTION("Cancelled before it arrives, it is refused when it comes")
+    {
+        CHECK(ledger.cancel(attempt, "incarnation-1", clock.now()) == AttemptFate::NeverBegan);
+        CHECK(ledger.admit(attempt, "incarnation-1") == AttemptLedger::Admission::Cancelled);
+        CHECK_FALSE(ledger.hand(attempt));
+    }
+    SECTION("Cancelled while it waits, it is not handed to the upstream")
+    {
+        CHECK(ledger.admit(attempt, "incarnation-1") == AttemptLedger::Admission::New);
+        CHECK(ledger.cancel(attempt, "incarnation-1", clock.now()) == AttemptFate::NeverBegan);
+        CHECK_FALSE(ledger.hand(attempt));
+    }
+    SECTION("Cancelled after it was handed over, it has begun")
+    {
+        ledger.admit(attempt, "incarnation-1");
+        REQUIRE(ledger.hand(attempt));
+        CHECK(ledger.cancel(attempt, "incarnation-1", clock.now()) == AttemptFate::Began);
+        CHECK(ledger.cancel(attempt, "incarnation-1", clock.now()) == AttemptFate::Began);
+    }
+    SECTION("A restarted agent cannot tell, and does not begin it either")
+    {
+        AttemptLedger restarted("incarnation-2", retention);
+        CHECK(restarted.cancel(attempt, "incarnation-1", clock.now()) == AttemptFate::Unknown);
+        CHECK(restarted.admit(attempt, "incarnation-1")
+              == AttemptLedger::Admission::OtherIncarnation);
+    }
+    SECTION("What has ended is forgotten after the retention")
+    {
+        ledger.admit(attempt, "incarnation-1");
+        ledger.finish(attempt, clock.now());
+        CHECK(ledger.expire(clock.now()).empty());
+        clock.advance(retention);
+        CHECK(ledger.expire(clock.now()).size() == 1);
+        CHECK(ledger.size() == 0);
+    }
+}
+
+TEST_CASE(
+        "In any order of arrival, hand-over and cancel, never-began and handed exclude each other")
+{
+    for (std::uint64_t seed = 1; seed <= 2'000; ++seed) {
+        RandomEngine random(seed);
+        ManualClock clock;
+        AttemptLedger ledger("incarnation", retention);
+        const AttemptId attempt("attempt");
+        bool wasHanded = false;
+        bool wasSaidNever = false;
+        for (int step = 0; step < 12; ++step) {
+            switch (randomBelow(random, 3)) {
+            case 0:
+                ledger.admit(attempt, "incarnation");
+                break;
+            case 1:
+                wasHanded = ledger.hand(attempt) || wasHanded;
+                break;
+            default:
+                wasSaidNever = ledger.cancel(attempt, "incarnation", clock.now())
+                                       == AttemptFate::NeverBegan
+                               || wasSaidNever;
+                break;
+            }
+            REQUIRE_FALSE((wasHanded && wasSaidNever));
+        }
+    }
+}
--- /dev/null
+++ b/Tests/Serving/TestAttemptLine.cpp
@@ -0,0 +1,44 @@
+#include <Serving/Serving.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Radishplank;
+
+TEST_CASE("Lines between agent and entry process keep their content")
+{
+    const auto roundTrip = [](const AttemptLine &line) {
+        auto text = serializeLine(line);
+        REQUIRE(text.back() == '\n');
+        text.pop_back();
+        CHECK(text.find('\n') == std::string::npos);
+        return parseLine(text).takeValue();
+    };
+    SECTION("tokens with newlines and quotes")
+    {
+        const auto line = roundTrip(TokenLine{"a\n\"b\" ż"});
+        CHECK(std::get<TokenLine>(line).text == "a\n\"b\" ż");
+    }
+    SECTION("answers with bytes that are not text, at every length of padding")
+    {
+        for (const std::string &body :
+             {std::string("\xff\x00\x01", 3), std::string("ab"), std::string("c"), std::string()}) {
+            const auto line = roundTrip(AnswerLine{201, "image/png", body});
+            CHECK(std::get<AnswerLine>(line).status == 201);
+            CHECK(std::get<AnswerLine>(line).body == body);
+        }
+    }
+    SECTION("ends")
+    {
+        const auto line = roundTrip(EndLine{AttemptEnd::UpstreamLost, Outcome::Unknown, "x", true});
+        const auto &end = std::get<EndLine>(line);
+        CHECK(end.end == AttemptEnd::UpstreamLost);
+        CHECK(end.outcome == Outcome::Unknown);
+        CHECK(end.isBlamed);
+    }
+    SECTION("and anything else is refused")
+    {
+        for (const auto *text :
+             {"", "{", "[]", "{}", R"({"end":"maybe"})", R"({"status":200,"body":"*"})"})
+            CHECK(parseLine(text).isError());
+    }
+}
--- /dev/null
+++ b/Tests/Serving/TestQuarantine.cpp
@@ -0,0 +1,50 @@
+#include <Serving/Serving.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Radishplank;
+
+TEST_CASE("A request that crashes upstreams is barred after two crashes")
+{
+    ManualClock clock;
+    Quarantine quarantine(Milliseconds(10'000), 2);
+    quarantine.noteCrash("bad", AttemptId("a1"), clock.now());
+    CHECK(quarantine.isSuspect("bad", clock.now()));
+    CHECK_FALSE(quarantine.barredFor("bad", clock.now()));
+
+    SECTION("Hearing of the same crash again counts once")
+    {
+        quarantine.take(quarantine.notices(clock.now()), clock.now());
+        CHECK_FALSE(quarantine.barredFor("bad", clock.now()));
+    }
+    SECTION("A second crash bars it, for a time")
+    {
+        quarantine.noteCrash("bad", AttemptId("a2"), clock.now());
+        CHECK(quarantine.barredFor("bad", clock.now()) == Milliseconds(10'000));
+        SECTION("at every process that hears of it")
+        {
+            Quarantine other(Milliseconds(10'000), 2);
+            other.take(quarantine.notices(clock.now()), clock.now());
+            CHECK(other.barredFor("bad", clock.now()));
+        }
+        SECTION("and no longer")
+        {
+            clock.advance(Milliseconds(10'000));
+            CHECK_FALSE(quarantine.barredFor("bad", clock.now()));
+            CHECK_FALSE(quarantine.isSuspect("bad", clock.now()));
+        }
+    }
+    SECTION("An innocent one is cleared when it has run to its end")
+    {
+        quarantine.noteSuccess("bad");
+        CHECK_FALSE(quarantine.isSuspect("bad", clock.now()));
+    }
+    SECTION("Memory is bounded: the oldest goes first")
+    {
+        clock.advance(Milliseconds(1));
+        quarantine.noteCrash("b", AttemptId("a3"), clock.now());
+        quarantine.noteCrash("c", AttemptId("a4"), clock.now());
+        CHECK_FALSE(quarantine.isSuspect("bad", clock.now()));
+        CHECK(quarantine.isSuspect("c", clock.now()));
+    }
+}
--- /dev/null
+++ b/Tests/Store/FaultyStore.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <Store/Store.h>
+
+#include <functional>
+#include <optional>
+
+namespace Radishplank {
+
+/// An object store whose answers can be lost, before or after the write took effect.
+class FaultyStore
+{
+public:
+    enum class Fault { None, Outage, LostAnswer };
+
+    explicit FaultyStore(MemoryObjectStore &store)
+        : m_store(store)
+    {
+    }
+
+    /// Decides the fault of each call; called before it.
+    std::function<Fault()> nextFault = [] { return Fault::None; };
+    std::size_t writes = 0;
+
+    Result<StoredObject> get(std::string_view key)
+    {
+        if (nextFault() != Fault::None)
+            return unavailable();
+        return m_store.get(key);
+    }
+    Result<Version> put(std::string_view key, std::string value, Version expected)
+    {
+        writes += 1;
+        const auto fault = nextFault();
+        if (fault == Fault::Outage)
+            return unavailable();
+        auto written = m_store.put(key, std::move(value), expected);
+        if (fault == Fault::LostAnswer)
+            return unavailable();
+        return written;
+    }
+    Result<void> remove(std::string_view key, Version expected)
+    {
+        const auto fault = nextFault();
+        if (fault == Fault::Outage)
+            return unavailable();
+        auto removed = m_store.remove(key, expected);
+        if (fault == Fault::LostAnswer)
+            return unavailable();
+        return removed;
+    }
+    Result<ObjectPage> list(std::string_view prefix, std::string_view after, ListContent content)
+    {
+        if (nextFault() != Fault::None)
+            return unavailable();
+        return m_store.list(prefix, after, content);
+    }
+    Result<WatchBatch> watch(std::string_view prefix, Version since, Milliseconds wait)
+    {
+        if (nextFault() != Fault::None)
+            return unavailable();
+        return m_store.watch(prefix, since, wait);
+    }
+
+private:
+    static Error unavailable() { return {ErrorKind::Unavailable, "the store is out"}; }
+
+    MemoryObjectStore &m_store;
+};
+
+static_assert(ObjectStore<FaultyStore>);
+
+} // namespace Radishplank
--- /dev/null
+++ b/Tests/TestMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- a/Utilities/radishplank-standin/FaultProxy.cpp
+++ b/Utilities/radishplank-standin/FaultProxy.cpp
@@ -58,6 +58,19 @@
     }
 };
 
+struct FaultProxy::Route
+{
+    explicit Route(boost::asio::io_context &context)
+        : acceptor(context)
+    {
+    }
+
+    tcp::acceptor acceptor;
+    std::shared_ptr<Link> link;
+    /// Without an address until it is known.
+    Endpoint target;
+};
+
 /// A caller's connection, the one to the target, and what is on the way between them.
 struct ProxiedConnection : std::enable_shared_from_this<ProxiedConnection>
 {
@@ -209,23 +222,26 @@
     link.connections.erase(connection.get());
 }
 
-void acceptRoute(const std::shared_ptr<tcp::acceptor> &acceptor,
-                 const std::shared_ptr<FaultProxy::Link> &link, const Endpoint &target)
+void acceptRoute(const std::shared_ptr<FaultProxy::Route> &route)
 {
     while (true) {
-        auto connection = std::make_shared<ProxiedConnection>(FiberThreads::currentContext(), link);
+        auto connection
+                = std::make_shared<ProxiedConnection>(FiberThreads::currentContext(), route->link);
         const auto outcome = awaitIo([&](auto handler) {
-            acceptor->async_accept(
+            route->acceptor.async_accept(
                     connection->sockets[0],
                     [handler](boost::system::error_code code) mutable { handler(code, 0); });
         });
         if (outcome.code)
             continue;
-        if (link->state(Direction::Forward).mode == LinkMode::Cut) {
+        const bool isCut = route->link->state(Direction::Forward).mode == LinkMode::Cut;
+        if (isCut || route->target.address.empty()) {
             connection->close();
             continue;
         }
-        boost::fibers::fiber([connection, target] { forward(connection, target); }).detach();
+        boost::fibers::fiber([connection, target = route->target] {
+            forward(connection, target);
+        }).detach();
     }
 }
 
@@ -236,54 +252,68 @@
 
 } // namespace
 
-Result<std::unique_ptr<FaultProxy>> FaultProxy::create(FiberThreads &threads,
-                                                       const std::vector<std::string> &routes)
+Result<std::shared_ptr<FaultProxy::Route>> FaultProxy::openRoute(const std::string &link)
 {
-    auto proxy = std::make_unique<FaultProxy>();
-    Findings findings;
-    for (const auto &route : routes) {
-        const auto added = proxy->addRoute(threads, route);
-        if (added.isError())
-            findings.add("route " + route, added.error().message);
+    auto &shared = m_links[link];
+    if (!shared) {
+        shared = std::make_shared<Link>();
+        shared->name = link;
     }
-    if (!findings.isEmpty())
-        return findings.toError();
-    return proxy;
-}
-
-Result<void> FaultProxy::addRoute(FiberThreads &threads, const std::string &route)
-{
-    const auto colon = route.find(':');
-    const auto equals = route.find('=');
-    if (colon == std::string::npos || equals == std::string::npos || colon > equals)
-        return Error{ErrorKind::InvalidInput, "expected LINK:LISTEN=TARGET"};
-    const auto name = route.substr(0, colon);
-    const auto listen = TRY(Endpoint::parse(route.substr(colon + 1, equals - colon - 1)));
-    const auto target = TRY(Endpoint::parse(route.substr(equals + 1)));
-    auto &link = m_links[name];
-    if (!link) {
-        link = std::make_shared<Link>();
-        link->name = name;
-    }
-    const tcp::endpoint endpoint(boost::asio::ip::make_address(listen.address), listen.port);
-    auto acceptor = std::make_shared<tcp::acceptor>(threads.context(0));
+    auto route = std::make_shared<Route>(m_threads.context(0));
+    route->link = shared;
+    const tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(), 0);
     boost::system::error_code code;
-    acceptor->open(endpoint.protocol(), code);
-    acceptor->set_option(tcp::acceptor::reuse_address(true), code);
-    acceptor->bind(endpoint, code);
+    route->acceptor.open(endpoint.protocol(), code);
+    if (!code)
+        route->acceptor.bind(endpoint, code);
     if (!code)
-        acceptor->listen(boost::asio::socket_base::max_listen_connections, code);
+        route->acceptor.listen(boost::asio::socket_base::max_listen_connections, code);
     if (code)
         return Error{ErrorKind::Unavailable, code.message()};
-    m_listeners.push_back({listen.address, acceptor->local_endpoint().port()});
-    threads.spawnOn(0, [acceptor, link, target] { acceptRoute(acceptor, link, target); });
-    return {};
+    m_threads.spawnOn(0, [route] { acceptRoute(route); });
+    return route;
+}
+
+void FaultProxy::changeRoute(HttpExchange &exchange, const std::string &name)
+{
+    const auto body = exchange.readBody();
+    const auto change = parseJsonObject(body.isError() ? "" : body.value());
+    if (change.isError()) {
+        respondText(exchange, 400, change.error().message);
+        return;
+    }
+    auto &route = m_routes[name];
+    if (!route) {
+        auto opened = openRoute(textField(change.value(), "link").value_or(name));
+        if (opened.isError()) {
+            respondText(exchange, 500, opened.error().message);
+            return;
+        }
+        route = opened.takeValue();
+    }
+    if (const auto target = textField(change.value(), "target")) {
+        const auto parsed = Endpoint::parse(*target);
+        if (parsed.isError()) {
+            respondText(exchange, 400, parsed.error().message);
+            return;
+        }
+        route->target = parsed.value();
+    }
+    const auto local = route->acceptor.local_endpoint();
+    const Endpoint listen{local.address().to_string(), local.port()};
+    respondText(exchange, 200,
+                boost::json::serialize(boost::json::object{{"listen", listen.text()}}));
 }
 
 void FaultProxy::handle(HttpExchange &exchange)
 {
     constexpr std::string_view linkPrefix = "/links/";
     const auto &target = exchange.request().target;
+    constexpr std::string_view routePrefix = "/routes/";
+    if (target.starts_with(routePrefix)) {
+        changeRoute(exchange, target.substr(routePrefix.size()));
+        return;
+    }
     if (target == "/links") {
         showLinks(exchange);
         return;
--- a/Utilities/radishplank-standin/FaultProxy.h
+++ b/Utilities/radishplank-standin/FaultProxy.h
@@ -12,30 +12,34 @@
 
 /// Forwards TCP connections over named links and harms them on request.
 ///
-/// A route is `LINK:LISTEN=TARGET`; routes of one link share its faults and its bandwidth. A
-/// further listener takes `POST /links/LINK` with any of `mode` (`pass`, `cut`, `stall`, or
+/// `PUT /routes/NAME` with `{"link": LINK}` opens a listener and answers with its address; again
+/// with `{"target": ADDRESS}` it says where the route leads. Routes of one link share its faults
+/// and its bandwidth. `POST /links/LINK` takes any of `mode` (`pass`, `cut`, `stall`, or
 /// `stall-open`, which silences the connections open now and lets new ones through), `direction`
-/// (`both`, `forward`, `backward`), `delayMs` and `bytesPerSecond` (0 is unlimited), and
-/// `GET /links` with the bytes carried.
+/// (`both`, `forward`, `backward`), `delayMs` and `bytesPerSecond` (0 is unlimited);
+/// `GET /links` tells the bytes carried.
 class FaultProxy
 {
 public:
     struct Link;
+    struct Route;
+
+    explicit FaultProxy(FiberThreads &threads)
+        : m_threads(threads)
+    {
+    }
 
-    /// Starts listening on every route; findings name the routes that are wrong.
-    static Result<std::unique_ptr<FaultProxy>> create(FiberThreads &threads,
-                                                      const std::vector<std::string> &routes);
     void handle(HttpExchange &exchange);
-    /// Returns the address that each route listens on, in the order given.
-    [[nodiscard]] const std::vector<Endpoint> &listeners() const { return m_listeners; }
 
 private:
-    Result<void> addRoute(FiberThreads &threads, const std::string &route);
+    void changeRoute(HttpExchange &exchange, const std::string &name);
+    Result<std::shared_ptr<Route>> openRoute(const std::string &link);
     void changeLink(HttpExchange &exchange, Link &link);
     void showLinks(HttpExchange &exchange);
 
+    FiberThreads &m_threads;
     std::map<std::string, std::shared_ptr<Link>> m_links;
-    std::vector<Endpoint> m_listeners;
+    std::map<std::string, std::shared_ptr<Route>> m_routes;
 };
 
 } // namespace Radishplank
--- a/Utilities/radishplank-standin/main.cpp
+++ b/Utilities/radishplank-standin/main.cpp
@@ -21,7 +21,6 @@
     std::uint64_t threads = 1;
     EngineSettings engine;
     Milliseconds serviceTime{20};
-    std::vector<std::string> routes;
 };
 
 void bindSettings(Settings &settings, StandinSettings &values)
@@ -44,36 +43,21 @@
                   "Engine: refuse orders with an old fencing number.");
     settings.bind(&values.serviceTime, "service-time", "MILLISECONDS",
                   "Service: time of one call.");
-    settings.bind(&values.routes, "routes", "LINK:LISTEN=TARGET,...",
-                  "Fault proxy: what to forward.");
 }
 
 Result<std::unique_ptr<HttpServer>> serve(FiberThreads &threads, const StandinSettings &values,
-                                          HttpServer::Handler handler, boost::json::object ready)
+                                          HttpServer::Handler handler)
 {
     auto server = TRY(HttpServer::listen(threads, values.listen, {}, std::move(handler)));
-    ready["http"] = server->endpoint().text();
-    TRY(writeReadyFile(values.readyFile, ready));
+    TRY(writeReadyFile(values.readyFile, {{"http", server->endpoint().text()}}));
     return server;
 }
 
-Result<std::unique_ptr<HttpServer>> startProxy(FiberThreads &threads, const StandinSettings &values)
-{
-    auto created = TRY(FaultProxy::create(threads, values.routes));
-    const std::shared_ptr<FaultProxy> proxy(std::move(created));
-    boost::json::array listeners;
-    for (const auto &listener : proxy->listeners())
-        listeners.emplace_back(listener.text());
-    return serve(threads, values, [proxy](HttpExchange &exchange) { proxy->handle(exchange); },
-                 {{"routes", std::move(listeners)}});
-}
-
 template<typename Standin>
 Result<std::unique_ptr<HttpServer>> start(FiberThreads &threads, const StandinSettings &values,
                                           std::shared_ptr<Standin> standin)
 {
-    return serve(threads, values, [standin](HttpExchange &exchange) { standin->handle(exchange); },
-                 {});
+    return serve(threads, values, [standin](HttpExchange &exchange) { standin->handle(exchange); });
 }
 
 Result<std::unique_ptr<HttpServer>> startKind(FiberThreads &threads, std::string_view kind,
@@ -86,7 +70,7 @@
     if (kind == "service")
         return start(threads, values, std::make_shared<ServiceStandin>(values.serviceTime));
     if (kind == "faultproxy")
-        return startProxy(threads, values);
+        return start(threads, values, std::make_shared<FaultProxy>(threads));
     return Error{ErrorKind::InvalidInput, "unknown stand-in '" + std::string(kind) + "'"};
 }
 
--- /dev/null
+++ b/Utilities/radishplankctl/Table.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <boost/json.hpp>
+#include <string>
+
+namespace Radishplank {
+
+/// Writes JSON for people: nested objects by indentation, lists of objects as tables.
+[[nodiscard]] std::string toTable(const boost::json::value &value);
+
+} // namespace Radishplank
