--- a/Libraries/Control/ControlThread.cpp
+++ b/Libraries/Control/ControlThread.cpp
@@ -154,7 +154,7 @@
 class GateServer final : public Rpc::Gate::Server
 {
 public:
-    GateServer(std::string secret, ControlHandler &handler)
+    GateServer(const std::string &secret, ControlHandler &handler)
         : m_secretDigest(sha256Hex(secret))
         , m_handler(handler)
     {
--- a/Libraries/Store/HttpObjectStore.cpp
+++ b/Libraries/Store/HttpObjectStore.cpp
@@ -86,7 +86,7 @@
     m_writes.increase();
     HttpRequest request{"PUT", objectTarget(key), {}, std::move(value)};
     request.headers.add("If-Version", std::to_string(expected));
-    const auto response = TRY(call(std::move(request), m_callTimeout));
+    const auto response = TRY(call(request, m_callTimeout));
     if (response.status != 200)
         return statusError(response);
     return versionOf(response);
@@ -97,7 +97,7 @@
     m_writes.increase();
     HttpRequest request{"DELETE", objectTarget(key), {}, ""};
     request.headers.add("If-Version", std::to_string(expected));
-    const auto response = TRY(call(std::move(request), m_callTimeout));
+    const auto response = TRY(call(request, m_callTimeout));
     if (response.status != 200)
         return statusError(response);
     return {};
@@ -139,7 +139,7 @@
     return batch;
 }
 
-Result<HttpResponse> HttpObjectStore::call(HttpRequest request, Milliseconds timeout)
+Result<HttpResponse> HttpObjectStore::call(const HttpRequest &request, Milliseconds timeout)
 {
     HttpCallOptions options;
     options.connectTimeout = std::min(timeout, m_callTimeout);
--- a/Libraries/Store/HttpObjectStore.h
+++ b/Libraries/Store/HttpObjectStore.h
@@ -24,7 +24,7 @@
     [[nodiscard]] const Counter &failures() const { return m_failures; }
 
 private:
-    Result<HttpResponse> call(HttpRequest request, Milliseconds timeout);
+    Result<HttpResponse> call(const HttpRequest &request, Milliseconds timeout);
 
     Endpoint m_endpoint;
     Milliseconds m_callTimeout;
--- a/Libraries/Store/Store.h
+++ b/Libraries/Store/Store.h
@@ -6,3 +6,4 @@
 #include <Store/HttpObjectStore.h>
 #include <Store/MemoryObjectStore.h>
 #include <Store/ObjectStore.h>
+#include <Store/VmList.h>
--- a/Services/radishplankd/EntryDaemon.cpp
+++ b/Services/radishplankd/EntryDaemon.cpp
@@ -4,6 +4,7 @@
 #include "ConfigurationSync.h"
 #include "MemberRegistration.h"
 #include "OperatorApi.h"
+#include "VmWatch.h"
 
 #include <thread>
 
@@ -113,6 +114,8 @@
             HttpServer::listen(threads, common.operatorListen, {},
                                [&](HttpExchange &exchange) { operatorApi.handle(exchange); }));
     sync.start();
+    VmWatch vmWatch(context, sync, common.store, common.storeTimeout);
+    vmWatch.start();
     batch.start();
 
     const EntryMember member{node, control->endpoint(), ZoneName(common.zone),
--- a/Services/radishplankd/OperatorApi.cpp
+++ b/Services/radishplankd/OperatorApi.cpp
@@ -51,7 +51,7 @@
 }
 
 OperatorApi::OperatorApi(EntryContext &context, ConfigurationSync &sync, BatchScheduler &batch,
-                         std::string token)
+                         const std::string &token)
     : m_context(context)
     , m_sync(sync)
     , m_batch(batch)
--- a/Services/radishplankd/OperatorApi.h
+++ b/Services/radishplankd/OperatorApi.h
@@ -14,7 +14,7 @@
 {
 public:
     OperatorApi(EntryContext &context, ConfigurationSync &sync, BatchScheduler &batch,
-                std::string token);
+                const std::string &token);
 
     void handle(HttpExchange &exchange);
     /// Makes /readyz say that this process takes no new callers.
--- a/Services/radishplankd/ShardRunner.cpp
+++ b/Services/radishplankd/ShardRunner.cpp
@@ -168,12 +168,12 @@
     return true;
 }
 
-bool ShardRunner::markStarted(const ItemPointer &item)
+bool ShardRunner::markStarted(const Item &item)
 {
-    if (item->spec.mayRepeat)
+    if (item.spec.mayRepeat)
         return true;
     const std::scoped_lock lock(m_leaseMutex);
-    const std::vector<std::size_t> items{item->number};
+    const std::vector<std::size_t> items{item.number};
     const auto giveUpAt = SteadyClock().now() + commitPatience;
     const auto marked = m_lease.markStarted(items, FiberPause{},
                                             [giveUpAt] { return SteadyClock().now() < giveUpAt; });
@@ -188,37 +188,11 @@
 
 void ShardRunner::runItem(const ItemPointer &item, const UpstreamPointer &upstream)
 {
-    AttemptResult result;
-    result.status = AttemptStatus::NotRun;
-    const auto now = SteadyClock().now();
-    if (m_command != Command::Run) {
-        upstream->releaseBatchPlace();
-    } else if (m_context.quarantine.barredFor(item->spec.fingerprint, now)) {
-        upstream->releaseBatchPlace();
-        result.status = AttemptStatus::Rejected;
-        result.detail = "the item has crashed upstreams and is not run again";
-    } else if (!markStarted(item)) {
+    const auto result = attemptItem(*item, *upstream);
+    if (result.status == AttemptStatus::NotRun)
+        upstream->refuseBatchPlace(SteadyClock().now());
+    else
         upstream->releaseBatchPlace();
-    } else {
-        const bool isSuspect = m_context.quarantine.isSuspect(item->spec.fingerprint, now);
-        item->spec.deadline = now + itemTime;
-        const AttemptId id(makeUniqueId(m_context.node.text()));
-        const auto request = makeAttempt(item->spec, WorkClass::Batch, id, item->tokens,
-                                         isSuspect ? Suspicion::Suspect : Suspicion::None);
-        result = m_context.attempts.run(*upstream, request, [&](std::string_view token) {
-            item->text += token;
-            item->tokens += 1;
-            return m_command != Command::Drop;
-        });
-        if (result.status == AttemptStatus::NotRun)
-            upstream->refuseBatchPlace(SteadyClock().now());
-        else
-            upstream->releaseBatchPlace();
-        if (result.isBlamed)
-            m_runner.noteCrash(item->spec, id);
-        if (result.status == AttemptStatus::UpstreamLost || result.status == AttemptStatus::Lost)
-            item->avoided.push_back(upstream->member().id);
-    }
     m_scheduler.releaseItem(job().owner, result.status == AttemptStatus::Complete);
     judge(item, result);
     const std::scoped_lock lock(m_mutex);
@@ -226,6 +200,35 @@
     m_changed.notify_all();
 }
 
+AttemptResult ShardRunner::attemptItem(Item &item, Upstream &upstream)
+{
+    AttemptResult result;
+    result.status = AttemptStatus::Stopped;
+    const auto now = SteadyClock().now();
+    if (m_context.quarantine.barredFor(item.spec.fingerprint, now)) {
+        result.status = AttemptStatus::Rejected;
+        result.detail = "the item has crashed upstreams and is not run again";
+        return result;
+    }
+    if (m_command != Command::Run || !markStarted(item))
+        return result;
+    const bool isSuspect = m_context.quarantine.isSuspect(item.spec.fingerprint, now);
+    const auto suspicion = isSuspect ? Suspicion::Suspect : Suspicion::None;
+    item.spec.deadline = now + itemTime;
+    const AttemptId id(makeUniqueId(m_context.node.text()));
+    const auto request = makeAttempt(item.spec, WorkClass::Batch, id, item.tokens, suspicion);
+    result = m_context.attempts.run(upstream, request, [&](std::string_view token) {
+        item.text += token;
+        item.tokens += 1;
+        return m_command != Command::Drop;
+    });
+    if (result.isBlamed)
+        m_runner.noteCrash(item.spec, id);
+    if (result.status == AttemptStatus::UpstreamLost || result.status == AttemptStatus::Lost)
+        item.avoided.push_back(upstream.member().id);
+    return result;
+}
+
 void ShardRunner::judge(const ItemPointer &item, const AttemptResult &result)
 {
     switch (result.status) {
--- a/Services/radishplankd/ShardRunner.h
+++ b/Services/radishplankd/ShardRunner.h
@@ -47,8 +47,9 @@
     Result<void> parseItem(std::size_t number, std::string_view line);
     void startItems();
     bool startNext();
-    bool markStarted(const ItemPointer &item);
+    bool markStarted(const Item &item);
     void runItem(const ItemPointer &item, const UpstreamPointer &upstream);
+    AttemptResult attemptItem(Item &item, Upstream &upstream);
     void judge(const ItemPointer &item, const AttemptResult &result);
     void requeue(const ItemPointer &item);
     void complete(const Item &item, std::string_view status, const boost::json::value &detail);
--- a/Tests/Integration/Deployment.cpp
+++ b/Tests/Integration/Deployment.cpp
@@ -104,6 +104,7 @@
             = std::make_unique<Process>(RADISHPLANKD_PATH, agent.arguments, m_directory, name);
     const auto ready = agent.process->waitUntilReady();
     agent.operators = endpointIn(ready, "operator");
+    agent.data = endpointIn(ready, "data");
     aimRoute(name + "-data", textField(ready, "data").value());
     aimRoute(name + "-control", textField(ready, "control").value());
 }
--- a/Tests/Integration/Deployment.h
+++ b/Tests/Integration/Deployment.h
@@ -49,6 +49,7 @@
     {
         std::unique_ptr<Process> process;
         Endpoint operators;
+        Endpoint data;
         std::vector<std::string> arguments;
     };
     struct Entry
@@ -79,6 +80,8 @@
 
     Upstream &upstream(const std::string &name) { return m_upstreams.at(name); }
     Agent &agent(const std::string &name) { return m_agents.at(name); }
+    /// Returns the agent's own data address, not the one through the proxy.
+    Endpoint agentData(const std::string &name) { return m_agents.at(name).data; }
     Entry &entry(const std::string &name) { return m_entries.at(name); }
 
     /// Sends a request of the owner to an entry process.
--- a/Utilities/radishplank-standin/PlatformStandin.cpp
+++ b/Utilities/radishplank-standin/PlatformStandin.cpp
@@ -19,7 +19,7 @@
     return value;
 }
 
-HttpResponse json(boost::json::value value)
+HttpResponse json(const boost::json::value &value)
 {
     return {200, {{"Content-Type", "application/json"}}, boost::json::serialize(value)};
 }
