--- a/Libraries/Batch/LeaseObserver.h
+++ b/Libraries/Batch/LeaseObserver.h
@@ -8,11 +8,6 @@
 
 namespace Radishplank {
 
-/// A holder that has not written for so long has lost its lease.
-inline constexpr Milliseconds leaseDuration{12'000};
-/// A holder renews when it has not written for so long.
-inline constexpr Milliseconds leaseRenewal{4'000};
-
 /// Tells when a lease held by another process has lapsed.
 ///
 /// A lease has lapsed when its object has stayed at one version for the lease's duration and a
--- a/Services/radishplankd/AgentDaemon.cpp
+++ b/Services/radishplankd/AgentDaemon.cpp
@@ -93,10 +93,10 @@
                        advertised(common.controlAdvertise, control->endpoint()));
     MemberRegistration registration(store, std::string(agentPrefix) + common.node);
     threads.spawn([&registration, member] { registration.write(toJson(member)); });
-    TRY(writeReadyFile(common.readyFile, {{"data", member.data.text()},
-                                          {"control", member.control.text()},
+    TRY(writeReadyFile(common.readyFile, {{"data", dataServer->endpoint().text()},
+                                          {"control", control->endpoint().text()},
                                           {"operator", operatorServer->endpoint().text()}}));
-    logStateChange("agent-started", {{"data", member.data.text()}});
+    logStateChange("agent-started", {{"data", dataServer->endpoint().text()}});
 
     waitForStopSignal();
     logStateChange("agent-draining");
--- a/Services/radishplankd/BatchScheduler.cpp
+++ b/Services/radishplankd/BatchScheduler.cpp
@@ -20,11 +20,12 @@
 
 } // namespace
 
-BatchScheduler::BatchScheduler(EntryContext &context, CallRunner &runner)
+BatchScheduler::BatchScheduler(EntryContext &context, CallRunner &runner, Milliseconds lease)
     : m_context(context)
     , m_runner(runner)
     , m_jobs(context.store, FiberPause{}, storePatience)
-    , m_observer(leaseDuration)
+    , m_lease(lease)
+    , m_observer(lease)
 {
 }
 
@@ -259,7 +260,7 @@
     m_context.metrics.shardsClaimed.increase();
     m_observer.forget(job.shardKey(shard));
     const auto runner = std::make_shared<ShardRunner>(m_context, m_runner, *this, lease.takeValue(),
-                                                      manifest);
+                                                      manifest, m_lease);
     {
         const std::scoped_lock lock(m_mutex);
         m_shards.insert(runner);
--- a/Services/radishplankd/BatchScheduler.h
+++ b/Services/radishplankd/BatchScheduler.h
@@ -14,7 +14,7 @@
 class BatchScheduler
 {
 public:
-    BatchScheduler(EntryContext &context, CallRunner &runner);
+    BatchScheduler(EntryContext &context, CallRunner &runner, Milliseconds lease);
     ~BatchScheduler();
 
     void start();
@@ -64,6 +64,7 @@
     std::map<JobKey, ActiveJob> m_active;
     std::map<OwnerId, OwnerLoad> m_owners;
     std::set<std::shared_ptr<ShardRunner>> m_shards;
+    Milliseconds m_lease;
     LeaseObserver m_observer;
 };
 
--- a/Services/radishplankd/DaemonSettings.cpp
+++ b/Services/radishplankd/DaemonSettings.cpp
@@ -6,6 +6,7 @@
 
 constexpr auto required = Settings::Presence::Required;
 constexpr std::uint64_t maxThreads = 256;
+constexpr Milliseconds shortestLease{1'000};
 
 } // namespace
 
@@ -43,6 +44,9 @@
                   "Control addresses of other entry processes, asked while the store is out.");
     settings.bind(&values.lameDuck, "lame-duck", "MILLISECONDS",
                   "How long a stopping process still takes calls, for the balancer to notice.");
+    settings.bind(
+            &values.lease, "lease", "MILLISECONDS",
+            "A holder of batch work that is silent for so long has lost it; the same everywhere.");
     settings.bind(&values.routing, "routing", "balanced|random|round-robin",
                   "How upstreams are chosen; the last two are for comparison.");
 }
@@ -91,6 +95,8 @@
         if (parsed.isError())
             findings.add("--seeds", parsed.error().message);
     }
+    if (values.lease < shortestLease)
+        findings.add("--lease", "must be at least " + std::to_string(shortestLease.count()));
     if (values.routing != "balanced" && values.routing != "random"
         && values.routing != "round-robin")
         findings.add("--routing", "must be balanced, random or round-robin");
--- a/Services/radishplankd/DaemonSettings.h
+++ b/Services/radishplankd/DaemonSettings.h
@@ -29,6 +29,7 @@
     Endpoint callerListen{"127.0.0.1", 0};
     std::vector<std::string> seeds;
     Milliseconds lameDuck{2'000};
+    Milliseconds lease{12'000};
     std::string routing = "balanced";
 };
 
--- a/Services/radishplankd/EntryDaemon.cpp
+++ b/Services/radishplankd/EntryDaemon.cpp
@@ -100,7 +100,7 @@
     CallRunner runner(context);
     runner.onCrash = [&sync] { sync.announceCrashes(); };
     KeyedCalls keyedCalls(context, runner);
-    BatchScheduler batch(context, runner);
+    BatchScheduler batch(context, runner, settings.lease);
     BatchApi batchApi(context, batch);
     CallerApi callerApi(context, runner, keyedCalls, batchApi);
     OperatorApi operatorApi(context, sync, batch, common.operatorToken);
@@ -118,8 +118,8 @@
     vmWatch.start();
     batch.start();
 
-    const EntryMember member{node, control->endpoint(), ZoneName(common.zone),
-                             RegionName(common.region)};
+    const EntryMember member{node, advertised(common.controlAdvertise, control->endpoint()),
+                             ZoneName(common.zone), RegionName(common.region)};
     MemberRegistration registration(store, std::string(nodePrefix) + common.node);
     threads.spawn([&registration, member] { registration.write(toJson(member)); });
     TRY(writeReadyFile(common.readyFile, {{"callers", callerServer->endpoint().text()},
--- a/Services/radishplankd/ShardRunner.cpp
+++ b/Services/radishplankd/ShardRunner.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 ShardRunner::ShardRunner(EntryContext &context, CallRunner &runner, BatchScheduler &scheduler,
-                         FiberShardLease lease, JobManifest manifest)
+                         FiberShardLease lease, JobManifest manifest, Milliseconds leaseDuration)
     : m_context(context)
     , m_runner(runner)
     , m_scheduler(scheduler)
@@ -35,6 +35,8 @@
     , m_manifest(std::move(manifest))
     , m_committedAt(SteadyClock().now())
     , m_commitInterval(firstCommitInterval)
+    // Three chances to renew within one lease.
+    , m_longestCommitInterval(std::min(longestCommitInterval, leaseDuration / 3))
 {
 }
 
@@ -333,7 +335,7 @@
     const bool isHandBack = m_command == Command::HandBack && m_inFlight == 0;
     const bool isFull = m_group.items.size() >= groupItems || m_group.lines.size() >= groupBytes;
     return isLast || isHandBack || isFull || (hasOutcomes && sinceCommit >= m_commitInterval)
-           || sinceCommit >= leaseRenewal;
+           || sinceCommit >= m_longestCommitInterval;
 }
 
 Result<void> ShardRunner::commit()
@@ -349,7 +351,7 @@
     const auto committed = m_lease.commit(group, FiberPause{}, mayGoOn);
     if (!committed.isError()) {
         m_committedAt = SteadyClock().now();
-        m_commitInterval = std::min(m_commitInterval * 2, longestCommitInterval);
+        m_commitInterval = std::min(m_commitInterval * 2, m_longestCommitInterval);
         return {};
     }
     const auto recovered = m_lease.recover();
--- a/Services/radishplankd/ShardRunner.h
+++ b/Services/radishplankd/ShardRunner.h
@@ -13,7 +13,7 @@
 {
 public:
     ShardRunner(EntryContext &context, CallRunner &runner, BatchScheduler &scheduler,
-                FiberShardLease lease, JobManifest manifest);
+                FiberShardLease lease, JobManifest manifest, Milliseconds leaseDuration);
 
     /// Works until the shard is complete, lost, dropped or handed back.
     void run();
@@ -76,6 +76,7 @@
     FiberShardLease::Group m_group;
     TimePoint m_committedAt;
     Milliseconds m_commitInterval;
+    Milliseconds m_longestCommitInterval;
     std::size_t m_itemsLeft = 0;
 };
 
--- a/Tests/Integration/TestBatchPromises.cpp
+++ b/Tests/Integration/TestBatchPromises.cpp
@@ -1,6 +1,404 @@
 #include "Deployment.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
+#include <sstream>
 
 using namespace Radishplank;
 using namespace Radishplank::Test;
+
+namespace {
+
+struct ItemResult
+{
+    int count = 0;
+    std::string status;
+    std::string text;
+};
+
+/// Results by the item's identifier.
+using ItemResults = std::map<std::string, ItemResult>;
+
+ItemResults readResults(Deployment &deployment, const std::string &entry, const std::string &job)
+{
+    const auto answer = deployment.call(entry, {"GET", "/v1/batches/" + job + "/results", {}, ""});
+    REQUIRE(answer.status == 200);
+    ItemResults results;
+    std::istringstream lines(answer.body);
+    std::string line;
+    while (std::getline(lines, line)) {
+        const auto fields = boost::json::parse(line).as_object();
+        auto &result = results[textField(fields, "id").value()];
+        result.count += 1;
+        result.status = textField(fields, "status").value();
+        if (const auto *response = fields.if_contains("response"))
+            result.text = textField(response->as_object(), "text")
+                                  .value_or(textField(response->as_object(), "body").value_or(""));
+    }
+    return results;
+}
+
+/// Checks that every item of jobLines() has completed once, with its own text.
+void checkAllOnce(const ItemResults &results, std::size_t items, std::size_t tokens)
+{
+    REQUIRE(results.size() == items);
+    for (std::size_t i = 0; i < items; ++i) {
+        const auto &result = results.at("item" + std::to_string(i));
+        REQUIRE(result.count == 1);
+        REQUIRE(result.status == "completed");
+        REQUIRE(result.text == expectedText("proof " + std::to_string(i), tokens));
+    }
+}
+
+boost::json::object status(Deployment &deployment, const std::string &entry, const std::string &job)
+{
+    const auto answer = deployment.call(entry, {"GET", "/v1/batches/" + job, {}, ""});
+    const auto parsed = parseJsonObject(answer.body);
+    return parsed.isError() ? boost::json::object() : parsed.value();
+}
+
+void waitForState(Deployment &deployment, const std::string &entry, const std::string &job,
+                  const std::string &state)
+{
+    REQUIRE(eventually([&] {
+        return textField(status(deployment, entry, job), "state").value_or("") == state;
+    }));
+}
+
+HttpRequest submission(const std::string &job, const std::string &lines,
+                       const std::string &entryName = "captions")
+{
+    return {"PUT", "/v1/batches/" + job + "?entry=" + entryName, {}, lines};
+}
+
+constexpr std::size_t itemCount = 500;
+constexpr std::size_t tokensPerItem = 4;
+
+/// Three agents and two entry processes, the first of which holds a job in the midst of its work.
+class RunningJob
+{
+public:
+    explicit RunningJob(const std::string &lease = "3000")
+    {
+        for (const auto *name : {"agent1", "agent2", "agent3"})
+            deployment.addAgent(name, {.slots = 4, .tokenIntervalMs = 25});
+        const EntryOptions options{.isStoreBehindProxy = true, .arguments = {"--lease=" + lease}};
+        deployment.addEntry("entry1", options);
+        deployment.putCatalogue(3);
+        REQUIRE(deployment.call("entry1", submission("lot", lines)).status == 201);
+        REQUIRE(eventually([&] {
+            return integerField(status(deployment, "entry1", "lot"), "completed", 0) > 0;
+        }));
+        deployment.addEntry("entry2", options);
+        deployment.waitForUpstreams("entry2", 3);
+        REQUIRE(integerField(status(deployment, "entry1", "lot"), "waiting", 0) > 0);
+    }
+
+    void finish()
+    {
+        waitForState(deployment, "entry2", "lot", "completed");
+        checkAllOnce(readResults(deployment, "entry2", "lot"), itemCount, tokensPerItem);
+    }
+
+    Deployment deployment;
+    std::string lines = jobLines(itemCount, tokensPerItem);
+};
+
+} // namespace
+
+TEST_CASE("Each accepted item completes exactly once")
+{
+    RunningJob job;
+    auto &deployment = job.deployment;
+
+    SECTION("when the entry process that holds its shard is killed")
+    {
+        deployment.entry("entry1").process->kill();
+        job.finish();
+    }
+    SECTION("when that process freezes past its lease and wakes")
+    {
+        deployment.entry("entry1").process->freeze();
+        REQUIRE(eventually([&] {
+            return deployment.metric("entry2", "radishplank_shards_claimed_total") > 0;
+        }));
+        deployment.entry("entry1").process->thaw();
+        job.finish();
+        CHECK(eventually(
+                [&] { return deployment.metric("entry1", "radishplank_shards_lost_total") == 1; }));
+    }
+    SECTION("when that process is cut off from the store past its lease")
+    {
+        deployment.link("entry1-store", R"({"mode":"stall"})");
+        REQUIRE(eventually([&] {
+            return deployment.metric("entry2", "radishplank_shards_claimed_total") > 0;
+        }));
+        deployment.link("entry1-store", R"({"mode":"cut"})");
+        deployment.link("entry1-store", R"({"mode":"pass"})");
+        job.finish();
+    }
+    SECTION("when an agent and an engine are killed")
+    {
+        deployment.agent("agent1").process->kill();
+        deployment.upstream("agent2").process->kill();
+        deployment.restartUpstream("agent2");
+        job.finish();
+    }
+    SECTION("when the store is out past the lease, and slow afterwards")
+    {
+        deployment.platform(R"({"outage":true})");
+        std::this_thread::sleep_for(std::chrono::seconds(5));
+        deployment.platform(R"({"outage":false,"delayMs":300})");
+        job.finish();
+    }
+    SECTION("when the store loses answers after the writes took effect")
+    {
+        deployment.platform(R"({"loseAnswers":6})");
+        job.finish();
+    }
+    SECTION("when its job is sent again, to another entry process")
+    {
+        CHECK(deployment.call("entry2", submission("lot", job.lines)).status == 200);
+        job.finish();
+    }
+}
+
+TEST_CASE("Each accepted item completes exactly once under two failures at once")
+{
+    // Pairs of failures, drawn once; each number is a seed.
+    const auto seed = GENERATE(1, 2, 3, 4, 5, 6);
+    RunningJob job;
+    auto &deployment = job.deployment;
+    RandomEngine random(static_cast<std::uint64_t>(seed));
+    const std::vector<std::pair<std::string, std::function<void()>>> failures{
+            {"entry process killed", [&] { deployment.entry("entry1").process->kill(); }},
+            {"entry process frozen for a while",
+             [&] {
+                 deployment.entry("entry1").process->freeze();
+                 std::this_thread::sleep_for(std::chrono::seconds(4));
+                 deployment.entry("entry1").process->thaw();
+             }},
+            {"agent killed", [&] { deployment.agent("agent1").process->kill(); }},
+            {"engine killed",
+             [&] {
+                 deployment.upstream("agent2").process->kill();
+                 deployment.restartUpstream("agent2");
+             }},
+            {"store out",
+             [&] {
+                 deployment.platform(R"({"outage":true})");
+                 std::this_thread::sleep_for(std::chrono::seconds(4));
+                 deployment.platform(R"({"outage":false})");
+             }},
+            {"answers lost", [&] { deployment.platform(R"({"loseAnswers":5})"); }},
+            {"job sent again",
+             [&] { (void)deployment.call("entry2", submission("lot", job.lines)); }}};
+    for (int i = 0; i < 2; ++i) {
+        const auto &[name, fail] = failures[randomBelow(random, failures.size())];
+        UNSCOPED_INFO("seed " << seed << ": " << name);
+        fail();
+    }
+    job.finish();
+}
+
+TEST_CASE("An entry process that stops hands its shards back")
+{
+    // With a lease far longer than the test waits, only a shard handed back goes on.
+    RunningJob job("600000");
+    job.deployment.entry("entry1").process->signal(SIGTERM);
+    job.finish();
+    CHECK(job.deployment.entry("entry1").process->waitForEnd() == 0);
+}
+
+TEST_CASE("A job is accepted only when it is durable")
+{
+    Deployment deployment;
+    deployment.addAgent("agent1", {.slots = 8});
+    deployment.addEntry("entry1");
+    deployment.addEntry("entry2");
+    deployment.putCatalogue(1);
+    const auto job = submission("lot", jobLines(40, 1));
+
+    SECTION("With the store out, it is refused and does not exist")
+    {
+        deployment.platform(R"({"outage":true})");
+        const auto refused = deployment.call("entry1", job);
+        CHECK(refused.status == 503);
+        CHECK_FALSE(refused.headers.value("Retry-After").empty());
+        deployment.platform(R"({"outage":false})");
+        CHECK(deployment.call("entry2", {"GET", "/v1/batches/lot", {}, ""}).status == 404);
+        SECTION("and sent again, it is accepted and completes")
+        {
+            CHECK(deployment.call("entry2", job).status == 201);
+            waitForState(deployment, "entry2", "lot", "completed");
+        }
+    }
+    SECTION("With answers lost after the writes, it is accepted all the same")
+    {
+        deployment.platform(R"({"loseAnswers":3})");
+        CHECK(deployment.call("entry1", job).status == 201);
+        waitForState(deployment, "entry2", "lot", "completed");
+        checkAllOnce(readResults(deployment, "entry2", "lot"), 40, 1);
+    }
+    SECTION("Sent to both entry processes at once, it is one job")
+    {
+        const auto first = deployment.start("entry1", job);
+        const auto second = deployment.start("entry2", job);
+        CHECK(first.answer.get().status / 100 == 2);
+        CHECK(second.answer.get().status / 100 == 2);
+        waitForState(deployment, "entry1", "lot", "completed");
+        checkAllOnce(readResults(deployment, "entry1", "lot"), 40, 1);
+    }
+    SECTION("The entry process dies right after it has said so")
+    {
+        REQUIRE(deployment.call("entry1", job).status == 201);
+        deployment.entry("entry1").process->kill();
+        waitForState(deployment, "entry2", "lot", "completed");
+        checkAllOnce(readResults(deployment, "entry2", "lot"), 40, 1);
+    }
+}
+
+TEST_CASE("Items that can never be done end as failed, and the job ends")
+{
+    Deployment deployment;
+    for (const auto *name : {"agent1", "agent2", "agent3"})
+        deployment.addAgent(name, {.slots = 4});
+    deployment.addEntry("entry1");
+    deployment.putCatalogue(3);
+    auto lines = jobLines(30, 3);
+    lines += R"({"id":"wrong","body":{"prompt":"x","max_tokens":-1}})"
+             "\n";
+    lines += R"({"id":"crash","body":{"prompt":"crash-the-engine","max_tokens":2}})"
+             "\n";
+    REQUIRE(deployment.call("entry1", submission("lot", lines)).status == 201);
+    const std::vector<std::string> names{"agent1", "agent2", "agent3"};
+    int crashes = 0;
+    REQUIRE(eventually([&] {
+        for (const auto &name : names) {
+            if (deployment.upstream(name).process->isRunning())
+                continue;
+            crashes += 1;
+            deployment.restartUpstream(name);
+        }
+        return textField(status(deployment, "entry1", "lot"), "state").value_or("") == "completed";
+    }));
+    CHECK(crashes == 2);
+    auto results = readResults(deployment, "entry1", "lot");
+    CHECK(results.at("wrong").status == "failed");
+    CHECK(results.at("crash").status == "failed");
+    results.erase("wrong");
+    results.erase("crash");
+    checkAllOnce(results, 30, 3);
+}
+
+TEST_CASE("Items that must not be repeated run once at most, and an unknown fate is told")
+{
+    Deployment deployment;
+    deployment.addAgent("service1",
+                        {.pool = "booking", .kind = "service", .slots = 4, .serviceTimeMs = 100});
+    deployment.addEntry("entry1", {.arguments = {"--lease=2000"}});
+    deployment.addEntry("entry2", {.arguments = {"--lease=2000"}});
+    deployment.putCatalogue(1);
+    std::string lines;
+    constexpr std::size_t bookings = 60;
+    for (std::size_t i = 0; i < bookings; ++i)
+        lines += R"({"id":"b)" + std::to_string(i) + R"(","path":"/book","body":"confirm )"
+                 + std::to_string(i) + "\"}\n";
+    REQUIRE(deployment.call("entry1", submission("morning", lines, "booking")).status == 201);
+    REQUIRE(eventually([&] { return deployment.executions("service1").size() > 8; }));
+    const bool isHeldByFirst = deployment.metric("entry1", "radishplank_shards_claimed_total") > 0;
+    const std::string holder = isHeldByFirst ? "entry1" : "entry2";
+    const std::string other = isHeldByFirst ? "entry2" : "entry1";
+    deployment.entry(holder).process->kill();
+    waitForState(deployment, other, "morning", "completed");
+    const auto results = readResults(deployment, other, "morning");
+    const auto executions = deployment.executions("service1");
+    CHECK(results.size() == bookings);
+    std::size_t unknown = 0;
+    for (std::size_t i = 0; i < bookings; ++i) {
+        const auto &result = results.at("b" + std::to_string(i));
+        const auto ran = integerField(executions, "confirm " + std::to_string(i), 0);
+        CHECK(result.count == 1);
+        CHECK(ran <= 1);
+        if (result.status == "completed")
+            CHECK(ran == 1);
+        else
+            CHECK(result.status == "unknown");
+        unknown += result.status == "unknown" ? 1 : 0;
+    }
+    CHECK(unknown > 0);
+    CHECK(unknown < bookings);
+}
+
+TEST_CASE("A cancelled batch stops, and what it has done stays readable")
+{
+    RunningJob job;
+    auto &deployment = job.deployment;
+    const auto enginesIdle = [&] {
+        for (const auto *name : {"agent1", "agent2", "agent3"}) {
+            const auto stats = deployment.engineStats(name);
+            if (integerField(stats, "running", 0) + integerField(stats, "waiting", 0) > 0)
+                return false;
+        }
+        return true;
+    };
+    const auto cancel = [&](const std::string &entry) {
+        return deployment.call(entry, {"DELETE", "/v1/batches/lot", {}, ""});
+    };
+    const auto checkStopped = [&] {
+        const auto before = readResults(deployment, "entry2", "lot");
+        CHECK(before.size() < itemCount);
+        CHECK_FALSE(before.empty());
+        CHECK(eventually(enginesIdle));
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        CHECK(enginesIdle());
+        CHECK(readResults(deployment, "entry2", "lot").size() == before.size());
+    };
+    SECTION("cancelled at another entry process than the one that works on it")
+    {
+        const auto cancelled = cancel("entry2");
+        CHECK(cancelled.status == 200);
+        CHECK(cancelled.body.find("\"cancelled\"") != std::string::npos);
+        checkStopped();
+        SECTION("and sending it again does not revive it")
+        {
+            const auto again = deployment.call("entry1", submission("lot", job.lines));
+            CHECK(again.status == 200);
+            CHECK(again.body.find("\"cancelled\"") != std::string::npos);
+            checkStopped();
+        }
+    }
+    SECTION("while the one that works on it is frozen")
+    {
+        deployment.entry("entry1").process->freeze();
+        CHECK(cancel("entry2").status == 200);
+        deployment.entry("entry1").process->thaw();
+        checkStopped();
+    }
+    SECTION("with the store out, the cancellation is refused and can be repeated")
+    {
+        deployment.platform(R"({"outage":true})");
+        CHECK(cancel("entry2").status == 503);
+        deployment.platform(R"({"outage":false})");
+        CHECK(cancel("entry2").status == 200);
+        checkStopped();
+    }
+}
+
+TEST_CASE("A large job costs few writes to the store")
+{
+    Deployment deployment;
+    for (const auto *name : {"agent1", "agent2", "agent3"})
+        deployment.addAgent(name, {.slots = 32, .tokenIntervalMs = 10});
+    deployment.addEntry("entry1");
+    deployment.putCatalogue(3);
+    const auto before = integerField(deployment.platformCounts(), "writes", 0);
+    constexpr std::size_t items = 6'000;
+    REQUIRE(deployment.call("entry1", submission("large", jobLines(items, 2))).status == 201);
+    waitForState(deployment, "entry1", "large", "completed");
+    const auto writes = integerField(deployment.platformCounts(), "writes", 0) - before;
+    // The bound of 10 writes for 1,000 items holds for any speed that fills a group in its time.
+    CHECK(writes < static_cast<std::int64_t>(items / 100));
+    checkAllOnce(readResults(deployment, "entry1", "large"), items, 2);
+}
