--- a/Libraries/Serving/SlotScheduler.cpp
+++ b/Libraries/Serving/SlotScheduler.cpp
@@ -7,6 +7,8 @@
 SlotScheduler::Admission SlotScheduler::submit(Ticket ticket, WorkClass workClass,
                                                Suspicion suspicion, SchedulerActions &actions)
 {
+    if (m_limits.order == SlotOrder::ArrivalOrder)
+        workClass = WorkClass::Online;
     const bool isOnline = workClass == WorkClass::Online;
     auto &queue = isOnline ? m_online : m_batch;
     queue.push_back({ticket, suspicion});
--- a/Libraries/Serving/SlotScheduler.h
+++ b/Libraries/Serving/SlotScheduler.h
@@ -12,11 +12,15 @@
 /// Names one attempt within a SlotScheduler.
 using Ticket = std::uint64_t;
 
+/// OnlineFirst serves; ArrivalOrder knows no classes and is there to compare with.
+enum class SlotOrder { OnlineFirst, ArrivalOrder };
+
 struct SlotLimits
 {
     std::size_t slots = 1;
     std::size_t onlineQueue = 16;
     std::size_t batchQueue = 4;
+    SlotOrder order = SlotOrder::OnlineFirst;
 };
 
 /// Whether an attempt was in flight when an upstream crashed.
--- /dev/null
+++ b/Meta/bench.py
@@ -0,0 +1,222 @@
+"""Measures radishplank on loopback. See docs/MEASUREMENTS.md for what the figures mean."""
+
+import argparse
+import json
+import pathlib
+import subprocess
+import tempfile
+import time
+
+from deployment import Deployment
+
+ZONES = (("zone1", "region1"), ("zone2", "region1"), ("zone3", "region2"))
+UPSTREAMS_PER_ZONE = 6
+SLOTS = 4
+TOKEN_INTERVAL_MS = 20
+BATCH_TOKENS = 40
+
+
+def start(deployment, agent=(), entry=(), engine=()):
+    for zone, region in ZONES:
+        for _ in range(UPSTREAMS_PER_ZONE):
+            deployment.add_upstream(zone, region, SLOTS, TOKEN_INTERVAL_MS, engine, agent)
+    for zone, region in ZONES:
+        deployment.add_entry(zone, region, entry)
+    deployment.put_catalogue("lotka")
+
+
+def totals(deployment):
+    stats = deployment.engine_stats()
+    return {name: sum(each[name] for each in stats)
+            for name in ("busyMicroseconds", "uptimeMicroseconds", "tokens", "cachedWords",
+                         "promptWords", "executions")}
+
+
+class Window:
+    """Figures of what happened between two moments of a deployment."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.begin = self.snapshot()
+
+    def snapshot(self):
+        counts = self.deployment.store_counts()
+        return {
+            "at": time.monotonic(),
+            "engines": totals(self.deployment),
+            "store": sum(counts.values()),
+            "items": self.deployment.metric("radishplank_items_completed_total"),
+            "preempted": self.deployment.metric("radishplank_items_preempted_total"),
+            "far": self.deployment.metric("radishplank_bytes_other_region_total"),
+        }
+
+    def close(self):
+        end = self.snapshot()
+        seconds = end["at"] - self.begin["at"]
+        busy = end["engines"]["busyMicroseconds"] - self.begin["engines"]["busyMicroseconds"]
+        words = end["engines"]["promptWords"] - self.begin["engines"]["promptWords"]
+        cached = end["engines"]["cachedWords"] - self.begin["engines"]["cachedWords"]
+        slots = len(self.deployment.engines) * SLOTS
+        return {
+            "seconds": round(seconds, 1),
+            "busyShare": busy / 1e6 / (seconds * slots),
+            "itemsPerSecond": (end["items"] - self.begin["items"]) / seconds,
+            "preempted": end["preempted"] - self.begin["preempted"],
+            "storeCallsPerSecond": (end["store"] - self.begin["store"]) / seconds,
+            "otherRegionBytes": end["far"] - self.begin["far"],
+            "cacheShare": cached / words if words else 0,
+        }
+
+
+def online_run(build, trace, with_batch, agent=(), entry=(), csv=None):
+    with Deployment(build) as deployment:
+        start(deployment, agent, entry)
+        if with_batch:
+            deployment.submit("league", 40_000, BATCH_TOKENS)
+            time.sleep(4)
+        window = Window(deployment)
+        report = deployment.replay(trace, csv=csv)
+        figures = window.close()
+    return {**figures, "online": report}
+
+
+def print_table(title, rows):
+    print(f"\n{title}")
+    print(f"{'run':34} {'first p50':>10} {'first p99':>10} {'whole p99':>10} {'busy':>6} "
+          f"{'items/s':>8} {'store/s':>8} {'far kB':>7} {'cache':>6} {'ok':>6} {'bad':>4}")
+    for name, row in rows:
+        online = row["online"]
+        first = online["firstTokenMs"]
+        bad = online["refused"] + online["failed"] + online["wrong"]
+        print(f"{name:34} {first.get('p50', 0):10.1f} {first.get('p99', 0):10.1f} "
+              f"{online['wholeAnswerMs'].get('p99', 0):10.1f} {row['busyShare']:6.2f} "
+              f"{row['itemsPerSecond']:8.1f} {row['storeCallsPerSecond']:8.1f} "
+              f"{row['otherRegionBytes'] / 1000:7.0f} {row['cacheShare']:6.2f} "
+              f"{online['answered']:6} {bad:4}")
+
+
+def harm(args, directory):
+    """Harm of batch to online calls, and how much idle time batch fills."""
+    for owner in args.deployments:
+        trace = pathlib.Path(directory, owner + ".jsonl")
+        with Deployment(args.build) as tool:
+            tool.generate(trace, deployment=owner, duration=args.seconds * 1000, rate=args.rate,
+                          seed=args.seed)
+        csv = (lambda name: str(pathlib.Path(args.csv, f"{owner}-{name}.csv")) if args.csv else None)
+        rows = [
+            ("online only", online_run(args.build, trace, False, csv=csv("online"))),
+            ("online + batch, arrival order", online_run(
+                args.build, trace, True, ("--scheduling=arrival-order", "--online-queue=64"),
+                csv=csv("arrival-order"))),
+            ("online + batch, online first", online_run(args.build, trace, True,
+                                                        csv=csv("online-first"))),
+        ]
+        print_table(f"{owner}: {args.rate} calls/s for {args.seconds} s, seed {args.seed}", rows)
+        alone, _, ours = (row for _, row in rows)
+        idle = 1 - alone["busyShare"]
+        filled = (ours["busyShare"] - alone["busyShare"]) / idle
+        first = (ours["online"]["firstTokenMs"]["p99"] / alone["online"]["firstTokenMs"]["p99"])
+        whole = (ours["online"]["wholeAnswerMs"]["p99"] / alone["online"]["wholeAnswerMs"]["p99"])
+        print(f"harm at p99: first token {first:.3f}, whole answer {whole:.3f}; "
+              f"idle slot time filled by batch {filled:.3f}; "
+              f"preemptions {ours['preempted']:.0f}")
+
+
+def routing(args, directory):
+    """Ways of choosing upstreams, on the same trace."""
+    trace = pathlib.Path(directory, "routing.jsonl")
+    with Deployment(args.build) as tool:
+        tool.generate(trace, deployment="lotka", duration=args.seconds * 1000, rate=args.rate * 1.6,
+                      seed=args.seed)
+    rows = [(policy, online_run(args.build, trace, False, entry=(f"--routing={policy}",)))
+            for policy in ("balanced", "random", "round-robin")]
+    print_table(f"routing: {args.rate * 1.6:.0f} calls/s for {args.seconds} s, seed {args.seed}",
+                rows)
+
+
+def failures(args, directory):
+    """The same load while processes die and the store is out; outcomes are checked."""
+    trace = pathlib.Path(directory, "failures.jsonl")
+    seconds = 70
+    items = 12_000
+    with Deployment(args.build) as deployment:
+        start(deployment)
+        deployment.generate(trace, deployment="lotka", duration=seconds * 1000, rate=args.rate,
+                            seed=args.seed)
+        deployment.submit("league", items, BATCH_TOKENS)
+        time.sleep(2)
+        begin = time.monotonic()
+        callers = ",".join(entry.addresses["callers"] for entry in deployment.entries[:2])
+        running = deployment.start_replay(trace, callers=callers)
+
+        def note(text):
+            print(f"{time.monotonic() - begin:6.1f} s  {text}")
+
+        time.sleep(3)
+        note("two agents killed")
+        for agent in deployment.agents[:2]:
+            agent.kill()
+        time.sleep(2)
+        note("an engine killed, and started again")
+        deployment.engines[3].kill()
+        address = deployment.engines[3].addresses["http"]
+        deployment.engines[3].command.append(f"--listen={address}")
+        deployment.engines[3].start()
+        note("the entry process without online callers killed")
+        deployment.entries[2].kill()
+        done_before = deployment.job_status("league").get("completed", 0)
+        killed_at = time.monotonic()
+        while deployment.job_status("league").get("completed", 0) <= done_before:
+            time.sleep(0.1)
+        note(f"batch goes on; first further outcome after {time.monotonic() - killed_at:.1f} s")
+        body = json.dumps({"outage": True})
+        from deployment import http
+        http("POST", deployment.store, "/switches", body)
+        note("store out")
+        before = totals(deployment)["tokens"]
+        time.sleep(args.outage)
+        during = totals(deployment)["tokens"]
+        http("POST", deployment.store, "/switches", json.dumps({"outage": False}))
+        note(f"store back after {args.outage} s; {(during - before) / args.outage:.0f} tokens/s "
+             "meanwhile")
+        output, _ = running.communicate()
+        report = json.loads(output)
+        while deployment.job_status("league").get("state") != "completed":
+            time.sleep(0.2)
+        note("job completed")
+        results = deployment.results("league")
+        identifiers = {result["id"] for result in results}
+        print(f"online: {report['answered']} of {report['calls']} answered, "
+              f"{report['refused']} refused, {report['failed']} failed, {report['wrong']} wrong; "
+              f"first token p99 {report['firstTokenMs']['p99']:.0f} ms, "
+              f"max {report['firstTokenMs']['max']:.0f} ms")
+        print(f"batch: {len(identifiers)} of {items} items, {len(results)} results, "
+              f"{sum(1 for each in results if each['status'] != 'completed')} not completed")
+
+
+def main():
+    parts = {"harm": harm, "routing": routing, "failures": failures}
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="Build")
+    parser.add_argument("--parts", default="harm,routing,failures",
+                        help="of: " + ", ".join(parts))
+    parser.add_argument("--seconds", type=int, default=15, help="length of each trace")
+    parser.add_argument("--rate", type=float, default=60, help="mean online calls a second")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--outage", type=int, default=40, help="seconds without the store")
+    parser.add_argument("--deployments", default="sundholl,lotka",
+                        type=lambda text: text.split(","))
+    parser.add_argument("--csv", help="folder for one line for each call")
+    args = parser.parse_args()
+    if args.csv:
+        pathlib.Path(args.csv).mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory(prefix="radishplank-traces-") as directory:
+        for name in args.parts.split(","):
+            parts[name](args, directory)
+
+
+if __name__ == "__main__":
+    try:
+        main()
+    except subprocess.CalledProcessError as failure:
+        raise SystemExit(f"{failure}") from failure
--- a/Services/radishplankd/AgentDaemon.cpp
+++ b/Services/radishplankd/AgentDaemon.cpp
@@ -40,7 +40,9 @@
     AgentSettings result;
     result.upstream = settings.upstream;
     result.kind = settings.kind == "model" ? EntryKind::Model : EntryKind::Service;
-    result.slots = {settings.slots, settings.onlineQueue, settings.batchQueue};
+    const auto order = settings.scheduling == "online-first" ? SlotOrder::OnlineFirst
+                                                             : SlotOrder::ArrivalOrder;
+    result.slots = {settings.slots, settings.onlineQueue, settings.batchQueue, order};
     result.secret = settings.common.secret;
     return result;
 }
--- a/Services/radishplankd/AttemptClient.cpp
+++ b/Services/radishplankd/AttemptClient.cpp
@@ -64,6 +64,7 @@
 {
     const auto incarnation = upstream.incarnation();
     const auto &agent = upstream.member().data;
+    bytesTo(upstream).increase(request.body.size());
     auto opened = HttpClient::open(agent, openingCall(request, incarnation),
                                    attemptOptions(ConnectionReuse::Allowed));
     if (const auto *failure = std::get_if<HttpCallError>(&opened)) {
@@ -84,7 +85,7 @@
         return result;
     }
     Progress progress;
-    switch (readLines(answer, sink, progress)) {
+    switch (readLines(answer, upstream, sink, progress)) {
     case ReadEnd::Ended:
         return progress.result;
     case ReadEnd::SinkClosed:
@@ -95,6 +96,16 @@
     return goOn(upstream, request, sink, std::move(progress), incarnation);
 }
 
+const Counter &AttemptClient::bytes(Distance distance) const
+{
+    return m_bytes[static_cast<std::size_t>(distance)];
+}
+
+Counter &AttemptClient::bytesTo(const Upstream &upstream)
+{
+    return m_bytes[static_cast<std::size_t>(upstream.distance())];
+}
+
 AttemptResult AttemptClient::attach(Upstream &upstream, const AttemptRequest &request,
                                     const TokenSink &sink)
 {
@@ -104,7 +115,7 @@
     if (std::holds_alternative<HttpCallError>(opened))
         return progress.result;
     auto &answer = *std::get<std::unique_ptr<HttpAnswer>>(opened);
-    if (answer.status() == 200 && readLines(answer, sink, progress) == ReadEnd::Ended)
+    if (answer.status() == 200 && readLines(answer, upstream, sink, progress) == ReadEnd::Ended)
         return progress.result;
     return {};
 }
@@ -141,14 +152,15 @@
     return call;
 }
 
-AttemptClient::ReadEnd AttemptClient::readLines(HttpAnswer &answer, const TokenSink &sink,
-                                                Progress &progress)
+AttemptClient::ReadEnd AttemptClient::readLines(HttpAnswer &answer, const Upstream &upstream,
+                                                const TokenSink &sink, Progress &progress)
 {
     std::string buffer;
     while (true) {
         const auto piece = answer.readPiece();
         if (piece.isError() || piece.value().empty())
             return ReadEnd::Broken;
+        bytesTo(upstream).increase(piece.value().size());
         buffer += piece.value();
         std::size_t begin = 0;
         for (auto end = buffer.find('\n'); end != std::string::npos;
@@ -205,7 +217,7 @@
         if (answer.status() != 200)
             break;
         m_reattached.increase();
-        const auto end = readLines(answer, sink, progress);
+        const auto end = readLines(answer, upstream, sink, progress);
         if (end == ReadEnd::Ended)
             return progress.result;
         if (end == ReadEnd::SinkClosed)
--- a/Services/radishplankd/AttemptClient.h
+++ b/Services/radishplankd/AttemptClient.h
@@ -4,6 +4,7 @@
 
 #include <Net/Net.h>
 
+#include <array>
 #include <functional>
 
 namespace Radishplank {
@@ -56,6 +57,8 @@
     /// Reads the answer of an attempt that may have been begun before; never begins it.
     AttemptResult attach(Upstream &upstream, const AttemptRequest &request, const TokenSink &sink);
 
+    /// Bytes sent to and read from agents at the distance.
+    [[nodiscard]] const Counter &bytes(Distance distance) const;
     [[nodiscard]] const Counter &reattached() const { return m_reattached; }
 
 private:
@@ -70,7 +73,9 @@
     [[nodiscard]] HttpRequest openingCall(const AttemptRequest &request,
                                           const std::string &incarnation) const;
     [[nodiscard]] HttpRequest attachCall(const AttemptRequest &request, std::size_t from) const;
-    ReadEnd readLines(HttpAnswer &answer, const TokenSink &sink, Progress &progress);
+    Counter &bytesTo(const Upstream &upstream);
+    ReadEnd readLines(HttpAnswer &answer, const Upstream &upstream, const TokenSink &sink,
+                      Progress &progress);
     LineEnd takeLine(std::string_view line, const TokenSink &sink, Progress &progress);
     AttemptResult goOn(Upstream &upstream, const AttemptRequest &request, const TokenSink &sink,
                        Progress progress, const std::string &incarnation);
@@ -82,6 +87,7 @@
     ControlThread &m_control;
     std::string m_secret;
     Counter m_reattached;
+    std::array<Counter, 3> m_bytes;
 };
 
 } // namespace Radishplank
--- a/Services/radishplankd/DaemonSettings.cpp
+++ b/Services/radishplankd/DaemonSettings.cpp
@@ -68,6 +68,8 @@
                   "Online calls that may wait for a slot; further ones are refused at once.");
     settings.bind(&values.batchQueue, "batch-queue", "COUNT",
                   "Batch items that may wait for a slot, so that none stays idle.");
+    settings.bind(&values.scheduling, "scheduling", "online-first|arrival-order",
+                  "Order of the calls; the second knows no classes and is for comparison.");
 }
 
 Endpoint advertised(const Endpoint &setting, const Endpoint &listening)
@@ -107,6 +109,8 @@
     checkCommonSettings(values.common, findings);
     if (values.kind != "model" && values.kind != "service")
         findings.add("--kind", "must be model or service");
+    if (values.scheduling != "online-first" && values.scheduling != "arrival-order")
+        findings.add("--scheduling", "must be online-first or arrival-order");
     if (values.slots < 1)
         findings.add("--slots", "must be above 0");
     if (values.pools.empty())
--- a/Services/radishplankd/DaemonSettings.h
+++ b/Services/radishplankd/DaemonSettings.h
@@ -44,6 +44,7 @@
     std::uint64_t slots = 4;
     std::uint64_t onlineQueue = 16;
     std::uint64_t batchQueue = 2;
+    std::string scheduling = "online-first";
 };
 
 void bindCommonSettings(Settings &settings, CommonSettings &values);
--- a/Services/radishplankd/OperatorApi.cpp
+++ b/Services/radishplankd/OperatorApi.cpp
@@ -208,6 +208,12 @@
     renderCounter(text, "radishplank_retries_total", metrics.retries);
     renderCounter(text, "radishplank_streams_resumed_total", metrics.resumed);
     renderCounter(text, "radishplank_reattached_total", m_context.attempts.reattached());
+    renderCounter(text, "radishplank_bytes_same_zone_total",
+                  m_context.attempts.bytes(Distance::SameZone));
+    renderCounter(text, "radishplank_bytes_same_region_total",
+                  m_context.attempts.bytes(Distance::SameRegion));
+    renderCounter(text, "radishplank_bytes_other_region_total",
+                  m_context.attempts.bytes(Distance::OtherRegion));
     renderCounter(text, "radishplank_unknown_outcomes_total", metrics.unknownOutcomes);
     renderCounter(text, "radishplank_upstream_crashes_total", metrics.crashes);
     renderCounter(text, "radishplank_items_completed_total", metrics.itemsCompleted);
--- /dev/null
+++ b/Utilities/radishplank-load/main.cpp
@@ -0,0 +1,98 @@
+#include "Replay.h"
+#include "TraceGenerator.h"
+
+#include <fstream>
+#include <iostream>
+
+using namespace Radishplank;
+
+namespace {
+
+constexpr std::string_view usage = "radishplank-load [SETTING...] generate|replay\n"
+                                   "  generate  draws a trace and writes it to --trace\n"
+                                   "  replay    sends the calls of --trace to --callers";
+constexpr int usageStatus = 2;
+
+struct LoadSettings
+{
+    std::string trace;
+    GeneratorSettings generator;
+    std::vector<std::string> callers;
+    std::string token;
+    bool isDirect = false;
+    bool checksText = true;
+    std::string csv;
+    std::uint64_t threads = 2;
+};
+
+void bindSettings(Settings &settings, LoadSettings &values)
+{
+    settings.bind(&values.trace, "trace", "PATH", "The trace, as JSON Lines.",
+                  Settings::Presence::Required);
+    settings.bind(&values.generator.deployment, "deployment", "sundholl|lotka",
+                  "Whose day the trace follows.");
+    settings.bind(&values.generator.seed, "seed", "NUMBER", "Seed of the drawn trace.");
+    settings.bind(&values.generator.duration, "duration", "MILLISECONDS", "Length of the trace.");
+    settings.bind(&values.generator.callsPerSecond, "rate", "NUMBER", "Mean calls a second.");
+    settings.bind(&values.generator.meanTokens, "tokens", "NUMBER", "Mean tokens of an answer.");
+    settings.bind(&values.callers, "callers", "ADDRESS:PORT,...",
+                  "Entry processes, which take the calls in turn.");
+    settings.bind(&values.token, "token", "TEXT", "Bearer token of the owner.");
+    settings.bind(&values.isDirect, "direct", "true|false", "Call engines, not entry processes.");
+    settings.bind(&values.checksText, "check", "true|false",
+                  "Compare each answer with the stand-in's text.");
+    settings.bind(&values.csv, "csv", "PATH", "Where to write one line for each call.");
+    settings.bind(&values.threads, "threads", "COUNT", "Threads that send calls.");
+}
+
+Result<void> runGenerate(const LoadSettings &values)
+{
+    const auto calls = generateTrace(values.generator);
+    TRY(writeTrace(values.trace, calls));
+    std::cout << calls.size() << " calls\n";
+    return {};
+}
+
+Result<void> runReplay(const LoadSettings &values)
+{
+    ReplaySettings settings;
+    for (const auto &caller : values.callers)
+        settings.callers.push_back(TRY(Endpoint::parse(caller)));
+    if (settings.callers.empty())
+        return Error{ErrorKind::InvalidInput, "--callers: is required for replay"};
+    settings.token = values.token;
+    settings.isDirect = values.isDirect;
+    settings.checksText = values.checksText;
+    const auto calls = TRY(readTrace(values.trace));
+    FiberThreads threads(values.threads);
+    const auto report = replay(threads, calls, settings);
+    std::cout << boost::json::serialize(report.toJson()) << '\n';
+    if (!values.csv.empty())
+        std::ofstream(values.csv) << report.toCsv();
+    return {};
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    LoadSettings values;
+    Settings settings;
+    bindSettings(settings, values);
+    const auto parsed
+            = settings.parse(std::span(arguments, static_cast<std::size_t>(argumentCount)));
+    if (parsed.isError()) {
+        std::cerr << parsed.error().message << '\n';
+        return usageStatus;
+    }
+    const auto &words = parsed.value().positional;
+    const bool isKnown = words.size() == 1 && (words[0] == "generate" || words[0] == "replay");
+    if (parsed.value().isHelpWanted || !isKnown) {
+        std::cout << settings.helpText(usage);
+        return parsed.value().isHelpWanted ? 0 : usageStatus;
+    }
+    const auto result = words[0] == "generate" ? runGenerate(values) : runReplay(values);
+    if (result.isError())
+        std::cerr << result.error().message << '\n';
+    exitProcess(result.isError() ? 1 : 0);
+}
