Limits: Give a new process its parts only when all know of it

Cause: a process that joins divides each limit by one more than those that have not heard of it, so for up to 4 s the parts add up to more than the limit. Before (new test): a newcomer of two lets a second request in at once. After: only what is lent to it.

--- a/Libraries/Limits/OwnerLimits.cpp
+++ b/Libraries/Limits/OwnerLimits.cpp
@@ -122,7 +122,8 @@
 void OwnerLimits::configure(State &state, TimePoint now) const
 {
     const double limit = state.limits.requestsPerSecond;
-    state.ledger.setOwned(limit / static_cast<double>(m_members.load()));
+    const double part = limit / static_cast<double>(m_members.load());
+    state.ledger.setOwned(m_ownsParts ? part : 0);
     const double rate = state.ledger.rate(now);
     // The burst goes with the rate, so that the bursts of all processes add up to the limit's.
     const double burst = limit > 0 ? burstOf(state.limits) * rate / limit : 0;
--- a/Libraries/Limits/OwnerLimits.h
+++ b/Libraries/Limits/OwnerLimits.h
@@ -19,6 +19,10 @@
     /// Sets of how many processes this one is; each owns an equal part of every limit.
     void setMembers(std::size_t members) { m_members = std::max<std::size_t>(members, 1); }
 
+    /// Lets this process use the parts that it owns. Until then it uses only what it borrows,
+    /// because the others may not know yet that the limit has one more part.
+    void ownParts() { m_ownsParts = true; }
+
     /// Takes one request from the limit; otherwise returns how long to wait.
     std::optional<Duration> take(const std::string &key, const Limits &limits, TimePoint now);
     /// Gives back the concurrency that take() took.
@@ -54,6 +58,7 @@
 
     std::array<Shard, 16> m_shards;
     std::atomic<std::size_t> m_members{1};
+    std::atomic<bool> m_ownsParts{false};
 };
 
 } // namespace Radishplank
--- a/Services/radishplankd/EntryDaemon.cpp
+++ b/Services/radishplankd/EntryDaemon.cpp
@@ -7,6 +7,7 @@
 #include "OperatorApi.h"
 #include "VmWatch.h"
 
+#include <boost/fiber/operations.hpp>
 #include <thread>
 
 namespace Radishplank {
@@ -15,6 +16,8 @@
 
 constexpr Milliseconds crashMemory{600'000};
 constexpr std::size_t maxCrashRecords = 1'000;
+/// After this time every process knows of a change that the store holds.
+constexpr Milliseconds changeInForceTime{4'000};
 constexpr double retryShare = 0.1;
 constexpr double retryReserve = 20;
 constexpr Milliseconds drainPollInterval{20};
@@ -138,7 +141,11 @@
     const EntryMember member{node, advertised(common.controlAdvertise, control->endpoint()),
                              ZoneName(common.zone), RegionName(common.region)};
     MemberRegistration registration(store, std::string(nodePrefix) + common.node);
-    threads.spawn([&registration, member] { registration.write(toJson(member)); });
+    threads.spawn([&registration, &limits, member] {
+        registration.write(toJson(member));
+        boost::this_fiber::sleep_for(changeInForceTime);
+        limits.ownParts();
+    });
     TRY(writeReadyFile(common.readyFile, {{"callers", callerServer->endpoint().text()},
                                           {"control", control->endpoint().text()},
                                           {"operator", operatorServer->endpoint().text()}}));
--- a/Tests/Limits/TestRateLedger.cpp
+++ b/Tests/Limits/TestRateLedger.cpp
@@ -183,6 +183,7 @@
     std::vector<OwnerLimits> processes(3);
     for (auto &process : processes) {
         process.setMembers(processes.size());
+        process.ownParts();
         (void)process.take("lotka", limits, clock.now());
         process.release("lotka");
     }
@@ -209,3 +210,30 @@
     CHECK(admitted <= 100 * seconds + 10 + 1);
     CHECK(admitted >= 90 * seconds);
 }
+
+TEST_CASE("A process that has just joined uses nothing of its own until the others know of it")
+{
+    ManualClock clock;
+    Limits limits;
+    limits.requestsPerSecond = 100;
+    OwnerLimits newcomer;
+    newcomer.setMembers(2);
+    // The one request that every burst is rounded up to does not count as a part.
+    (void)newcomer.take("lotka", limits, clock.now());
+    clock.advance(Milliseconds(1'000));
+    CHECK(newcomer.take("lotka", limits, clock.now()));
+    SECTION("except what others lend it")
+    {
+        newcomer.borrow(NodeId("other"), {{"lotka", 10}}, clock.now());
+        CHECK(newcomer.take("lotka", limits, clock.now()));
+        clock.advance(Milliseconds(1'000));
+        CHECK_FALSE(newcomer.take("lotka", limits, clock.now()));
+    }
+    SECTION("and its part afterwards")
+    {
+        newcomer.ownParts();
+        CHECK(newcomer.take("lotka", limits, clock.now()));
+        clock.advance(Milliseconds(1'000));
+        CHECK_FALSE(newcomer.take("lotka", limits, clock.now()));
+    }
+}
