--- a/Libraries/Batch/ShardLease.h
+++ b/Libraries/Batch/ShardLease.h
@@ -69,6 +69,8 @@
             for (const auto item : group.items)
                 next.done.insert(item);
         }
+        if (next.isComplete())
+            next.holder.clear();
         return replaceProgress(std::move(next), pause, mayGoOn);
     }
 
@@ -83,8 +85,9 @@
         if (object.isError())
             return object.error();
         auto current = TRY(parseProgress(object.value().value, m_progress.done.size()));
-        const bool isHeld = current.holder == m_progress.holder
-                            && current.fencing == m_progress.fencing && !current.isClosed;
+        const bool isOwn = current.fencing == m_progress.fencing
+                           && (current.holder == m_progress.holder || current.isComplete());
+        const bool isHeld = isOwn && !current.isClosed;
         if (!isHeld)
             return Error{ErrorKind::Conflict, "the lease on " + m_key + " is lost"};
         m_progress = std::move(current);
--- /dev/null
+++ b/Meta/prove_red.py
@@ -0,0 +1,180 @@
+"""Shows that the tests of the promises fail without the mechanisms they are about.
+
+For each mechanism: takes it out of a scratch copy of the sources, builds, runs the test that proves
+its promise and expects it to fail. docs/PROOFS.md records what was seen.
+"""
+
+import argparse
+import pathlib
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+
+DAEMON = "Services/radishplankd/"
+
+# name: (file, text of the mechanism, text without it, test program, test)
+MECHANISMS = {
+    "preemption": (
+        "Libraries/Serving/SlotScheduler.cpp",
+        "void SlotScheduler::preemptForWaiting(SchedulerActions &actions)\n{",
+        "void SlotScheduler::preemptForWaiting(SchedulerActions &actions)\n{\n"
+        "    if (actions.start.size() < 1000)\n        return;",
+        "TestIntegration", "Online calls never wait behind batch work"),
+    "bounded queue": (
+        "Libraries/Serving/SlotScheduler.cpp", "isWaiting && queue.size() > limit",
+        "isWaiting && queue.size() > limit + 1000",
+        "TestIntegration", "Past its bound, the online queue*"),
+    "tombstone": (
+        "Libraries/Serving/AttemptLedger.cpp",
+        "    position->second = State::Cancelled;\n    return AttemptFate::NeverBegan;",
+        "    m_states.erase(position);\n    return AttemptFate::NeverBegan;",
+        "TestIntegration", "Not-run is said only where it is proved"),
+    "incarnation": (
+        "Libraries/Serving/AttemptLedger.cpp",
+        "    if (incarnation != m_incarnation)\n        return Admission::OtherIncarnation;",
+        "    if (incarnation.empty())\n        return Admission::OtherIncarnation;",
+        "TestIntegration", "Not-run is said only where it is proved"),
+    "record of keyed calls": (
+        DAEMON + "CallerApi.cpp", "if (!spec.mayRepeat && !key.empty())",
+        "if (!spec.mayRepeat && key == \"never\")",
+        "TestIntegration", "A call that must not be repeated runs once*"),
+    "no retry of unknown fates": (
+        DAEMON + "CallRunner.cpp", "const bool mayRetry = spec.mayRepeat && ",
+        "const bool mayRetry = ",
+        "TestIntegration", "A call that must not be repeated runs once*"),
+    "reading on at a silent connection": (
+        DAEMON + "AttemptClient.cpp", "constexpr int maxReattachments = 2;",
+        "constexpr int maxReattachments = 0;",
+        "TestIntegration", "Each caller gets its own whole answer*"),
+    "resuming at another upstream": (
+        DAEMON + "CallRunner.cpp",
+        "makeAttempt(spec, WorkClass::Online, id, progress.tokens, suspicion)",
+        "makeAttempt(spec, WorkClass::Online, id, 0, suspicion)",
+        "TestIntegration", "Each caller gets its own whole answer*"),
+    "quarantine": (
+        "Libraries/Serving/Quarantine.h", "crashesToBar = 2;", "crashesToBar = 100;",
+        "TestIntegration", "A request that crashes upstreams*"),
+    "telling others of crashes": (
+        "Libraries/Serving/Quarantine.cpp",
+        "    for (const auto &notice : notices) {",
+        "    for (const auto &notice : notices) {\n        if (notice.age >= Milliseconds(0))\n"
+        "            continue;",
+        "TestIntegration", "A request that crashes upstreams*"),
+    "leaving upstreams": (
+        DAEMON + "Upstream.cpp",
+        "return m_hasReported && m_report.isAccepting && m_member.state == MemberState::Live",
+        "return m_hasReported",
+        "TestIntegration", "An upstream that leaves gets no new work*"),
+    "draining at a planned stop": (
+        DAEMON + "EntryDaemon.cpp", "&& (callerServer.activeExchanges() > 0",
+        "&& (callerServer.activeExchanges() > 1000",
+        "TestIntegration", "A planned stop of an entry process*"),
+    "conditional progress": (
+        "Libraries/Batch/ShardLease.h",
+        "        m_version = TRY(putDecided(",
+        "        const auto current = m_store.get(m_key);\n"
+        "        if (!current.isError())\n            m_version = current.value().version;\n"
+        "        m_version = TRY(putDecided(",
+        "TestBatch", "Only the holder of a shard*"),
+    "settling doubtful writes": (
+        "Libraries/Store/DecidedWrite.h", "            isInDoubt = true;",
+        "            isInDoubt = false;",
+        "TestIntegration", "A job is accepted only when it is durable"),
+    "lease lapse": (
+        "Libraries/Batch/LeaseObserver.cpp", "return now - seen.since >= m_duration + margin;",
+        "return now - seen.since >= m_duration * 1000 + margin;",
+        "TestIntegration", "Each accepted item completes exactly once"),
+    "started marks": (
+        DAEMON + "ShardRunner.cpp", "    if (item.spec.mayRepeat)\n        return true;",
+        "    if (item.number + 1 > 0)\n        return true;",
+        "TestIntegration", "Items that must not be repeated run once*"),
+    "handing shards back": (
+        DAEMON + "ShardRunner.cpp", "    if (m_isComplete || m_command == Command::Drop)",
+        "    if (m_isComplete || m_command != Command::Run)",
+        "TestIntegration", "An entry process that stops hands its shards back"),
+    "closing the shards of a cancelled job": (
+        "Libraries/Batch/JobStore.h",
+        "            TRY(closeShard(job, current.manifest, shard));",
+        "            if (shard > 1000)\n"
+        "                TRY(closeShard(job, current.manifest, shard));",
+        "TestIntegration", "A cancelled batch stops*"),
+    "versions only rise": (
+        "Libraries/Catalogue/ConfigurationReplica.cpp",
+        "found->second.object.version >= change.object.version",
+        "found->second.object.version == change.object.version",
+        "TestCatalogue", "A replica of the configuration never goes back"),
+    "learning from peers": (
+        DAEMON + "ConfigurationSync.cpp",
+        "    if (m_context.configuration.apply(answer.changes, answer.revision))",
+        "    if (m_context.configuration.apply({}, noVersion))",
+        "TestIntegration", "A catalogue change comes into force*"),
+    "lent rates are not used": (
+        "Libraries/Limits/RateLedger.cpp",
+        "return std::max(0.0, m_owned - lentOut(now)) + borrowed(now);",
+        "return std::max(0.0, m_owned) + borrowed(now);",
+        "TestLimits", "The sum of all rates never passes the limit*"),
+    "fencing of orders": (
+        DAEMON + "Agent.cpp", "    if (fencing < m_highestFencing)",
+        "    if (fencing < 0)",
+        "TestIntegration", "Orders to an engine*"),
+}
+
+
+def build(source, directory, target):
+    subprocess.run(["cmake", "-S", source, "-B", directory, "-G", "Ninja"], check=True,
+                   stdout=subprocess.DEVNULL)
+    result = subprocess.run(["cmake", "--build", directory, "-j", "4", "--target", target],
+                            stdout=subprocess.PIPE, text=True)
+    if result.returncode != 0:
+        raise RuntimeError(result.stdout[-2000:])
+
+
+def first_failure(output):
+    """Returns the first failed assertion, in one line."""
+    match = re.search(r"FAILED:\n(.*?)\n\n", output, re.S)
+    text = match.group(1) if match else output[-200:]
+    return re.sub(r"\s+", " ", text)[:160]
+
+
+def prove(name, source, directory):
+    path, mechanism, without, program, test = MECHANISMS[name]
+    file = pathlib.Path(source, path)
+    original = file.read_text()
+    if original.count(mechanism) != 1:
+        return f"{name}: the mechanism's text stands {original.count(mechanism)} times in {path}"
+    file.write_text(original.replace(mechanism, without))
+    try:
+        build(source, directory, program)
+        began = time.monotonic()
+        run = subprocess.run([f"{directory}/Tests/{program}", test], stdout=subprocess.PIPE,
+                             stderr=subprocess.STDOUT, text=True)
+        seconds = time.monotonic() - began
+    finally:
+        file.write_text(original)
+    if run.returncode == 0:
+        return f"{name}: NOT RED: '{test}' passes without it"
+    return f"{name}: red after {seconds:.0f} s: {test}: {first_failure(run.stdout)}"
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", help="names, separated by commas")
+    args = parser.parse_args()
+    names = args.only.split(",") if args.only else list(MECHANISMS)
+    root = pathlib.Path(__file__).resolve().parent.parent
+    failed = False
+    with tempfile.TemporaryDirectory(prefix="radishplank-red-") as scratch:
+        source = pathlib.Path(scratch, "source")
+        shutil.copytree(root, source, ignore=shutil.ignore_patterns("Build*", ".git"))
+        for name in names:
+            line = prove(name, str(source), str(pathlib.Path(scratch, "build")))
+            failed = failed or ": red after" not in line
+            print(line, flush=True)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/Services/radishplankd/Fleet.cpp
+++ b/Services/radishplankd/Fleet.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr Milliseconds heartbeatInterval{250};
 constexpr Milliseconds heartbeatTimeout{1'000};
 /// Bounds the connections and heartbeats of one entry process.
 constexpr std::size_t maxUpstreamsPerPool = 24;
@@ -188,7 +187,7 @@
             logStateChange(isAccepting ? "upstream-accepting" : "upstream-not-accepting",
                            {{"upstream", member.id.text()}});
         wasAccepting = isAccepting;
-        boost::this_fiber::sleep_for(heartbeatInterval);
+        boost::this_fiber::sleep_for(upstream->nextHeartbeat(SteadyClock().now()));
     }
 }
 
--- a/Services/radishplankd/Upstream.cpp
+++ b/Services/radishplankd/Upstream.cpp
@@ -6,8 +6,13 @@
 
 namespace {
 
+constexpr Milliseconds busyHeartbeat{250};
+constexpr Milliseconds idleHeartbeat{1'000};
+/// An upstream counts as used for so long after its last attempt.
+constexpr Milliseconds useMemory{5'000};
 /// An agent that has not answered for so long gets no new work.
-constexpr Milliseconds reportLifetime{1'500};
+constexpr Milliseconds busyReportLifetime{1'500};
+constexpr Milliseconds idleReportLifetime{3'500};
 
 } // namespace
 
@@ -15,6 +20,7 @@
     : m_member(std::move(member))
     , m_distance(distance)
     , m_idHash(stableHash(m_member.id.text()))
+    , m_usedAt(SteadyClock().now())
     // Somewhat more than the slots, so that a freed slot finds its next item waiting.
     , m_window(static_cast<std::size_t>(m_member.slots + m_member.slots / 2 + 1))
 {
@@ -32,7 +38,19 @@
 void Upstream::noteSilence()
 {
     const std::scoped_lock lock(m_mutex);
-    m_hasReported = m_hasReported && SteadyClock().now() - m_reportedAt < reportLifetime;
+    m_hasReported = m_hasReported && SteadyClock().now() - m_reportedAt < reportLifetime();
+}
+
+Milliseconds Upstream::nextHeartbeat(TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_isWatchedSlowly = now - m_usedAt > useMemory;
+    return m_isWatchedSlowly ? idleHeartbeat : busyHeartbeat;
+}
+
+Milliseconds Upstream::reportLifetime() const
+{
+    return m_isWatchedSlowly ? idleReportLifetime : busyReportLifetime;
 }
 
 void Upstream::noteUnavailable()
@@ -45,7 +63,7 @@
 {
     const std::scoped_lock lock(m_mutex);
     return m_hasReported && m_report.isAccepting && m_member.state == MemberState::Live
-           && now - m_reportedAt < reportLifetime;
+           && now - m_reportedAt < reportLifetime();
 }
 
 std::string Upstream::incarnation() const
@@ -73,6 +91,7 @@
     const std::scoped_lock lock(m_mutex);
     m_sentSinceReport += 1;
     m_onlineInFlight += 1;
+    m_usedAt = SteadyClock().now();
 }
 
 void Upstream::noteOnlineEnded()
@@ -94,6 +113,7 @@
     if (!m_window.mayTake(now))
         return false;
     m_window.take();
+    m_usedAt = now;
     return true;
 }
 
--- a/Services/radishplankd/Upstream.h
+++ b/Services/radishplankd/Upstream.h
@@ -20,6 +20,8 @@
 
     void noteReport(const LoadReport &report, TimePoint now);
     void noteSilence();
+    /// Returns how long to wait before the next heartbeat: shorter while it is used.
+    Milliseconds nextHeartbeat(TimePoint now);
     /// Notes a refusal or loss that shows sooner than the next report that it takes nothing.
     void noteUnavailable();
     /// Returns whether it answers and takes new work, by the last report.
@@ -41,10 +43,15 @@
     AgentMember m_member;
     Distance m_distance;
     std::uint64_t m_idHash;
+    /// Returns how old a report may be; call with the lock held.
+    [[nodiscard]] Milliseconds reportLifetime() const;
+
     mutable std::mutex m_mutex;
     LoadReport m_report;
     TimePoint m_reportedAt{};
     bool m_hasReported = false;
+    TimePoint m_usedAt;
+    bool m_isWatchedSlowly = false;
     std::uint32_t m_sentSinceReport = 0;
     std::uint32_t m_onlineInFlight = 0;
     BatchWindow m_window;
