ConfigurationSync: Ask mostly the processes that watch the store

Cause: 24 idle entry processes of one zone made 13.9 store calls a second. Peers were asked at random, most of whom do not watch the store either, so knowledge aged past 2 s and processes began to watch for themselves. Ruled out: the batch index's watch, 4.8 of the calls, which is there by design. The batch index's watch now waits 10 s in place of 5 s.

--- a/Services/radishplankd/BatchScheduler.cpp
+++ b/Services/radishplankd/BatchScheduler.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Milliseconds claimInterval{100};
-constexpr Milliseconds jobWatchWait{5'000};
+constexpr Milliseconds jobWatchWait{10'000};
 constexpr Milliseconds storeRetryInterval{500};
 constexpr Milliseconds nothingToClaimWait{2'000};
 constexpr Milliseconds storePatience{3'000};
--- a/Services/radishplankd/ConfigurationSync.cpp
+++ b/Services/radishplankd/ConfigurationSync.cpp
@@ -150,18 +150,26 @@
     return answer;
 }
 
-bool ConfigurationSync::isChosenWatcher() const
+std::vector<EntryMember> ConfigurationSync::zoneByRank() const
 {
-    std::vector<std::pair<std::uint64_t, NodeId>> ranked;
+    std::vector<EntryMember> members;
     m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
         for (const auto &node : catalogue.nodes()) {
             if (node.zone == m_settings.zone)
-                ranked.emplace_back(stableHash(node.id.text()), node.id);
+                members.push_back(node);
         }
     });
-    std::sort(ranked.begin(), ranked.end());
-    const auto position = std::find_if(ranked.begin(), ranked.end(), [this](const auto &rank) {
-        return rank.second == m_settings.node;
+    std::sort(members.begin(), members.end(), [](const auto &left, const auto &right) {
+        return stableHash(left.id.text()) < stableHash(right.id.text());
+    });
+    return members;
+}
+
+bool ConfigurationSync::isChosenWatcher() const
+{
+    const auto ranked = zoneByRank();
+    const auto position = std::find_if(ranked.begin(), ranked.end(), [this](const auto &member) {
+        return member.id == m_settings.node;
     });
     // A process that the configuration does not list yet has to find its way in.
     return position == ranked.end()
@@ -189,14 +197,15 @@
             return {};
         return m_settings.seeds[randomBelow(random, m_settings.seeds.size())];
     }
-    std::vector<EntryMember> near;
-    for (const auto &member : members) {
-        if (member.zone == m_settings.zone)
-            near.push_back(member);
-    }
-    // Mostly near ones, because the link between regions is paid for; now and then any, so that
-    // crashes and changes spread everywhere.
-    const auto &choices = near.empty() || randomBelow(random, 4) == 0 ? members : near;
+    // Mostly one that watches the store, so that knowledge stays fresh and the link between
+    // regions, which is paid for, is spared. Now and then any, so that crashes and changes spread
+    // everywhere, also when the watchers are lost.
+    auto watchers = zoneByRank();
+    if (watchers.size() > watchersPerZone)
+        watchers.resize(watchersPerZone);
+    std::erase_if(watchers, [this](const auto &member) { return member.id == m_settings.node; });
+    const bool asksAny = watchers.empty() || randomBelow(random, 4) == 0;
+    const auto &choices = asksAny ? members : watchers;
     return choices[randomBelow(random, choices.size())].control;
 }
 
--- a/Services/radishplankd/ConfigurationSync.h
+++ b/Services/radishplankd/ConfigurationSync.h
@@ -38,6 +38,8 @@
 private:
     void watchLoop();
     void exchangeLoop();
+    /// Returns the entry processes of this zone, those that watch the store first.
+    [[nodiscard]] std::vector<EntryMember> zoneByRank() const;
     [[nodiscard]] bool isChosenWatcher() const;
     Result<void> listStore();
     Result<void> watchStore();
