--- a/Meta/capacity.py
+++ b/Meta/capacity.py
@@ -152,7 +152,7 @@
     """Memory of an open stream that carries nothing but heartbeats."""
     entry_memory, agent_memory, entry_cpu = [], [], []
     with tempfile.TemporaryDirectory() as directory:
-        for count in (500, 2000, 4000, 8000):
+        for count in (500, 2000, 4000):
             with Deployment(args.build) as deployment:
                 deployment.add_upstream("zone1", "region1", count, 8_000,
                                         engine=("--prefill=0",))
--- a/Services/radishplankd/BatchScheduler.cpp
+++ b/Services/radishplankd/BatchScheduler.cpp
@@ -321,14 +321,13 @@
                                              {"job", shard->job().name.text()},
                                              {"shard", shard->shard()},
                                              {"hasWaitingItems", shard->hasWaitingItems()}});
-    boost::json::array usage;
+    boost::json::array owners;
     for (const auto &[owner, load] : m_owners)
-        usage.push_back(boost::json::object{{"owner", owner.text()},
-                                            {"itemsInFlight", load.inFlight},
-                                            {"itemsCompleted", load.completed}});
+        owners.push_back(
+                boost::json::object{{"owner", owner.text()}, {"itemsInFlight", load.inFlight}});
     return {{"activeJobs", m_active.size()},
             {"shards", std::move(shards)},
-            {"usage", std::move(usage)}};
+            {"owners", std::move(owners)}};
 }
 
 } // namespace Radishplank
--- a/Services/radishplankd/CallerApi.cpp
+++ b/Services/radishplankd/CallerApi.cpp
@@ -294,6 +294,7 @@
         respondError(exchange, result);
         return;
     }
+    m_context.usage.note(spec.entry->owner, WorkClass::Online, tokens);
     const CompletionWriter writer(spec.entry->name.text(), isChat);
     respondJson(exchange, 200, writer.whole(text, result.finishReason, tokens));
     m_context.metrics.wholeAnswer.record(SteadyClock().now() - startedAt);
@@ -305,6 +306,7 @@
     const CompletionWriter writer(spec.entry->name.text(), isChat);
     const HttpHeaders headers{{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-store"}};
     bool hasBegun = false;
+    std::uint64_t tokens = 0;
     const auto begin = [&] {
         hasBegun = true;
         return exchange.beginStream(200, headers);
@@ -315,8 +317,11 @@
             if (begin().isError())
                 return false;
         }
+        tokens += 1;
         return !exchange.writeStream(writer.tokenEvent(token)).isError();
     });
+    if (result.status == 200)
+        m_context.usage.note(spec.entry->owner, WorkClass::Online, tokens);
     if (result.status != 200 && !hasBegun) {
         respondError(exchange, result);
         return;
@@ -363,6 +368,7 @@
         respondError(exchange, result);
         return;
     }
+    m_context.usage.note(owner, WorkClass::Online, 0);
     HttpResponse response{result.answer.status, {}, result.answer.body};
     if (!result.answer.contentType.empty())
         response.headers.add("Content-Type", result.answer.contentType);
--- a/Services/radishplankd/EntryContext.h
+++ b/Services/radishplankd/EntryContext.h
@@ -2,6 +2,7 @@
 
 #include "AttemptClient.h"
 #include "Fleet.h"
+#include "UsageLedger.h"
 
 #include <Limits/Limits.h>
 #include <Store/Store.h>
@@ -38,6 +39,7 @@
     Quarantine &quarantine;
     RetryBudget &retryBudget;
     EntryMetrics &metrics;
+    UsageLedger &usage;
     NodeId node;
 };
 
--- a/Services/radishplankd/EntryDaemon.cpp
+++ b/Services/radishplankd/EntryDaemon.cpp
@@ -104,8 +104,9 @@
     Quarantine quarantine(crashMemory, maxCrashRecords);
     RetryBudget retryBudget(retryShare, retryReserve);
     EntryMetrics metrics;
+    UsageLedger usage;
     EntryContext context{threads, *control,   store,       configuration, fleet, attempts,
-                         limits,  quarantine, retryBudget, metrics,       node};
+                         limits,  quarantine, retryBudget, metrics,       usage, node};
     ConfigurationSync sync(context, syncSettings(settings), [&] {
         const auto agents = configuration.read([&](const CatalogueSnapshot &catalogue) {
             limits.setMembers(catalogue.nodes().size());
--- a/Services/radishplankd/OperatorApi.cpp
+++ b/Services/radishplankd/OperatorApi.cpp
@@ -195,6 +195,7 @@
                                     {"upstreams", m_context.fleet.state()},
                                     {"limits", m_context.limits.state(now)},
                                     {"retryBudget", m_context.retryBudget.available()},
+                                    {"usage", m_context.usage.state()},
                                     {"crashes", std::move(quarantined)},
                                     {"batch", m_batch.state()}});
 }
--- a/Services/radishplankd/ShardRunner.cpp
+++ b/Services/radishplankd/ShardRunner.cpp
@@ -236,6 +236,7 @@
     switch (result.status) {
     case AttemptStatus::Complete: {
         m_context.quarantine.noteSuccess(item->spec.fingerprint);
+        m_context.usage.note(job().owner, WorkClass::Batch, item->tokens);
         boost::json::object response;
         if (m_entry->kind == EntryKind::Model) {
             response = {{"text", item->text},
--- /dev/null
+++ b/Services/radishplankd/UsageLedger.cpp
@@ -0,0 +1,32 @@
+#include "UsageLedger.h"
+
+namespace Radishplank {
+
+void UsageLedger::note(const OwnerId &owner, WorkClass workClass, std::uint64_t tokens)
+{
+    const std::scoped_lock lock(m_mutex);
+    auto &usage = m_usage[owner];
+    if (workClass == WorkClass::Online) {
+        usage.onlineCalls += 1;
+        usage.onlineTokens += tokens;
+    } else {
+        usage.batchItems += 1;
+        usage.batchTokens += tokens;
+    }
+}
+
+boost::json::array UsageLedger::state() const
+{
+    const std::scoped_lock lock(m_mutex);
+    boost::json::array result;
+    for (const auto &[owner, usage] : m_usage) {
+        result.push_back(boost::json::object{{"owner", owner.text()},
+                                             {"onlineCalls", usage.onlineCalls},
+                                             {"onlineTokens", usage.onlineTokens},
+                                             {"batchItems", usage.batchItems},
+                                             {"batchTokens", usage.batchTokens}});
+    }
+    return result;
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Services/radishplankd/UsageLedger.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <Catalogue/Catalogue.h>
+
+#include <map>
+#include <mutex>
+
+namespace Radishplank {
+
+/// Counts what each owner has used, by class, since this process started; thread-safe.
+///
+/// Counts are of answered calls and completed items, and of the tokens in them. Prices are the
+/// operators' matter: work that may wait is counted apart, so that it can cost less.
+class UsageLedger
+{
+public:
+    void note(const OwnerId &owner, WorkClass workClass, std::uint64_t tokens);
+    [[nodiscard]] boost::json::array state() const;
+
+private:
+    struct Usage
+    {
+        std::uint64_t onlineCalls = 0;
+        std::uint64_t onlineTokens = 0;
+        std::uint64_t batchItems = 0;
+        std::uint64_t batchTokens = 0;
+    };
+
+    mutable std::mutex m_mutex;
+    std::map<OwnerId, Usage> m_usage;
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Tests/Control/TestControlThread.cpp
@@ -0,0 +1,120 @@
+#include <Control/Control.h>
+#include <Net/Net.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+#include <future>
+
+using namespace Radishplank;
+
+namespace {
+
+class MockHandler : public ControlHandler
+{
+public:
+    MAKE_MOCK0(observe, Result<LoadReport>(), override);
+    MAKE_MOCK2(cancelAttempt, Result<AttemptFate>(const AttemptId &, const std::string &),
+               override);
+    MAKE_MOCK1(exchange, Result<ExchangeAnswer>(const ExchangeRequest &), override);
+    MAKE_MOCK1(lend, Result<std::vector<RateShare>>(const LendRequest &), override);
+};
+
+constexpr Milliseconds timeout{5'000};
+const Endpoint anyPort{"127.0.0.1", 0};
+
+/// Runs a function in a fiber and returns its result.
+template<typename Function>
+auto inFiber(FiberThreads &threads, Function function)
+{
+    std::promise<decltype(function())> promise;
+    auto future = promise.get_future();
+    threads.spawn([&] { promise.set_value(function()); });
+    return future.get();
+}
+
+} // namespace
+
+TEST_CASE("Processes ask each other over control calls")
+{
+    FiberThreads threads(1);
+    MockHandler served;
+    ControlHandler none;
+    const auto server = ControlThread::start(anyPort, "secret", served).takeValue();
+    const auto client = ControlThread::start(anyPort, "secret", none).takeValue();
+
+    SECTION("A load report keeps its fields")
+    {
+        LoadReport report;
+        report.incarnation = "agent-1";
+        report.slots = 8;
+        report.onlineRunning = 3;
+        report.batchQueued = 2;
+        report.isAccepting = true;
+        REQUIRE_CALL(served, observe()).RETURN(report);
+        const auto answer
+                = inFiber(threads, [&] { return client->observe(server->endpoint(), timeout); });
+        REQUIRE_FALSE(answer.isError());
+        CHECK(answer.value().incarnation == "agent-1");
+        CHECK(answer.value().slots == 8);
+        CHECK(answer.value().onlineRunning == 3);
+        CHECK(answer.value().batchQueued == 2);
+        CHECK(answer.value().isAccepting);
+    }
+    SECTION("A cancel names the attempt and the incarnation")
+    {
+        REQUIRE_CALL(served, cancelAttempt(AttemptId("a"), "agent-1"))
+                .RETURN(AttemptFate::NeverBegan);
+        const auto fate = inFiber(threads, [&] {
+            return client->cancelAttempt(server->endpoint(), AttemptId("a"), "agent-1", timeout);
+        });
+        CHECK(fate.value() == AttemptFate::NeverBegan);
+    }
+    SECTION("An exchange carries objects, removals and crashes")
+    {
+        ExchangeAnswer expected;
+        expected.revision = 9;
+        expected.changes
+                = {{{"config/owners/a", "{}", 8}, false}, {{"config/owners/b", "", 9}, true}};
+        expected.crashes = {{"print", AttemptId("x"), Milliseconds(12)}};
+        REQUIRE_CALL(served, exchange(trompeloeil::_))
+                .WITH(_1.revision == 7 && _1.node == NodeId("entry1"))
+                .RETURN(expected);
+        const auto answer = inFiber(threads, [&] {
+            return client->exchange(server->endpoint(), {NodeId("entry1"), 7, {}}, timeout);
+        });
+        REQUIRE_FALSE(answer.isError());
+        CHECK(answer.value().revision == 9);
+        REQUIRE(answer.value().changes.size() == 2);
+        CHECK(answer.value().changes[1].isRemoval);
+        CHECK(answer.value().crashes.at(0).age == Milliseconds(12));
+    }
+    SECTION("A handler's error reaches the caller")
+    {
+        REQUIRE_CALL(served, observe()).RETURN(Error{ErrorKind::Unavailable, "starting"});
+        const auto answer
+                = inFiber(threads, [&] { return client->observe(server->endpoint(), timeout); });
+        REQUIRE(answer.isError());
+        CHECK(answer.error().message.find("starting") != std::string::npos);
+    }
+    SECTION("Nothing is answered without the cluster's secret")
+    {
+        FORBID_CALL(served, observe());
+        const auto stranger = ControlThread::start(anyPort, "guess", none).takeValue();
+        const auto answer
+                = inFiber(threads, [&] { return stranger->observe(server->endpoint(), timeout); });
+        REQUIRE(answer.isError());
+        CHECK(answer.error().message.find("wrong cluster secret") != std::string::npos);
+    }
+    SECTION("A peer that never answers costs its deadline and no more")
+    {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::acceptor silent(context,
+                                              {boost::asio::ip::address_v4::loopback(), 0});
+        const Endpoint endpoint{"127.0.0.1", silent.local_endpoint().port()};
+        const auto answer
+                = inFiber(threads, [&] { return client->observe(endpoint, Milliseconds(100)); });
+        CHECK(answer.isError());
+    }
+}
--- a/Tests/Integration/TestCallerInterface.cpp
+++ b/Tests/Integration/TestCallerInterface.cpp
@@ -1,6 +1,8 @@
 #include "Deployment.h"
 
 #include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
 
 using namespace Radishplank;
 using namespace Radishplank::Test;
@@ -87,6 +89,42 @@
                 {"GET", "/state", {{"Authorization", "Bearer nobody"}}, ""});
         CHECK(wrongOperator.status == 401);
     }
+    SECTION("Input without end, or of another protocol, is refused and harms nobody")
+    {
+        const auto &entry = deployment.entry("entry1");
+        HttpRequest longHeader{"GET", "/v1/models", {}, ""};
+        longHeader.headers.add("X-Long", std::string(60'000, 'x'));
+        for (const auto &address : {entry.callers, entry.operators, deployment.agentData("agent1"),
+                                    deployment.agent("agent1").operators}) {
+            const auto status = deployment.client.call(address, longHeader).status;
+            // The connection may be closed before all of the header has been sent.
+            CHECK((status == 431 || status == 0));
+            CHECK(deployment.client.call(address, {"GET", "/none", {}, ""}).status >= 400);
+        }
+        const auto garbage = deployment.client.call(entry.control,
+                                                    {"POST", "/", {}, std::string(1 << 20, 'x')});
+        CHECK(garbage.status == 0);
+        CHECK(wholeText(deployment.call("entry1", completion("still here", 2)))
+              == expectedText("still here", 2));
+        CHECK(deployment.control({"catalogue", "status"}).output.find("error")
+              == std::string::npos);
+    }
+    SECTION("Every finding of a catalogue file is told with its line")
+    {
+        const auto good = deployment.control({"catalogue", "check",
+                                              EXAMPLES_PATH "/sundholl/catalogue.jsonl",
+                                              EXAMPLES_PATH "/lotka/catalogue.jsonl"});
+        CHECK(good.output.find("no findings") != std::string::npos);
+        CHECK(good.status == 0);
+        const auto path = deployment.directory() + "/bad.jsonl";
+        std::ofstream(path) << R"({"key":"owners/a","value":{}})"
+                            << "\n{\n";
+        const auto bad = deployment.control({"catalogue", "check", path});
+        CHECK(bad.status == 1);
+        CHECK(bad.error.find("bad.jsonl:1: config/owners/a.tokenDigest: is required")
+              != std::string::npos);
+        CHECK(bad.error.find("bad.jsonl:2: malformed JSON") != std::string::npos);
+    }
     SECTION("The same job is the same job, and other content under its name is refused")
     {
         const HttpRequest submit{"PUT", "/v1/batches/twice?entry=captions", {}, jobLines(5, 1)};
