Fleet: Bound the agents that one entry process works with

Cause: with 24 agents for each pool, an entry process at the target size (32 pools, 740 agents) would watch all of them: at the measured 300 bytes a heartbeat, 222 KB/s and more of the 23 KB/s that control may cost. Now 64 agents in all, at least two for each pool, and an agent counts as used for 2 s after its last attempt.

--- a/Services/radishplankd/Fleet.cpp
+++ b/Services/radishplankd/Fleet.cpp
@@ -8,8 +8,10 @@
 namespace {
 
 constexpr Milliseconds heartbeatTimeout{1'000};
-/// Bounds the connections and heartbeats of one entry process.
-constexpr std::size_t maxUpstreamsPerPool = 24;
+/// Bounds the connections and heartbeats of one entry process; the pools share it.
+constexpr std::size_t maxUpstreams = 64;
+/// Fewer would leave no choice when one upstream fails or is full.
+constexpr std::size_t leastUpstreamsPerPool = 2;
 
 bool isSameMember(const AgentMember &left, const AgentMember &right)
 {
@@ -151,6 +153,8 @@
         for (const auto &pool : agent.pools)
             byPool[pool].push_back({distanceTo(agent), score, &agent});
     }
+    const auto places = std::max(leastUpstreamsPerPool,
+                                 maxUpstreams / std::max<std::size_t>(byPool.size(), 1));
     std::map<UpstreamId, const AgentMember *> chosen;
     for (auto &[pool, ranked] : byPool) {
         std::sort(ranked.begin(), ranked.end(), [](const Ranked &left, const Ranked &right) {
@@ -158,10 +162,10 @@
         });
         // A quarter of the places goes to farther agents, which are the way out when near ones
         // fail.
-        const std::size_t near = maxUpstreamsPerPool - maxUpstreamsPerPool / 4;
+        const std::size_t near = places - places / 4;
         for (std::size_t i = 0; i < ranked.size() && i < near; ++i)
             chosen[ranked[i].agent->id] = ranked[i].agent;
-        for (std::size_t i = near; i < ranked.size() && i < maxUpstreamsPerPool; ++i) {
+        for (std::size_t i = near; i < ranked.size() && i < places; ++i) {
             const auto &far = ranked[ranked.size() - 1 - (i - near)];
             chosen[far.agent->id] = far.agent;
         }
--- a/Services/radishplankd/Upstream.cpp
+++ b/Services/radishplankd/Upstream.cpp
@@ -9,7 +9,7 @@
 constexpr Milliseconds busyHeartbeat{250};
 constexpr Milliseconds idleHeartbeat{1'000};
 /// An upstream counts as used for so long after its last attempt.
-constexpr Milliseconds useMemory{5'000};
+constexpr Milliseconds useMemory{2'000};
 /// An agent that has not answered for so long gets no new work.
 constexpr Milliseconds busyReportLifetime{1'500};
 constexpr Milliseconds idleReportLifetime{3'500};
