Limits: Let the parts of concurrency limits add up to the limit

Now each owns its whole part, and what division leaves over goes to processes chosen by hashing with the owner's name. Ruled out: lending, as rates are lent: a call outlasts a loan.

--- a/Libraries/Catalogue/CatalogueSnapshot.cpp
+++ b/Libraries/Catalogue/CatalogueSnapshot.cpp
@@ -88,8 +88,10 @@
             m_agents.push_back(std::move(agent));
     } else if (key.starts_with(nodePrefix)) {
         auto node = parseNode(NodeId(object.key.substr(nodePrefix.size())), fields, own);
-        if (own.isEmpty())
+        if (own.isEmpty()) {
+            m_nodeIds.push_back(node.id);
             m_nodes.push_back(std::move(node));
+        }
     }
     for (const auto &finding : own.all())
         findings.add(finding.place, finding.message);
--- a/Libraries/Catalogue/CatalogueSnapshot.h
+++ b/Libraries/Catalogue/CatalogueSnapshot.h
@@ -29,6 +29,7 @@
     [[nodiscard]] std::span<const Owner> owners() const { return m_owners; }
     [[nodiscard]] std::span<const AgentMember> agents() const { return m_agents; }
     [[nodiscard]] std::span<const EntryMember> nodes() const { return m_nodes; }
+    [[nodiscard]] const std::vector<NodeId> &nodeIds() const { return m_nodeIds; }
 
 private:
     void add(const StoredObject &object, const boost::json::object &fields, Findings &findings);
@@ -40,6 +41,7 @@
     std::unordered_map<std::string, std::shared_ptr<const Entry>> m_entries;
     std::vector<AgentMember> m_agents;
     std::vector<EntryMember> m_nodes;
+    std::vector<NodeId> m_nodeIds;
 };
 
 } // namespace Radishplank
--- a/Libraries/Limits/Limits.h
+++ b/Libraries/Limits/Limits.h
@@ -2,5 +2,6 @@
 
 /// Public header of the Limits library: owners' rates, shared between entry processes.
 
+#include <Limits/ConcurrencyPart.h>
 #include <Limits/OwnerLimits.h>
 #include <Limits/RateLedger.h>
--- a/Libraries/Limits/OwnerLimits.cpp
+++ b/Libraries/Limits/OwnerLimits.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+void OwnerLimits::setMembers(std::vector<NodeId> members, NodeId own)
+{
+    m_members.publish(std::make_unique<const Members>(Members{std::move(members), std::move(own)}));
+}
+
 std::optional<Duration> OwnerLimits::take(const std::string &key, const Limits &limits,
                                           TimePoint now)
 {
@@ -29,11 +34,10 @@
     configure(state, now);
     if (isNew) {
         // A limit that nobody has used yet has its whole burst left.
-        const double share = 1.0 / static_cast<double>(m_members.load());
-        state.bucket
-                = TokenBucket(state.ledger.rate(now), std::max(1.0, burstOf(limits) * share), now);
+        state.bucket = TokenBucket(state.ledger.rate(now), std::max(1.0, burstOf(limits) * share()),
+                                   now);
     }
-    if (limits.concurrentRequests > 0 && state.inFlight >= concurrentPart(limits))
+    if (limits.concurrentRequests > 0 && state.inFlight >= concurrentPart(key, limits))
         return concurrencyRetry;
     if (limits.requestsPerSecond > 0 && !state.bucket.take(now))
         return state.bucket.waitTime(now);
@@ -122,20 +126,26 @@
 void OwnerLimits::configure(State &state, TimePoint now) const
 {
     const double limit = state.limits.requestsPerSecond;
-    const double part = limit / static_cast<double>(m_members.load());
-    state.ledger.setOwned(m_ownsParts ? part : 0);
+    state.ledger.setOwned(m_ownsParts ? limit * share() : 0);
     const double rate = state.ledger.rate(now);
     // The burst goes with the rate, so that the bursts of all processes add up to the limit's.
     const double burst = limit > 0 ? burstOf(state.limits) * rate / limit : 0;
     state.bucket.configure(rate, rate > 0 ? std::max(1.0, burst) : 0, now);
 }
 
-std::int64_t OwnerLimits::concurrentPart(const Limits &limits) const
+std::int64_t OwnerLimits::concurrentPart(const std::string &key, const Limits &limits) const
+{
+    // FIXME: Parts of concurrency are not lent as rates are.
+    return m_members.read([&](const Members &members) {
+        return concurrencyPart(limits.concurrentRequests, key, members.all, members.own);
+    });
+}
+
+double OwnerLimits::share() const
 {
-    // FIXME: Parts of concurrency are not lent, and a limit below the number of processes leaves
-    //        one call to each, which adds up to more than the limit.
-    const auto members = static_cast<std::int64_t>(m_members.load());
-    return std::max<std::int64_t>(1, limits.concurrentRequests / members);
+    return m_members.read([](const Members &members) {
+        return 1.0 / static_cast<double>(std::max<std::size_t>(members.all.size(), 1));
+    });
 }
 
 } // namespace Radishplank
--- a/Libraries/Limits/OwnerLimits.h
+++ b/Libraries/Limits/OwnerLimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Catalogue/Catalogue.h>
+#include <Limits/ConcurrencyPart.h>
 #include <Limits/RateLedger.h>
 #include <Serving/Serving.h>
 
@@ -16,8 +17,8 @@
 class OwnerLimits
 {
 public:
-    /// Sets of how many processes this one is; each owns an equal part of every limit.
-    void setMembers(std::size_t members) { m_members = std::max<std::size_t>(members, 1); }
+    /// Sets the processes that share every limit in equal parts, and which of them this one is.
+    void setMembers(std::vector<NodeId> members, NodeId own);
 
     /// Lets this process use the parts that it owns. Until then it uses only what it borrows,
     /// because the others may not know yet that the limit has one more part.
@@ -46,6 +47,11 @@
         std::int64_t inFlight = 0;
         std::uint64_t asked = 0;
     };
+    struct Members
+    {
+        std::vector<NodeId> all;
+        NodeId own;
+    };
     struct Shard
     {
         std::mutex mutex;
@@ -53,11 +59,12 @@
     };
 
     void configure(State &state, TimePoint now) const;
-    [[nodiscard]] std::int64_t concurrentPart(const Limits &limits) const;
+    [[nodiscard]] std::int64_t concurrentPart(const std::string &key, const Limits &limits) const;
+    [[nodiscard]] double share() const;
     Shard &shard(const std::string &key) { return m_shards[stableHash(key) % m_shards.size()]; }
 
     std::array<Shard, 16> m_shards;
-    std::atomic<std::size_t> m_members{1};
+    RcuPointer<Members> m_members{std::make_unique<const Members>()};
     std::atomic<bool> m_ownsParts{false};
 };
 
--- a/Services/radishplankd/BatchScheduler.cpp
+++ b/Services/radishplankd/BatchScheduler.cpp
@@ -62,16 +62,17 @@
 
 bool BatchScheduler::takeItem(const OwnerId &owner)
 {
-    const auto limit = m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
-        const auto *known = catalogue.owner(owner);
-        const auto members = std::max<std::size_t>(catalogue.nodes().size(), 1);
-        const auto whole = known == nullptr ? 0 : known->limits.concurrentItems;
-        // Each process owns an equal part; a limit below the number of processes leaves one each.
-        return whole == 0 ? 0 : std::max<std::size_t>(1, static_cast<std::size_t>(whole) / members);
-    });
+    const auto part = m_context.configuration.read(
+            [&](const CatalogueSnapshot &catalogue) -> std::optional<std::int64_t> {
+                const auto *known = catalogue.owner(owner);
+                if (known == nullptr || known->limits.concurrentItems == 0)
+                    return {};
+                return concurrencyPart(known->limits.concurrentItems, owner.text(),
+                                       catalogue.nodeIds(), m_context.node);
+            });
     const std::scoped_lock lock(m_mutex);
     auto &load = m_owners[owner];
-    if (limit > 0 && load.inFlight >= limit)
+    if (part && load.inFlight >= static_cast<std::size_t>(*part))
         return false;
     load.inFlight += 1;
     return true;
--- a/Services/radishplankd/EntryDaemon.cpp
+++ b/Services/radishplankd/EntryDaemon.cpp
@@ -109,7 +109,7 @@
                          limits,  quarantine, retryBudget, metrics,       usage, node};
     ConfigurationSync sync(context, syncSettings(settings), [&] {
         const auto agents = configuration.read([&](const CatalogueSnapshot &catalogue) {
-            limits.setMembers(catalogue.nodes().size());
+            limits.setMembers(catalogue.nodeIds(), node);
             return std::vector<AgentMember>(catalogue.agents().begin(), catalogue.agents().end());
         });
         fleet.update(agents);
--- a/Tests/Limits/TestRateLedger.cpp
+++ b/Tests/Limits/TestRateLedger.cpp
@@ -181,8 +181,9 @@
     limits.requestsPerSecond = 100;
     limits.burstRequests = 10;
     std::vector<OwnerLimits> processes(3);
+    const std::vector<NodeId> members{NodeId("entry0"), NodeId("entry1"), NodeId("entry2")};
     for (auto &process : processes) {
-        process.setMembers(processes.size());
+        process.setMembers(members, members[0]);
         process.ownParts();
         (void)process.take("lotka", limits, clock.now());
         process.release("lotka");
@@ -217,7 +218,7 @@
     Limits limits;
     limits.requestsPerSecond = 100;
     OwnerLimits newcomer;
-    newcomer.setMembers(2);
+    newcomer.setMembers({NodeId("entry0"), NodeId("entry1")}, NodeId("entry1"));
     // The one request that every burst is rounded up to does not count as a part.
     (void)newcomer.take("lotka", limits, clock.now());
     clock.advance(Milliseconds(1'000));
