--- a/Libraries/Core/Settings.cpp
+++ b/Libraries/Core/Settings.cpp
@@ -4,6 +4,7 @@
 
 #include <charconv>
 #include <cstdlib>
+#include <iostream>
 #include <iterator>
 #include <memory>
 #include <optional>
@@ -209,6 +210,18 @@
     return parsed;
 }
 
+std::optional<int> Settings::endEarly(const Result<Parsed> &parsed, std::string_view usage) const
+{
+    if (parsed.isError()) {
+        std::cerr << parsed.error().message << '\n';
+        return usageStatus;
+    }
+    if (!parsed.value().isHelpWanted)
+        return {};
+    std::cout << helpText(usage);
+    return 0;
+}
+
 std::string Settings::helpText(std::string_view usage) const
 {
     std::string text = "Usage: " + std::string(usage) + "\n\nSettings:\n";
--- a/Libraries/Core/Settings.h
+++ b/Libraries/Core/Settings.h
@@ -5,6 +5,7 @@
 #include <Core/Result.h>
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -39,6 +40,13 @@
     /// Returns the page that --help prints.
     [[nodiscard]] std::string helpText(std::string_view usage) const;
 
+    /// Prints faults or the help page, if either is due; returns the exit status to end with then.
+    [[nodiscard]] std::optional<int> endEarly(const Result<Parsed> &parsed,
+                                              std::string_view usage) const;
+
+    /// Exit status for a command line that is wrong.
+    static constexpr int usageStatus = 2;
+
 private:
     struct Binding
     {
--- a/Services/radishplankd/CallRunner.cpp
+++ b/Services/radishplankd/CallRunner.cpp
@@ -9,6 +9,8 @@
 constexpr Milliseconds busyRetryAfter{1'000};
 constexpr std::size_t prefixBytes = 128;
 
+} // namespace
+
 CallResult refusal(unsigned status, Outcome outcome, std::string code, std::string message)
 {
     CallResult result;
@@ -19,8 +21,6 @@
     return result;
 }
 
-} // namespace
-
 CallResult CallRunner::run(const CallSpec &spec, const TokenSink &sink)
 {
     Progress progress;
--- a/Services/radishplankd/CallRunner.h
+++ b/Services/radishplankd/CallRunner.h
@@ -37,6 +37,10 @@
     AnswerLine answer;
 };
 
+/// Returns the result of a call that is not answered in full.
+[[nodiscard]] CallResult refusal(unsigned status, Outcome outcome, std::string code,
+                                 std::string message);
+
 /// Runs calls: chooses upstreams, retries what may be retried, resumes what was cut off.
 class CallRunner
 {
--- a/Services/radishplankd/KeyedCalls.cpp
+++ b/Services/radishplankd/KeyedCalls.cpp
@@ -12,27 +12,17 @@
 constexpr std::size_t maxKeptAnswerBytes = std::size_t{256} * 1024;
 constexpr std::string_view callPrefix = "calls/";
 
-CallResult refuse(unsigned status, Outcome outcome, std::string code, std::string message)
-{
-    CallResult result;
-    result.status = status;
-    result.outcome = outcome;
-    result.code = std::move(code);
-    result.message = std::move(message);
-    return result;
-}
-
 CallResult storeUnavailable()
 {
-    auto result = refuse(503, Outcome::NotRun, "store_unavailable",
-                         "the call could not be recorded, so it was not run");
+    auto result = refusal(503, Outcome::NotRun, "store_unavailable",
+                          "the call could not be recorded, so it was not run");
     result.retryAfter = retryAfter;
     return result;
 }
 
 CallResult fateUnknown(std::string message)
 {
-    return refuse(502, Outcome::Unknown, "fate_unknown", std::move(message));
+    return refusal(502, Outcome::Unknown, "fate_unknown", std::move(message));
 }
 
 } // namespace
@@ -51,8 +41,8 @@
     }
     auto record = existing.takeValue();
     if (record.fingerprint != spec.fingerprint) {
-        return refuse(422, Outcome::NotRun, "key_reused",
-                      "this idempotency key belongs to another request");
+        return refusal(422, Outcome::NotRun, "key_reused",
+                       "this idempotency key belongs to another request");
     }
     if (record.state == State::NotRun)
         return begin(spec, objectKey, std::move(record));
@@ -93,19 +83,19 @@
         record.state = State::NotRun;
         (void)write(objectKey, record);
     }
-    auto refusal
-            = refuse(503, Outcome::NotRun, "no_upstream",
-                     "no upstream takes this call now" + (detail.empty() ? "" : ": " + detail));
-    refusal.retryAfter = retryAfter;
-    return refusal;
+    auto exhausted
+            = refusal(503, Outcome::NotRun, "no_upstream",
+                      "no upstream takes this call now" + (detail.empty() ? "" : ": " + detail));
+    exhausted.retryAfter = retryAfter;
+    return exhausted;
 }
 
 CallResult KeyedCalls::findFirst(const CallSpec &spec, const std::string &objectKey, Record record)
 {
     if (record.state == State::Finished) {
         if (record.answer.status == 0)
-            return refuse(409, Outcome::Ran, "answer_not_kept",
-                          "the call ran; its answer was too large to keep");
+            return refusal(409, Outcome::Ran, "answer_not_kept",
+                           "the call ran; its answer was too large to keep");
         CallResult result;
         result.answer = record.answer;
         return result;
--- a/Services/radishplankd/main.cpp
+++ b/Services/radishplankd/main.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::string_view usage = "radishplankd entry|agent [SETTING...]";
-constexpr int usageStatus = 2;
 
 /// Reads the settings of one role and runs it.
 template<typename RoleSettings, typename Bind, typename Check, typename Run>
@@ -20,21 +19,15 @@
     Settings settings;
     bind(settings, values);
     const auto parsed = settings.parse(arguments);
-    if (parsed.isError()) {
-        std::cerr << parsed.error().message << '\n';
-        return usageStatus;
-    }
-    if (parsed.value().isHelpWanted) {
-        std::cout << settings.helpText(usage);
-        return 0;
-    }
+    if (const auto status = settings.endEarly(parsed, usage))
+        return *status;
     Findings findings;
     check(values, findings);
     if (!parsed.value().positional.empty())
         findings.add(parsed.value().positional.front(), "is not expected here");
     if (!findings.isEmpty()) {
         std::cerr << findings.text() << '\n';
-        return usageStatus;
+        return Settings::usageStatus;
     }
     startLogging(values.common.node,
                  values.common.logFormat == "json" ? LogFormat::Json : LogFormat::KeyValue);
@@ -61,5 +54,5 @@
     (role == "--help" ? std::cout : std::cerr)
             << "Usage: " << usage << "\n"
             << "`radishplankd ROLE --help` lists the settings.\n";
-    return role == "--help" ? 0 : usageStatus;
+    return role == "--help" ? 0 : Settings::usageStatus;
 }
--- a/Utilities/radishplank-load/main.cpp
+++ b/Utilities/radishplank-load/main.cpp
@@ -11,7 +11,6 @@
 constexpr std::string_view usage = "radishplank-load [SETTING...] generate|replay\n"
                                    "  generate  draws a trace and writes it to --trace\n"
                                    "  replay    sends the calls of --trace to --callers";
-constexpr int usageStatus = 2;
 
 struct LoadSettings
 {
@@ -81,15 +80,12 @@
     bindSettings(settings, values);
     const auto parsed
             = settings.parse(std::span(arguments, static_cast<std::size_t>(argumentCount)));
-    if (parsed.isError()) {
-        std::cerr << parsed.error().message << '\n';
-        return usageStatus;
-    }
+    if (const auto status = settings.endEarly(parsed, usage))
+        return *status;
     const auto &words = parsed.value().positional;
-    const bool isKnown = words.size() == 1 && (words[0] == "generate" || words[0] == "replay");
-    if (parsed.value().isHelpWanted || !isKnown) {
-        std::cout << settings.helpText(usage);
-        return parsed.value().isHelpWanted ? 0 : usageStatus;
+    if (words.size() != 1 || (words[0] != "generate" && words[0] != "replay")) {
+        std::cerr << settings.helpText(usage);
+        return Settings::usageStatus;
     }
     const auto result = words[0] == "generate" ? runGenerate(values) : runReplay(values);
     if (result.isError())
--- a/Utilities/radishplank-standin/main.cpp
+++ b/Utilities/radishplank-standin/main.cpp
@@ -12,7 +12,6 @@
 
 constexpr std::string_view usage
         = "radishplank-standin platform|engine|service|faultproxy [SETTING...]";
-constexpr int usageStatus = 2;
 
 struct StandinSettings
 {
@@ -83,13 +82,11 @@
     bindSettings(settings, values);
     const auto parsed
             = settings.parse(std::span(arguments, static_cast<std::size_t>(argumentCount)));
-    if (parsed.isError()) {
-        std::cerr << parsed.error().message << '\n';
-        return usageStatus;
-    }
-    if (parsed.value().isHelpWanted || parsed.value().positional.size() != 1) {
-        std::cout << settings.helpText(usage);
-        return parsed.value().isHelpWanted ? 0 : usageStatus;
+    if (const auto status = settings.endEarly(parsed, usage))
+        return *status;
+    if (parsed.value().positional.size() != 1) {
+        std::cerr << settings.helpText(usage);
+        return Settings::usageStatus;
     }
     blockStopSignals();
     FiberThreads threads(values.threads);
--- a/Utilities/radishplankctl/main.cpp
+++ b/Utilities/radishplankctl/main.cpp
@@ -54,14 +54,12 @@
     bindSettings(settings, values);
     const auto parsed
             = settings.parse(std::span(arguments, static_cast<std::size_t>(argumentCount)));
-    if (parsed.isError()) {
-        std::cerr << parsed.error().message << '\n';
+    if (const auto status = settings.endEarly(parsed, usage))
+        return *status;
+    if (parsed.value().positional.empty()) {
+        std::cerr << settings.helpText(usage);
         return static_cast<int>(ExitCode::Usage);
     }
-    if (parsed.value().isHelpWanted || parsed.value().positional.empty()) {
-        (parsed.value().isHelpWanted ? std::cout : std::cerr) << settings.helpText(usage);
-        return static_cast<int>(parsed.value().isHelpWanted ? ExitCode::Success : ExitCode::Usage);
-    }
     const auto result = run(values, parsed.value().positional);
     std::cout << result.output << std::flush;
     if (!result.error.empty())
