--- a/Tests/Integration/TestSharedState.cpp
+++ b/Tests/Integration/TestSharedState.cpp
@@ -82,6 +82,7 @@
         const auto seed = deployment.entry("entry1").control.text();
         deployment.addEntry("entry5", {.arguments = {"--seeds=" + seed}});
         CHECK(eventually([&] { return servesEntry(deployment, "entry5", "new"); }));
+        deployment.waitForUpstreams("entry5", 1);
         CHECK(wholeText(deployment.call("entry5", completion("in the outage", 2)))
               == expectedText("in the outage", 2));
     }
