Core: Refuse a field that occurs twice in a JSON object

Cause: of two like fields the last one counted, so another reader of the same text could see another request, item or catalogue entry than we do. Ruled out: counting fields against the parsed object, which cannot name the field; checking the lines between our own processes and the engines' tokens, which would cost each token. Before: {"model":"captions","model":"x",...} was taken (404 for 'x'). After: 400, "the field 'model' occurs twice"; a batch names the line. The test is a part of 'A caller's request and a batch travel the whole path'.

--- a/Libraries/Core/Json.cpp
+++ b/Libraries/Core/Json.cpp
@@ -1,10 +1,12 @@
 #include <Core/Json.h>
 
+#include <Core/DuplicateFields.h>
+
 #include <algorithm>
 
 namespace Radishplank {
 
-Result<boost::json::object> parseJsonObject(std::string_view text)
+Result<boost::json::object> parseJsonObject(std::string_view text, DuplicateFields duplicates)
 {
     boost::system::error_code code;
     auto value = boost::json::parse(text, code);
@@ -12,6 +14,11 @@
         return Error{ErrorKind::InvalidInput, "malformed JSON: " + code.message()};
     if (!value.is_object())
         return Error{ErrorKind::InvalidInput, "expected a JSON object"};
+    // Readers of JSON differ in which of two like fields counts, so none may be guessed.
+    const auto twice
+            = duplicates == DuplicateFields::Refused ? findDuplicateField(text) : std::nullopt;
+    if (twice)
+        return Error{ErrorKind::InvalidInput, "the field '" + *twice + "' occurs twice"};
     return std::move(value.as_object());
 }
 
--- a/Libraries/Core/Json.h
+++ b/Libraries/Core/Json.h
@@ -13,8 +13,12 @@
 
 namespace Radishplank {
 
+/// What becomes of a text with an object in which a field occurs twice.
+enum class DuplicateFields { Refused, LastCounts };
+
 /// Parses text that must be one JSON object.
-Result<boost::json::object> parseJsonObject(std::string_view text);
+Result<boost::json::object> parseJsonObject(std::string_view text,
+                                            DuplicateFields duplicates = DuplicateFields::Refused);
 
 /// Reads the fields of a JSON object and collects what is wrong with them.
 class JsonReader
--- a/Libraries/Serving/AttemptLine.cpp
+++ b/Libraries/Serving/AttemptLine.cpp
@@ -104,7 +104,7 @@
 
 Result<AttemptLine> parseLine(std::string_view text)
 {
-    const auto object = TRY(parseJsonObject(text));
+    const auto object = TRY(parseJsonObject(text, DuplicateFields::LastCounts));
     if (auto token = textField(object, "t"))
         return AttemptLine(TokenLine{std::move(*token)});
     if (object.contains("heartbeat"))
--- a/Tests/Integration/TestCallerInterface.cpp
+++ b/Tests/Integration/TestCallerInterface.cpp
@@ -70,6 +70,8 @@
             CHECK(answer.headers.value("Radishplank-Outcome") == "not-run");
         };
         refusal({"POST", "/v1/completions", {}, "{"}, 400, "malformed JSON");
+        refusal({"POST", "/v1/completions", {}, R"({"model":"captions","model":"x","prompt":"y"})"},
+                400, "the field 'model' occurs twice");
         refusal({"POST", "/v1/completions", {}, R"({"max_tokens":0})"}, 400,
                 "request.max_tokens: must lie between");
         refusal({"POST", "/v1/completions", {}, R"({"model":"none","prompt":"x"})"}, 404,
@@ -77,6 +79,8 @@
         refusal({"POST", "/v1/completions", {}, std::string(5 << 20, 'x')}, 413, "larger than");
         refusal({"PUT", "/v1/batches/bad?entry=captions", {}, jobLines(2, 1) + "{"}, 400,
                 "line 3: malformed JSON");
+        refusal({"PUT", "/v1/batches/bad?entry=captions", {}, R"({"id":"a","body":{"x":1,"x":2}})"},
+                400, "line 1: the field 'x' occurs twice");
         refusal({"PUT", "/v1/batches/a%2Fb?entry=captions", {}, jobLines(2, 1)}, 400,
                 "letters, digits");
         refusal({"GET", "/v1/batches/bad", {}, ""}, 404, "does not exist");
