Net: Notice a caller that goes away before its whole answer

Cause: an answer that is not streamed is written only at its end, so nothing told that its caller had closed the connection, and the engine went on to the last token. Ruled out: a read that waits beside the call, which would need a second fiber for each call and would take bytes of the next request; looking at the socket with each token is one system call and takes nothing. After: the slot is free and the rest not generated; 'A caller that goes away frees its slot', also for streams.

--- a/Libraries/Net/HttpServer.cpp
+++ b/Libraries/Net/HttpServer.cpp
@@ -5,8 +5,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <mutex>
 #include <optional>
+#include <sys/socket.h>
 #include <unordered_set>
 
 namespace Radishplank {
@@ -220,6 +222,16 @@
 
     void abandon() override { m_mustClose = true; }
 
+    bool isCallerGone() override
+    {
+        // A byte that waits here belongs to the caller's next request, and is left to it.
+        char next = 0;
+        const auto received
+                = ::recv(m_stream.socket().native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool isOpen = received > 0 || (received < 0 && (errno == EAGAIN || errno == EINTR));
+        return !isOpen;
+    }
+
 private:
     bool waitReadable()
     {
--- a/Libraries/Net/HttpServer.h
+++ b/Libraries/Net/HttpServer.h
@@ -49,6 +49,8 @@
     /// Closes the connection after this exchange, whatever has been sent.
     virtual void abandon() = 0;
     [[nodiscard]] virtual bool hasResponded() const = 0;
+    /// Tells whether the caller has closed its connection, or its side of it.
+    [[nodiscard]] virtual bool isCallerGone() = 0;
 };
 
 /// An HTTP/1.1 server; each connection is one fiber.
--- a/Tests/Integration/TestClient.cpp
+++ b/Tests/Integration/TestClient.cpp
@@ -7,7 +7,7 @@
 constexpr std::size_t threadCount = 2;
 
 HttpResponse fetch(const Endpoint &to, const HttpRequest &request, Milliseconds timeout,
-                   std::atomic<std::size_t> &bytes)
+                   const RunningCall &running)
 {
     HttpCallOptions options;
     options.connectTimeout = Milliseconds(5'000);
@@ -25,7 +25,9 @@
         if (piece.value().empty())
             return response;
         response.body += piece.value();
-        bytes = response.body.size();
+        *running.bytes = response.body.size();
+        if (*running.isLeaving)
+            return {0, {}, response.body};
     }
 }
 
@@ -46,8 +48,8 @@
     auto promise = std::make_shared<std::promise<HttpResponse>>();
     RunningCall running;
     running.answer = promise->get_future().share();
-    m_threads.spawn([promise, to, request = std::move(request), timeout, bytes = running.bytes] {
-        promise->set_value(fetch(to, request, timeout, *bytes));
+    m_threads.spawn([promise, to, request = std::move(request), timeout, running] {
+        promise->set_value(fetch(to, request, timeout, running));
     });
     return running;
 }
--- a/Tests/Integration/TestClient.h
+++ b/Tests/Integration/TestClient.h
@@ -16,6 +16,8 @@
 {
     std::shared_future<HttpResponse> answer;
     std::shared_ptr<std::atomic<std::size_t>> bytes = std::make_shared<std::atomic<std::size_t>>(0);
+    /// Once set, the connection is closed after the next piece of the answer.
+    std::shared_ptr<std::atomic<bool>> isLeaving = std::make_shared<std::atomic<bool>>(false);
 };
 
 /// Makes HTTP calls for a test, blocking or not. A call that fails has status 0.
--- a/Tests/Integration/TestOnlinePromises.cpp
+++ b/Tests/Integration/TestOnlinePromises.cpp
@@ -85,6 +85,39 @@
     CHECK(integerField(deployment.engineStats("agent1"), "executions", 0) == 2);
 }
 
+TEST_CASE("A caller that goes away frees its slot")
+{
+    Deployment deployment;
+    deployment.addAgent("agent1", {.slots = 1});
+    deployment.addEntry("entry1");
+    deployment.putCatalogue(1);
+    constexpr std::size_t tokens = 5'000;
+    const auto checkFreed = [&] {
+        CHECK(eventually([&] { return running(deployment, "agent1") == 0; }));
+        CHECK(integerField(deployment.engineStats("agent1"), "executions", 0) == 1);
+        // Generated to its end, the answer would have all of its tokens.
+        CHECK(integerField(deployment.engineStats("agent1"), "tokens", 0)
+              < static_cast<std::int64_t>(tokens));
+    };
+    SECTION("while it waits for a whole answer")
+    {
+        auto request = completion("left alone", tokens);
+        request.headers.add("Authorization", std::string("Bearer ") + Deployment::token);
+        constexpr Milliseconds patience{500};
+        CHECK(deployment.client.call(deployment.entry("entry1").callers, request, patience).status
+              == 0);
+        checkFreed();
+    }
+    SECTION("while it reads a stream")
+    {
+        const auto stream = deployment.start("entry1", completion("left alone", tokens, true));
+        REQUIRE(eventually([&] { return *stream.bytes > 0; }));
+        *stream.isLeaving = true;
+        CHECK(stream.answer.get().status == 0);
+        checkFreed();
+    }
+}
+
 TEST_CASE("Not-run is said only where it is proved")
 {
     Deployment deployment;
