Tests: Cancel a batch while the news of it is lost

Cause: 'closing the shards of a cancelled job' was the one mechanism whose removal no test noticed. A frozen holder still finds the news in its socket's buffer when it wakes. Change: the platform stand-in can lose what watches should tell (loseWatches), so that the holder hears nothing and only the closed shard stops it.

--- a/Tests/Integration/TestBatchPromises.cpp
+++ b/Tests/Integration/TestBatchPromises.cpp
@@ -378,6 +378,12 @@
         deployment.entry("entry1").process->thaw();
         checkStopped();
     }
+    SECTION("while the news of it never reaches the one that works on it")
+    {
+        deployment.platform(R"({"loseWatches":true})");
+        CHECK(cancel("entry2").status == 200);
+        checkStopped();
+    }
     SECTION("with the store out, the cancellation is refused and can be repeated")
     {
         deployment.platform(R"({"outage":true})");
--- a/Utilities/radishplank-standin/PlatformStandin.cpp
+++ b/Utilities/radishplank-standin/PlatformStandin.cpp
@@ -146,6 +146,8 @@
         return {503, {}, "outage"};
     if (batch.isError())
         return failure(batch.error());
+    if (m_switches.losesWatches)
+        batch.value().changes.clear();
     boost::json::array changes;
     for (const auto &change : batch.value().changes) {
         auto described = describe(change.object);
@@ -165,12 +167,13 @@
         return failure(parsed.error());
     Findings findings;
     JsonReader reader(parsed.value(), "switches", findings);
-    reader.refuseUnknown({"outage", "delayMs", "loseAnswers", "vmLagMs"});
+    reader.refuseUnknown({"outage", "delayMs", "loseAnswers", "loseWatches", "vmLagMs"});
     constexpr std::int64_t highest = 1'000'000;
     Switches switches = m_switches;
     switches.isOut = reader.boolean("outage", switches.isOut);
     switches.delayMilliseconds = reader.integer("delayMs", switches.delayMilliseconds, 0, highest);
     switches.answersToLose = reader.integer("loseAnswers", switches.answersToLose, 0, highest);
+    switches.losesWatches = reader.boolean("loseWatches", switches.losesWatches);
     switches.vmListLagMilliseconds
             = reader.integer("vmLagMs", switches.vmListLagMilliseconds, 0, highest);
     if (!findings.isEmpty())
--- a/Utilities/radishplank-standin/PlatformStandin.h
+++ b/Utilities/radishplank-standin/PlatformStandin.h
@@ -12,7 +12,8 @@
 ///
 /// Objects: `GET|PUT|DELETE /objects/KEY` (header `If-Version`), `GET /objects?prefix=&after=`,
 /// `GET /watch?prefix=&since=&wait=`. VMs: `GET /vms`, `PUT /vms/ID` with `live` or `leaving`.
-/// Faults: `POST /switches` with any of `outage`, `delayMs`, `loseAnswers`, `vmLagMs`.
+/// Faults: `POST /switches` with any of `outage`, `delayMs`, `loseAnswers`, `loseWatches`,
+/// `vmLagMs`.
 /// Counts of calls: `GET /counts`.
 class PlatformStandin
 {
@@ -26,6 +27,8 @@
         std::int64_t delayMilliseconds = 0;
         /// Number of writes still to take effect without an answer.
         std::int64_t answersToLose = 0;
+        /// Watches answer in time, but without the changes.
+        bool losesWatches = false;
         std::int64_t vmListLagMilliseconds = 0;
     };
     struct VmChange
