radishplankd: Run batch on idle engines of the other region within a share of the link

Cause: batch never crossed regions, so that engines of a region whose entry processes are gone or idle stood idle. Change: an item may start across the link while batch owes it no bytes; what it moves is charged as it moves (LinkAllowance). The fleet's share, a tenth of 30 Mbit/s by default, is divided among the entry processes. An item lost once stays in its region, so that a cut link does not use up its tries. Ruled out: a count of items across (their bytes differ by a hundred times); asking the other side's entry processes (the link is then used for control instead). After: some do with a share, at most 5 with a share of 1 byte a second, none with 0: 'Batch runs on idle engines of the other region'.

--- a/Libraries/Serving/Serving.h
+++ b/Libraries/Serving/Serving.h
@@ -5,6 +5,7 @@
 #include <Serving/AttemptLedger.h>
 #include <Serving/AttemptLine.h>
 #include <Serving/BatchWindow.h>
+#include <Serving/LinkAllowance.h>
 #include <Serving/Outcome.h>
 #include <Serving/Quarantine.h>
 #include <Serving/RetryBudget.h>
--- a/Services/radishplankd/AttemptClient.cpp
+++ b/Services/radishplankd/AttemptClient.cpp
@@ -53,9 +53,10 @@
 
 } // namespace
 
-AttemptClient::AttemptClient(ControlThread &control, std::string secret)
+AttemptClient::AttemptClient(ControlThread &control, std::string secret, LinkAllowance &batchLink)
     : m_control(control)
     , m_secret(std::move(secret))
+    , m_batchLink(batchLink)
 {
 }
 
@@ -64,7 +65,7 @@
 {
     const auto incarnation = upstream.incarnation();
     const auto &agent = upstream.member().data;
-    bytesTo(upstream).increase(request.body.size());
+    noteBytes(upstream, request.workClass, request.body.size());
     auto opened = HttpClient::open(agent, openingCall(request, incarnation),
                                    attemptOptions(ConnectionReuse::Allowed));
     if (const auto *failure = std::get_if<HttpCallError>(&opened)) {
@@ -85,7 +86,7 @@
         return result;
     }
     Progress progress;
-    switch (readLines(answer, upstream, sink, progress)) {
+    switch (readLines(answer, upstream, request.workClass, sink, progress)) {
     case ReadEnd::Ended:
         return progress.result;
     case ReadEnd::SinkClosed:
@@ -101,9 +102,11 @@
     return m_bytes[static_cast<std::size_t>(distance)];
 }
 
-Counter &AttemptClient::bytesTo(const Upstream &upstream)
+void AttemptClient::noteBytes(const Upstream &upstream, WorkClass workClass, std::size_t bytes)
 {
-    return m_bytes[static_cast<std::size_t>(upstream.distance())];
+    m_bytes[static_cast<std::size_t>(upstream.distance())].increase(bytes);
+    if (upstream.distance() == Distance::OtherRegion && workClass == WorkClass::Batch)
+        m_batchLink.charge(bytes, SteadyClock().now());
 }
 
 AttemptResult AttemptClient::attach(Upstream &upstream, const AttemptRequest &request,
@@ -115,7 +118,8 @@
     if (std::holds_alternative<HttpCallError>(opened))
         return progress.result;
     auto &answer = *std::get<std::unique_ptr<HttpAnswer>>(opened);
-    if (answer.status() == 200 && readLines(answer, upstream, sink, progress) == ReadEnd::Ended)
+    if (answer.status() == 200
+        && readLines(answer, upstream, request.workClass, sink, progress) == ReadEnd::Ended)
         return progress.result;
     return {};
 }
@@ -153,14 +157,15 @@
 }
 
 AttemptClient::ReadEnd AttemptClient::readLines(HttpAnswer &answer, const Upstream &upstream,
-                                                const TokenSink &sink, Progress &progress)
+                                                WorkClass workClass, const TokenSink &sink,
+                                                Progress &progress)
 {
     std::string buffer;
     while (true) {
         const auto piece = answer.readPiece();
         if (piece.isError() || piece.value().empty())
             return ReadEnd::Broken;
-        bytesTo(upstream).increase(piece.value().size());
+        noteBytes(upstream, workClass, piece.value().size());
         buffer += piece.value();
         std::size_t begin = 0;
         for (auto end = buffer.find('\n'); end != std::string::npos;
@@ -217,7 +222,7 @@
         if (answer.status() != 200)
             break;
         m_reattached.increase();
-        const auto end = readLines(answer, upstream, sink, progress);
+        const auto end = readLines(answer, upstream, request.workClass, sink, progress);
         if (end == ReadEnd::Ended)
             return progress.result;
         if (end == ReadEnd::SinkClosed)
--- a/Services/radishplankd/AttemptClient.h
+++ b/Services/radishplankd/AttemptClient.h
@@ -51,7 +51,7 @@
 class AttemptClient
 {
 public:
-    AttemptClient(ControlThread &control, std::string secret);
+    AttemptClient(ControlThread &control, std::string secret, LinkAllowance &batchLink);
 
     AttemptResult run(Upstream &upstream, const AttemptRequest &request, const TokenSink &sink);
     /// Reads the answer of an attempt that may have been begun before; never begins it.
@@ -73,9 +73,9 @@
     [[nodiscard]] HttpRequest openingCall(const AttemptRequest &request,
                                           const std::string &incarnation) const;
     [[nodiscard]] HttpRequest attachCall(const AttemptRequest &request, std::size_t from) const;
-    Counter &bytesTo(const Upstream &upstream);
-    ReadEnd readLines(HttpAnswer &answer, const Upstream &upstream, const TokenSink &sink,
-                      Progress &progress);
+    void noteBytes(const Upstream &upstream, WorkClass workClass, std::size_t bytes);
+    ReadEnd readLines(HttpAnswer &answer, const Upstream &upstream, WorkClass workClass,
+                      const TokenSink &sink, Progress &progress);
     LineEnd takeLine(std::string_view line, const TokenSink &sink, Progress &progress);
     AttemptResult goOn(Upstream &upstream, const AttemptRequest &request, const TokenSink &sink,
                        Progress progress, const std::string &incarnation);
@@ -86,6 +86,7 @@
 
     ControlThread &m_control;
     std::string m_secret;
+    LinkAllowance &m_batchLink;
     Counter m_reattached;
     std::array<Counter, 3> m_bytes;
 };
--- a/Services/radishplankd/DaemonSettings.cpp
+++ b/Services/radishplankd/DaemonSettings.cpp
@@ -7,6 +7,8 @@
 constexpr auto required = Settings::Presence::Required;
 constexpr std::uint64_t maxThreads = 256;
 constexpr Milliseconds shortestLease{1'000};
+constexpr Milliseconds shortestUploadTime{1'000};
+constexpr Milliseconds shortestCallMemory{10'000};
 
 } // namespace
 
@@ -49,6 +51,14 @@
             "A holder of batch work that is silent for so long has lost it; the same everywhere.");
     settings.bind(&values.routing, "routing", "balanced|random|round-robin",
                   "How upstreams are chosen; the last two are for comparison.");
+    settings.bind(&values.batchLinkBytes, "batch-link-bytes", "BYTES",
+                  "Bytes a second between regions that batch may move, all entry processes "
+                  "together; 0 keeps it in its region.");
+    settings.bind(&values.uploadTime, "upload-time", "MILLISECONDS",
+                  "Longest time that the upload of a batch job may take; the same everywhere. What "
+                  "is left of uploads cut off is removed after twice that time.");
+    settings.bind(&values.callMemory, "call-memory", "MILLISECONDS",
+                  "How long an idempotency key finds the first call; the same everywhere.");
 }
 
 void bindAgentSettings(Settings &settings, AgentRoleSettings &values)
@@ -99,6 +109,14 @@
     }
     if (values.lease < shortestLease)
         findings.add("--lease", "must be at least " + std::to_string(shortestLease.count()));
+    if (values.uploadTime < shortestUploadTime)
+        findings.add("--upload-time",
+                     "must be at least " + std::to_string(shortestUploadTime.count()));
+    if (values.callMemory < shortestCallMemory)
+        findings.add("--call-memory",
+                     "must be at least " + std::to_string(shortestCallMemory.count()));
+    if (values.batchLinkBytes < 0)
+        findings.add("--batch-link-bytes", "must not be negative");
     if (values.routing != "balanced" && values.routing != "random"
         && values.routing != "round-robin")
         findings.add("--routing", "must be balanced, random or round-robin");
--- a/Services/radishplankd/DaemonSettings.h
+++ b/Services/radishplankd/DaemonSettings.h
@@ -31,6 +31,10 @@
     Milliseconds lameDuck{2'000};
     Milliseconds lease{12'000};
     std::string routing = "balanced";
+    /// A tenth of a link of 30 Mbit/s.
+    double batchLinkBytes = 375'000;
+    Milliseconds uploadTime{1'800'000};
+    Milliseconds callMemory{86'400'000};
 };
 
 struct AgentRoleSettings
--- a/Services/radishplankd/EntryContext.h
+++ b/Services/radishplankd/EntryContext.h
@@ -40,6 +40,7 @@
     RetryBudget &retryBudget;
     EntryMetrics &metrics;
     UsageLedger &usage;
+    LinkAllowance &batchLink;
     NodeId node;
 };
 
--- a/Services/radishplankd/EntryDaemon.cpp
+++ b/Services/radishplankd/EntryDaemon.cpp
@@ -99,14 +99,16 @@
     ConfigurationReplica configuration;
     Fleet fleet(threads, *control, {node, ZoneName(common.zone), RegionName(common.region)},
                 routingPolicy(settings.routing));
-    AttemptClient attempts(*control, common.secret);
+    LinkAllowance batchLink(settings.batchLinkBytes, SteadyClock().now());
+    AttemptClient attempts(*control, common.secret, batchLink);
     OwnerLimits limits;
     Quarantine quarantine(crashMemory, maxCrashRecords);
     RetryBudget retryBudget(retryShare, retryReserve);
     EntryMetrics metrics;
     UsageLedger usage;
-    EntryContext context{threads, *control,   store,       configuration, fleet, attempts,
-                         limits,  quarantine, retryBudget, metrics,       usage, node};
+    EntryContext context{threads,  *control,  store,      configuration, fleet,
+                         attempts, limits,    quarantine, retryBudget,   metrics,
+                         usage,    batchLink, node};
     ConfigurationSync sync(context, syncSettings(settings), [&] {
         std::vector<NodeId> nodes;
         std::vector<AgentMember> agents;
@@ -116,6 +118,7 @@
         });
         // Not within the read section: publishing waits until all of them have ended.
         limits.setMembers(std::move(nodes), node);
+        batchLink.setMembers(nodes.size(), SteadyClock().now());
         fleet.update(agents);
     });
     controlHandler.sync = &sync;
--- a/Services/radishplankd/Fleet.cpp
+++ b/Services/radishplankd/Fleet.cpp
@@ -72,7 +72,7 @@
     });
 }
 
-UpstreamPointer Fleet::takeBatchPlace(const std::string &pool, TimePoint now,
+UpstreamPointer Fleet::takeBatchPlace(const std::string &pool, BatchReach reach, TimePoint now,
                                       std::span<const UpstreamId> avoided)
 {
     auto members = poolMembers(pool);
@@ -85,8 +85,7 @@
         return left->distance() < right->distance();
     });
     for (const auto &upstream : members) {
-        // Batch waits for its own region: the link between regions is paid for by volume.
-        if (upstream->distance() == Distance::OtherRegion)
+        if (reach == BatchReach::OwnRegion && upstream->distance() == Distance::OtherRegion)
             continue;
         const bool isAvoided
                 = std::find(avoided.begin(), avoided.end(), upstream->member().id) != avoided.end();
--- a/Services/radishplankd/Fleet.h
+++ b/Services/radishplankd/Fleet.h
@@ -11,6 +11,9 @@
 
 namespace Radishplank {
 
+/// How far from its entry process a batch item may run.
+enum class BatchReach { OwnRegion, AnyRegion };
+
 /// The agents that this entry process works with, each watched by a heartbeat of its own.
 class Fleet
 {
@@ -31,7 +34,8 @@
     [[nodiscard]] UpstreamPointer choose(const std::string &pool, std::uint64_t prefixKey,
                                          std::span<const UpstreamId> tried);
     /// Takes a place for a batch item at the nearest upstream that has one; null if none has.
-    [[nodiscard]] UpstreamPointer takeBatchPlace(const std::string &pool, TimePoint now,
+    [[nodiscard]] UpstreamPointer takeBatchPlace(const std::string &pool, BatchReach reach,
+                                                 TimePoint now,
                                                  std::span<const UpstreamId> avoided);
     [[nodiscard]] UpstreamPointer find(const UpstreamId &id) const;
     /// Returns how many upstreams of the pool take new work now.
--- a/Services/radishplankd/ShardRunner.cpp
+++ b/Services/radishplankd/ShardRunner.cpp
@@ -150,8 +150,9 @@
     }
     if (!m_scheduler.takeItem(job().owner))
         return false;
-    const auto upstream
-            = m_context.fleet.takeBatchPlace(m_entry->pool, SteadyClock().now(), item->avoided);
+    const auto now = SteadyClock().now();
+    const auto upstream = m_context.fleet.takeBatchPlace(m_entry->pool, reachOf(*item, now), now,
+                                                         item->avoided);
     if (!upstream) {
         m_scheduler.releaseItem(job().owner, false);
         // Better one that it has failed on before than none at all.
@@ -170,6 +171,14 @@
     return true;
 }
 
+BatchReach ShardRunner::reachOf(const Item &item, TimePoint now) const
+{
+    // The link fails more often than engines do, and its failures must not use up the tries of an
+    // item: once lost, it stays in its own region.
+    const bool mayCross = item.tries == 0 && m_context.batchLink.mayUse(now);
+    return mayCross ? BatchReach::AnyRegion : BatchReach::OwnRegion;
+}
+
 bool ShardRunner::markStarted(const Item &item)
 {
     if (item.spec.mayRepeat)
--- a/Services/radishplankd/ShardRunner.h
+++ b/Services/radishplankd/ShardRunner.h
@@ -47,6 +47,7 @@
     Result<void> parseItem(std::size_t number, std::string_view line);
     void startItems();
     bool startNext();
+    [[nodiscard]] BatchReach reachOf(const Item &item, TimePoint now) const;
     bool markStarted(const Item &item);
     void runItem(const ItemPointer &item, const UpstreamPointer &upstream);
     AttemptResult attemptItem(Item &item, Upstream &upstream);
--- a/Tests/Integration/TestBatchPromises.cpp
+++ b/Tests/Integration/TestBatchPromises.cpp
@@ -410,3 +410,75 @@
     CHECK(writes < static_cast<std::int64_t>(items / 100));
     checkAllOnce(readResults(deployment, "entry1", "large"), items, 2);
 }
+
+TEST_CASE("Batch runs on idle engines of the other region, within its share of the link")
+{
+    Deployment deployment;
+    deployment.addAgent("agent1", {.slots = 2, .tokenIntervalMs = 25});
+    deployment.addAgent("agent2", {.zone = "zone2", .region = "region2", .slots = 2});
+    constexpr std::size_t items = 60;
+    const auto run = [&](const std::string &share) {
+        deployment.addEntry("entry1", {.arguments = {"--batch-link-bytes=" + share}});
+        deployment.putCatalogue(2);
+        REQUIRE(deployment.call("entry1", submission("lot", jobLines(items, 4))).status == 201);
+        waitForState(deployment, "entry1", "lot", "completed");
+        checkAllOnce(readResults(deployment, "entry1", "lot"), items, 4);
+    };
+    const auto executionsAcross
+            = [&] { return integerField(deployment.engineStats("agent2"), "executions", 0); };
+    SECTION("With a share, the idle engines across the link take items, and bytes are counted")
+    {
+        run("1000000");
+        CHECK(executionsAcross() > 0);
+        CHECK(deployment.metric("entry1", "radishplank_bytes_other_region_total") > 0);
+    }
+    SECTION("With a small share, most items stay")
+    {
+        run("1");
+        CHECK(executionsAcross() <= 5);
+    }
+    SECTION("With none, all items stay")
+    {
+        run("0");
+        CHECK(executionsAcross() == 0);
+        CHECK(deployment.metric("entry1", "radishplank_bytes_other_region_total") == 0);
+    }
+}
+
+TEST_CASE("What is left of an upload that was cut off does not stay in the store")
+{
+    Deployment deployment;
+    deployment.addAgent("agent1");
+    const EntryOptions options{.arguments = {"--upload-time=1500"}};
+    deployment.addEntry("entry1", options);
+    deployment.addEntry("entry2", options);
+    deployment.putCatalogue(1);
+    const auto isSwept = [&] {
+        return deployment.objectsUnder("batch/") + deployment.objectsUnder("uploads/") == 0;
+    };
+    SECTION("because its last item is malformed")
+    {
+        const auto refused = deployment.call("entry1", submission("lot", jobLines(5'000, 1) + "{"));
+        CHECK(refused.status == 400);
+        CHECK(isSwept());
+    }
+    SECTION("because its entry process died")
+    {
+        deployment.platform(R"({"delayMs":300})");
+        const auto running = deployment.start("entry1", submission("lot", jobLines(20'000, 1)));
+        REQUIRE(eventually([&] { return deployment.objectsUnder("batch/") > 0; }));
+        deployment.entry("entry1").process->kill();
+        deployment.platform(R"({"delayMs":0})");
+        CHECK(running.answer.get().status == 0);
+        CHECK_FALSE(isSwept());
+        // The platform has noticed; until then the work of the dead process waits for it.
+        deployment.setVm("entry1", "gone");
+        CHECK(eventually(isSwept));
+        SECTION("and the job can be submitted under its name")
+        {
+            CHECK(deployment.call("entry2", submission("lot", jobLines(10, 1))).status == 201);
+            waitForState(deployment, "entry2", "lot", "completed");
+            CHECK(deployment.objectsUnder("uploads/") == 0);
+        }
+    }
+}
