--- a/Libraries/Batch/Batch.h
+++ b/Libraries/Batch/Batch.h
@@ -8,3 +8,5 @@
 #include <Batch/JobStore.h>
 #include <Batch/LeaseObserver.h>
 #include <Batch/ShardLease.h>
+#include <Batch/Upload.h>
+#include <Batch/UploadStore.h>
--- a/Libraries/Batch/JobObjects.cpp
+++ b/Libraries/Batch/JobObjects.cpp
@@ -63,9 +63,14 @@
     return std::accumulate(shardItems.begin(), shardItems.end(), std::size_t{0});
 }
 
+std::string JobManifest::partPrefix(const JobKey &job) const
+{
+    return job.prefix() + "part/" + upload + "/";
+}
+
 std::string JobManifest::partKey(const JobKey &job, std::size_t shard) const
 {
-    return job.prefix() + "part/" + upload + "/" + paddedNumber(shard);
+    return partPrefix(job) + paddedNumber(shard);
 }
 
 std::string_view jobStateName(JobState state)
--- a/Libraries/Batch/JobObjects.h
+++ b/Libraries/Batch/JobObjects.h
@@ -47,6 +47,7 @@
     JobState state = JobState::Accepted;
 
     [[nodiscard]] std::size_t itemCount() const;
+    [[nodiscard]] std::string partPrefix(const JobKey &job) const;
     [[nodiscard]] std::string partKey(const JobKey &job, std::size_t shard) const;
 };
 
--- a/Services/radishplankd/BatchApi.cpp
+++ b/Services/radishplankd/BatchApi.cpp
@@ -46,10 +46,12 @@
 
 } // namespace
 
-BatchApi::BatchApi(EntryContext &context, BatchScheduler &scheduler)
+BatchApi::BatchApi(EntryContext &context, BatchScheduler &scheduler, Milliseconds uploadTime)
     : m_context(context)
     , m_scheduler(scheduler)
     , m_jobs(context.store, FiberPause{}, callerStorePatience)
+    , m_uploads(context.store, FiberPause{}, callerStorePatience)
+    , m_uploadTime(uploadTime)
 {
 }
 
@@ -100,19 +102,8 @@
         respondError(exchange, manifest.error());
         return;
     }
-    auto read = readJob(exchange, job, manifest.takeValue(), isNew);
-    if (read.isError()) {
-        respondError(exchange, read.error());
-        return;
-    }
-    auto accepted
-            = isNew ? m_jobs.accept(job, read.value())
-                    : FiberJobStore::sameOrConflict(existing.value().manifest, read.value().digest);
-    if (!isNew && !accepted.isError()) {
-        const auto indexed = m_jobs.ensureIndexed(job, accepted.value());
-        if (indexed.isError())
-            accepted = indexed.error();
-    }
+    const auto accepted = isNew ? acceptNew(exchange, job, manifest.takeValue())
+                                : compareWithExisting(exchange, job, manifest.value());
     if (accepted.isError()) {
         respondError(exchange, accepted.error());
         return;
@@ -125,6 +116,33 @@
                                     {"items", result.itemCount()}});
 }
 
+Result<JobManifest> BatchApi::acceptNew(HttpExchange &exchange, const JobKey &job,
+                                        JobManifest manifest)
+{
+    const auto upload = TRY(m_uploads.begin(job, manifest, unixMilliseconds()));
+    const auto read = readJob(exchange, job, std::move(manifest), PartHandling::Store);
+    if (read.isError()) {
+        (void)m_uploads.discard(upload);
+        return read.error();
+    }
+    auto accepted = m_jobs.accept(job, read.value());
+    // In doubt, the note stays, and the sweep of uploads finds out whether the job exists.
+    if (!accepted.isError() && accepted.value().upload == upload.id)
+        (void)m_uploads.end(upload);
+    else if (!accepted.isError() || accepted.error().kind == ErrorKind::Conflict)
+        (void)m_uploads.discard(upload);
+    return accepted;
+}
+
+Result<JobManifest> BatchApi::compareWithExisting(HttpExchange &exchange, const JobKey &job,
+                                                  const JobManifest &existing)
+{
+    const auto read = TRY(readJob(exchange, job, existing, PartHandling::Drop));
+    auto accepted = TRY(FiberJobStore::sameOrConflict(existing, read.digest));
+    TRY(m_jobs.ensureIndexed(job, accepted));
+    return accepted;
+}
+
 Result<JobManifest> BatchApi::newManifest(const JobKey &job, const HttpTarget &target)
 {
     JobManifest manifest;
@@ -146,28 +164,32 @@
 }
 
 Result<JobManifest> BatchApi::readJob(HttpExchange &exchange, const JobKey &job,
-                                      JobManifest manifest, bool writesParts)
+                                      JobManifest manifest, PartHandling handling)
 {
+    const auto giveUpAt = SteadyClock().now() + m_uploadTime;
     ItemSplitter splitter{SplitLimits()};
     manifest.shardItems.clear();
     while (true) {
         const auto piece = TRY(exchange.readBodyPiece());
         if (piece.empty())
             break;
+        if (SteadyClock().now() > giveUpAt)
+            return Error{ErrorKind::Timeout, "the upload takes too long"};
         const auto parts = TRY(splitter.take(piece));
-        TRY(storeParts(job, manifest, parts, writesParts));
+        TRY(storeParts(job, manifest, parts, handling));
     }
     const auto parts = TRY(splitter.finish());
-    TRY(storeParts(job, manifest, parts, writesParts));
+    TRY(storeParts(job, manifest, parts, handling));
     manifest.digest = splitter.digest();
     return manifest;
 }
 
 Result<void> BatchApi::storeParts(const JobKey &job, JobManifest &manifest,
-                                  const std::vector<ItemSplitter::Part> &parts, bool writesParts)
+                                  const std::vector<ItemSplitter::Part> &parts,
+                                  PartHandling handling)
 {
     for (const auto &part : parts) {
-        if (writesParts)
+        if (handling == PartHandling::Store)
             TRY(m_jobs.writePart(job, manifest, manifest.shardItems.size(), part.lines));
         manifest.shardItems.push_back(part.items);
     }
--- a/Services/radishplankd/BatchApi.h
+++ b/Services/radishplankd/BatchApi.h
@@ -12,16 +12,24 @@
 class BatchApi
 {
 public:
-    BatchApi(EntryContext &context, BatchScheduler &scheduler);
+    /// An upload that takes longer than uploadTime is refused.
+    BatchApi(EntryContext &context, BatchScheduler &scheduler, Milliseconds uploadTime);
 
     void handle(HttpExchange &exchange, const OwnerId &owner, const HttpTarget &target);
 
 private:
+    /// What becomes of the parts that a body is cut into.
+    enum class PartHandling { Store, Drop };
+
     void submit(HttpExchange &exchange, const JobKey &job, const HttpTarget &target);
+    Result<JobManifest> acceptNew(HttpExchange &exchange, const JobKey &job, JobManifest manifest);
+    /// Compares what is submitted with the job of that name.
+    Result<JobManifest> compareWithExisting(HttpExchange &exchange, const JobKey &job,
+                                            const JobManifest &existing);
     Result<JobManifest> readJob(HttpExchange &exchange, const JobKey &job, JobManifest manifest,
-                                bool writesParts);
+                                PartHandling handling);
     Result<void> storeParts(const JobKey &job, JobManifest &manifest,
-                            const std::vector<ItemSplitter::Part> &parts, bool writesParts);
+                            const std::vector<ItemSplitter::Part> &parts, PartHandling handling);
     Result<JobManifest> newManifest(const JobKey &job, const HttpTarget &target);
     void showStatus(HttpExchange &exchange, const JobKey &job);
     void sendResults(HttpExchange &exchange, const JobKey &job);
@@ -31,6 +39,8 @@
     EntryContext &m_context;
     BatchScheduler &m_scheduler;
     FiberJobStore m_jobs;
+    FiberUploadStore m_uploads;
+    Milliseconds m_uploadTime;
 };
 
 } // namespace Radishplank
--- a/Services/radishplankd/EntryDaemon.cpp
+++ b/Services/radishplankd/EntryDaemon.cpp
@@ -5,6 +5,7 @@
 #include "LimitSharing.h"
 #include "MemberRegistration.h"
 #include "OperatorApi.h"
+#include "StoreSweeper.h"
 #include "VmWatch.h"
 
 #include <boost/fiber/operations.hpp>
@@ -117,8 +118,8 @@
             agents.assign(catalogue.agents().begin(), catalogue.agents().end());
         });
         // Not within the read section: publishing waits until all of them have ended.
-        limits.setMembers(std::move(nodes), node);
         batchLink.setMembers(nodes.size(), SteadyClock().now());
+        limits.setMembers(std::move(nodes), node);
         fleet.update(agents);
     });
     controlHandler.sync = &sync;
@@ -128,7 +129,7 @@
     runner.onCrash = [&sync] { sync.announceCrashes(); };
     KeyedCalls keyedCalls(context, runner);
     BatchScheduler batch(context, runner, settings.lease);
-    BatchApi batchApi(context, batch);
+    BatchApi batchApi(context, batch, settings.uploadTime);
     CallerApi callerApi(context, runner, keyedCalls, batchApi);
     OperatorApi operatorApi(context, sync, batch, common.operatorToken);
 
@@ -145,6 +146,8 @@
     VmWatch vmWatch(context, sync, common.store, common.storeTimeout);
     vmWatch.start();
     batch.start();
+    StoreSweeper sweeper(context, {settings.uploadTime, settings.callMemory});
+    sweeper.start();
 
     const EntryMember member{node, advertised(common.controlAdvertise, control->endpoint()),
                              ZoneName(common.zone), RegionName(common.region)};
--- a/Services/radishplankd/FiberPause.h
+++ b/Services/radishplankd/FiberPause.h
@@ -15,6 +15,7 @@
 /// The jobs in the platform's store, as fibers use them.
 using FiberJobStore = JobStore<HttpObjectStore, FiberPause>;
 using FiberShardLease = ShardLease<HttpObjectStore>;
+using FiberUploadStore = UploadStore<HttpObjectStore, FiberPause>;
 
 /// How long a caller's request goes on trying to write.
 inline constexpr Milliseconds callerStorePatience{3'000};
--- a/Services/radishplankd/KeyedCalls.cpp
+++ b/Services/radishplankd/KeyedCalls.cpp
@@ -10,7 +10,6 @@
 constexpr Milliseconds storePatience{1'500};
 constexpr Milliseconds retryAfter{1'000};
 constexpr std::size_t maxKeptAnswerBytes = std::size_t{256} * 1024;
-constexpr std::string_view callPrefix = "calls/";
 
 CallResult storeUnavailable()
 {
--- a/Services/radishplankd/KeyedCalls.h
+++ b/Services/radishplankd/KeyedCalls.h
@@ -4,6 +4,9 @@
 
 namespace Radishplank {
 
+/// Every such call has a record under this prefix.
+inline constexpr std::string_view callPrefix = "calls/";
+
 /// Runs calls that must not be repeated and carry an idempotency key.
 ///
 /// Before a call is handed to an upstream, the store holds which attempt on which upstream it is.
--- /dev/null
+++ b/Services/radishplankd/StoreSweeper.cpp
@@ -0,0 +1,107 @@
+#include "StoreSweeper.h"
+
+#include "KeyedCalls.h"
+
+#include <algorithm>
+
+namespace Radishplank {
+
+namespace {
+
+constexpr int uploadAgeFactor = 2;
+constexpr int sweepsPerUploadTime = 2;
+constexpr int sweepsPerCallMemory = 24;
+constexpr std::string_view electionKey = "sweep";
+
+std::int64_t timeBefore(Milliseconds age)
+{
+    return unixMilliseconds() - static_cast<std::int64_t>(age.count());
+}
+
+void logSwept(std::string_view what, const Result<std::size_t> &swept)
+{
+    if (!swept.isError() && swept.value() > 0)
+        logStateChange(what, {{"count", std::to_string(swept.value())}});
+}
+
+} // namespace
+
+StoreSweeper::StoreSweeper(EntryContext &context, SweepSettings settings)
+    : m_context(context)
+    , m_settings(settings)
+    , m_uploads(context.store, FiberPause{}, callerStorePatience)
+{
+}
+
+void StoreSweeper::start()
+{
+    m_context.threads.spawn([this] { sweepUploads(); });
+    m_context.threads.spawn([this] { sweepCalls(); });
+}
+
+void StoreSweeper::sweepUploads()
+{
+    while (true) {
+        boost::this_fiber::sleep_for(m_settings.uploadTime / sweepsPerUploadTime);
+        // What an outage of the store leaves over is found by the next sweep.
+        if (isElected())
+            logSwept("uploads-swept",
+                     m_uploads.sweep(timeBefore(m_settings.uploadTime * uploadAgeFactor)));
+    }
+}
+
+void StoreSweeper::sweepCalls()
+{
+    while (true) {
+        boost::this_fiber::sleep_for(m_settings.callMemory / sweepsPerCallMemory);
+        if (isElected())
+            logSwept("calls-swept", removeCalls(timeBefore(m_settings.callMemory)));
+    }
+}
+
+bool StoreSweeper::isElected() const
+{
+    // Two processes that count different members may both sweep for a while; each removal is
+    // conditional, so that this costs calls to the store and nothing else.
+    const auto rank
+            = [](const NodeId &node) { return stableHash(electionKey, stableHash(node.text())); };
+    return m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
+        const auto &nodes = catalogue.nodes();
+        return std::none_of(nodes.begin(), nodes.end(), [&](const EntryMember &each) {
+            return rank(each.id) < rank(m_context.node);
+        });
+    });
+}
+
+Result<std::size_t> StoreSweeper::removeCalls(std::int64_t before)
+{
+    std::size_t removed = 0;
+    std::string after;
+    while (true) {
+        // Page by page: there may be more records than this process has memory for.
+        const auto page = TRY(m_context.store.list(callPrefix, after, ListContent::KeysAndValues));
+        removed += TRY(removeCallsOf(page, before));
+        if (page.isLast || page.objects.empty())
+            return removed;
+        after = page.objects.back().key;
+    }
+}
+
+Result<std::size_t> StoreSweeper::removeCallsOf(const ObjectPage &page, std::int64_t before)
+{
+    std::size_t removed = 0;
+    for (const auto &object : page.objects) {
+        const auto fields = parseJsonObject(object.value);
+        if (fields.isError() || integerField(fields.value(), "at", before) >= before)
+            continue;
+        // A conflict means that the key has just been used again.
+        auto result = m_context.store.remove(object.key, object.version);
+        if (!result.isError())
+            removed += 1;
+        else if (result.error().kind == ErrorKind::Unavailable)
+            return result.takeError();
+    }
+    return removed;
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Tests/Batch/TestUploadStore.cpp
@@ -0,0 +1,71 @@
+#include <Batch/Batch.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Radishplank;
+
+namespace {
+
+struct NoPause
+{
+    void operator()(Milliseconds) const {}
+};
+
+} // namespace
+
+TEST_CASE("The sweep of uploads removes what belongs to no job, and only that")
+{
+    MemoryObjectStore store;
+    const JobKey job{OwnerId("lotka"), JobName("league")};
+    JobManifest manifest;
+    manifest.digest = "digest";
+    manifest.entry = EntryName("captions");
+    manifest.upload = "upload-1";
+    manifest.shardItems = {2, 2};
+    JobStore<MemoryObjectStore, NoPause> jobs(store, NoPause{}, Duration::zero());
+    UploadStore<MemoryObjectStore, NoPause> uploads(store, NoPause{}, Duration::zero());
+    constexpr std::int64_t begunAt = 1'000;
+    const auto upload = uploads.begin(job, manifest, begunAt);
+    REQUIRE_FALSE(upload.isError());
+    for (std::size_t shard = 0; shard < 2; ++shard)
+        REQUIRE_FALSE(jobs.writePart(job, manifest, shard, "lines").isError());
+    const auto partsLeft = [&] {
+        return listAll(store, manifest.partPrefix(job), ListContent::KeysOnly)
+                .value()
+                .objects.size();
+    };
+    const auto notesLeft = [&] {
+        return listAll(store, uploadPrefix, ListContent::KeysOnly).value().objects.size();
+    };
+
+    SECTION("An upload that may still become a job is left alone")
+    {
+        CHECK(uploads.sweep(begunAt).value() == 0);
+        CHECK(partsLeft() == 2);
+        CHECK(notesLeft() == 1);
+    }
+    SECTION("One too old for that is discarded")
+    {
+        CHECK(uploads.sweep(begunAt + 1).value() == 1);
+        CHECK(partsLeft() == 0);
+        CHECK(notesLeft() == 0);
+    }
+    SECTION("The parts of a job stay, also if its upload could not note its end")
+    {
+        REQUIRE_FALSE(jobs.accept(job, manifest).isError());
+        CHECK(uploads.sweep(begunAt + 1).value() == 0);
+        CHECK(partsLeft() == 2);
+        CHECK(notesLeft() == 0);
+    }
+    SECTION("A second upload of a job that exists is discarded, and the job's parts stay")
+    {
+        REQUIRE_FALSE(jobs.accept(job, manifest).isError());
+        auto second = manifest;
+        second.upload = "upload-2";
+        REQUIRE_FALSE(uploads.begin(job, second, begunAt).isError());
+        REQUIRE_FALSE(jobs.writePart(job, second, 0, "lines").isError());
+        CHECK(uploads.sweep(begunAt + 1).value() == 1);
+        CHECK(partsLeft() == 2);
+        CHECK(notesLeft() == 0);
+    }
+}
--- a/Tests/Integration/Deployment.cpp
+++ b/Tests/Integration/Deployment.cpp
@@ -215,6 +215,12 @@
     return parseBody(client.call(m_platformHttp, {"GET", "/counts", {}, ""}));
 }
 
+std::size_t Deployment::objectsUnder(const std::string &prefix)
+{
+    const auto page = client.call(m_platformHttp, {"GET", "/objects?prefix=" + prefix, {}, ""});
+    return parseBody(page).at("objects").as_array().size();
+}
+
 void Deployment::setVm(const std::string &name, const std::string &vmState)
 {
     REQUIRE(client.call(m_platformHttp, {"PUT", "/vms/" + name, {}, vmState}).status == 200);
--- a/Tests/Integration/Deployment.h
+++ b/Tests/Integration/Deployment.h
@@ -91,6 +91,8 @@
     /// Sets faults of the platform, such as `{"outage": true}`.
     void platform(const std::string &switches);
     boost::json::object platformCounts();
+    /// Returns how many objects of the store lie under a prefix, at most one page.
+    std::size_t objectsUnder(const std::string &prefix);
     void setVm(const std::string &name, const std::string &state);
     /// Sets faults of a link, such as `{"mode": "stall"}`.
     void link(const std::string &name, const std::string &change);
