--- a/Meta/bench.py
+++ b/Meta/bench.py
@@ -14,6 +14,9 @@
 SLOTS = 4
 TOKEN_INTERVAL_MS = 20
 BATCH_TOKENS = 40
+REGION_LINK = "regions"
+REGION_LINK_BYTES_PER_SECOND = 30_000_000 // 8
+REGION_LINK_DELAY_MS = 8
 
 
 def start(deployment, agent=(), entry=(), engine=()):
@@ -25,6 +28,19 @@
     deployment.put_catalogue("lotka")
 
 
+def start_with_link(deployment):
+    """Two entry processes in the first region; the second one's agents lie behind the link."""
+    for zone, region in ZONES:
+        link = None if region == "region1" else REGION_LINK
+        for _ in range(UPSTREAMS_PER_ZONE):
+            deployment.add_upstream(zone, region, SLOTS, TOKEN_INTERVAL_MS, link=link)
+    deployment.link(REGION_LINK, delayMs=REGION_LINK_DELAY_MS,
+                    bytesPerSecond=REGION_LINK_BYTES_PER_SECOND)
+    for zone in ("zone1", "zone2", "zone1"):
+        deployment.add_entry(zone, "region1")
+    deployment.put_catalogue("lotka")
+
+
 def totals(deployment):
     stats = deployment.engine_stats()
     return {name: sum(each[name] for each in stats)
@@ -135,12 +151,13 @@
 
 
 def failures(args, directory):
-    """The same load while processes die and the store is out; outcomes are checked."""
+    """The same load while processes die, the link is cut and the store is out; outcomes are
+    checked."""
     trace = pathlib.Path(directory, "failures.jsonl")
-    seconds = 70
-    items = 4_000
+    seconds = args.outage + args.cut + 30
+    items = args.items
     with Deployment(args.build) as deployment:
-        start(deployment)
+        start_with_link(deployment)
         deployment.generate(trace, deployment="lotka", duration=seconds * 1000, rate=args.rate,
                             seed=args.seed)
         deployment.submit("league", items, BATCH_TOKENS)
@@ -169,6 +186,17 @@
         while deployment.job_status("league").get("completed", 0) <= done_before:
             time.sleep(0.1)
         note(f"batch goes on; first further outcome after {time.monotonic() - killed_at:.1f} s")
+        far = deployment.metric("radishplank_bytes_other_region_total")
+        note(f"link between regions cut; {far / 1000:.0f} kB across so far")
+        cut_at = time.monotonic()
+        deployment.link(REGION_LINK, mode="cut")
+        time.sleep(args.cut)
+        deployment.link(REGION_LINK, mode="pass")
+        healed_at = time.monotonic()
+        while deployment.metric("radishplank_bytes_other_region_total") <= far * 1.05:
+            time.sleep(0.1)
+        note(f"link back after {healed_at - cut_at:.0f} s; used again after "
+             f"{time.monotonic() - healed_at:.1f} s")
         body = json.dumps({"outage": True})
         from deployment import http
         http("POST", deployment.store, "/switches", body)
@@ -194,15 +222,58 @@
               f"{sum(1 for each in results if each['status'] != 'completed')} not completed")
 
 
+def retries(args, directory):
+    """Attempts for each call while half of the upstreams keep dying."""
+    trace = pathlib.Path(directory, "retries.jsonl")
+    seconds = 30
+    with Deployment(args.build) as deployment:
+        for _ in range(8):
+            deployment.add_upstream("zone1", "region1", SLOTS, TOKEN_INTERVAL_MS)
+        for _ in range(2):
+            deployment.add_entry("zone1", "region1")
+        deployment.put_catalogue("lotka")
+        deployment.generate(trace, deployment="lotka", duration=seconds * 1000, rate=args.rate / 3,
+                            seed=args.seed)
+        for engine in deployment.engines[:4]:
+            engine.command.append(f"--listen={engine.addresses['http']}")
+        running = deployment.start_replay(trace)
+        time.sleep(2)
+        names = ("requests", "retries", "streams_resumed", "requests_refused", "unknown_outcomes")
+        metrics = {name: f"radishplank_{name}_total" for name in names}
+        before = {name: deployment.metric(metric) for name, metric in metrics.items()}
+        kills = 0
+        until = time.monotonic() + seconds - 6
+        while time.monotonic() < until:
+            engine = deployment.engines[kills % 4]
+            engine.kill()
+            engine.start()
+            kills += 1
+            time.sleep(0.3)
+        during = {name: deployment.metric(metric) - before[name]
+                  for name, metric in metrics.items()}
+        output, _ = running.communicate()
+        report = json.loads(output)
+        print(f"\nretries: {kills} kills among 4 of 8 engines in {seconds - 6} s; "
+              f"{during['requests']:.0f} calls, {during['retries']:.0f} retries, "
+              f"{during['streams_resumed']:.0f} streams resumed: "
+              f"{1 + during['retries'] / during['requests']:.3f} attempts a call")
+        print(f"online: {report['answered']} of {report['calls']} answered, "
+              f"{report['refused']} refused, {report['failed']} failed, {report['wrong']} wrong; "
+              f"first token p99 {report['firstTokenMs']['p99']:.0f} ms, "
+              f"max {report['firstTokenMs']['max']:.0f} ms")
+
+
 def main():
-    parts = {"harm": harm, "routing": routing, "failures": failures}
+    parts = {"harm": harm, "routing": routing, "failures": failures, "retries": retries}
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="Build")
-    parser.add_argument("--parts", default="harm,routing,failures",
+    parser.add_argument("--parts", default="harm,routing,failures,retries",
                         help="of: " + ", ".join(parts))
     parser.add_argument("--seconds", type=int, default=15, help="length of each trace")
     parser.add_argument("--rate", type=float, default=60, help="mean online calls a second")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--cut", type=int, default=30, help="seconds without the link")
+    parser.add_argument("--items", type=int, default=8_000, help="batch items of the failures")
     parser.add_argument("--outage", type=int, default=40, help="seconds without the store")
     parser.add_argument("--deployments", default="sundholl,lotka",
                         type=lambda text: text.split(","))
--- a/Meta/deployment.py
+++ b/Meta/deployment.py
@@ -92,6 +92,7 @@
         self.engines = []
         self.agents = []
         self.entries = []
+        self.proxy = None
 
     def __enter__(self):
         self.platform = self.spawn("platform", [self.standin(), "platform"])
@@ -118,8 +119,29 @@
         self.processes.append(process)
         return process
 
-    def add_upstream(self, zone, region, slots, token_interval, engine=(), agent=()):
+    def route(self, name, link, target=None):
+        """Opens a route over a link of the fault proxy, or says where it leads; returns its
+        address."""
+        if self.proxy is None:
+            self.proxy = self.spawn("faultproxy", [self.standin(), "faultproxy"])
+        change = {"target": target} if target else {"link": link}
+        status, body = http("PUT", self.proxy.addresses["http"], f"/routes/{name}",
+                            json.dumps(change))
+        if status != 200:
+            raise RuntimeError(f"route {name}: {status} {body}")
+        return json.loads(body)["listen"]
+
+    def link(self, name, **change):
+        """Changes the faults, the delay or the bandwidth of a link."""
+        http("POST", self.proxy.addresses["http"], f"/links/{name}", json.dumps(change))
+
+    def add_upstream(self, zone, region, slots, token_interval, engine=(), agent=(), link=None):
+        """Starts an engine and its agent; with a link, others reach the agent only over it."""
         number = len(self.engines)
+        if link:
+            agent = (*agent,
+                     f"--data-advertise={self.route(f'agent{number}-data', link)}",
+                     f"--control-advertise={self.route(f'agent{number}-control', link)}")
         engine_process = self.spawn(
             f"engine{number}",
             [self.standin(), "engine", f"--slots={slots}", f"--token-interval={token_interval}",
@@ -133,6 +155,10 @@
              f"--upstream={engine_process.addresses['http']}", "--pools=assistant",
              f"--slots={slots}", "--threads=1", *agent],
         ))
+        if link:
+            for kind in ("data", "control"):
+                self.route(f"agent{number}-{kind}", link,
+                           self.agents[-1].addresses[kind])
 
     def add_entry(self, zone, region, arguments=()):
         number = len(self.entries)
--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -101,6 +101,21 @@
         "            if (shard > 1000)\n"
         "                TRY(closeShard(job, current.manifest, shard));",
         "TestIntegration", "A cancelled batch stops*"),
+    "noticing callers that leave": (
+        DAEMON + "CallerApi.cpp", "return !exchange.isCallerGone();", "return true;",
+        "TestIntegration", "A caller that goes away frees its slot"),
+    "refusing duplicate fields": (
+        "Libraries/Core/Json.cpp", "    if (twice)\n", "    if (twice && text.empty())\n",
+        "TestIntegration", "A caller's request and a batch travel*"),
+    "share of the link for batch": (
+        "Libraries/Serving/LinkAllowance.cpp", "return balanceAt(now) > 0;",
+        "return balanceAt(now) > -1e18;",
+        "TestIntegration", "Batch runs on idle engines of the other region*"),
+    "sweeping uploads": (
+        DAEMON + "StoreSweeper.cpp", "        if (isElected())\n            logSwept(\"uploads",
+        "        if (isElected() && m_settings.uploadTime.count() == 0)\n"
+        "            logSwept(\"uploads",
+        "TestIntegration", "What is left of an upload that was cut off*"),
     "versions only rise": (
         "Libraries/Catalogue/ConfigurationReplica.cpp",
         "found->second.object.version >= change.object.version",
