ConfigurationSync: Wait for news of crashes before a crashing request is tried again

Cause: two entry processes that get the same crashing request at once each tried it twice, because the news of the other's crash came after their own second try. Change: whoever meets a crash waits, half a second at most, until the others have been told and have answered with what they know.

--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -116,6 +116,10 @@
         "        if (isElected() && m_settings.uploadTime.count() == 0)\n"
         "            logSwept(\"uploads",
         "TestIntegration", "What is left of an upload that was cut off*"),
+    "waiting for news of crashes": (
+        DAEMON + "ConfigurationSync.cpp", "    group.waitFor(crashNewsTime);",
+        "    group.waitFor(Milliseconds(0));",
+        "TestIntegration", "A crashing request sent to two entry processes*"),
     "versions only rise": (
         "Libraries/Catalogue/ConfigurationReplica.cpp",
         "found->second.object.version >= change.object.version",
--- a/Services/radishplankd/ConfigurationSync.cpp
+++ b/Services/radishplankd/ConfigurationSync.cpp
@@ -1,5 +1,7 @@
 #include "ConfigurationSync.h"
 
+#include "FiberGroup.h"
+
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
 
@@ -11,6 +13,9 @@
 constexpr Milliseconds watchWait{5'000};
 constexpr Milliseconds exchangeInterval{500};
 constexpr Milliseconds exchangeTimeout{1'000};
+/// A request that has crashed an upstream is not tried again before others know, or this has
+/// passed.
+constexpr Milliseconds crashNewsTime{500};
 constexpr Milliseconds storeRetryInterval{500};
 /// Knowledge older than this makes a process watch the store itself. With the time to notice and
 /// to list, it keeps a change in force everywhere within 4 s.
@@ -47,8 +52,13 @@
 
 void ConfigurationSync::announceCrashes()
 {
+    // The answers may tell of crashes elsewhere. Whoever has met a crash waits for them before it
+    // tries the request again, so that processes with the same request do not each lose two
+    // upstreams to it.
+    FiberGroup group(m_context.threads);
     for (const auto &node : others())
-        m_context.threads.spawn([this, node] { (void)exchangeWith(node.control); });
+        group.spawn([this, node] { (void)exchangeWith(node.control); });
+    group.waitFor(crashNewsTime);
 }
 
 Milliseconds ConfigurationSync::staleness() const
--- /dev/null
+++ b/Services/radishplankd/FiberGroup.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <Net/Net.h>
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <memory>
+#include <mutex>
+
+namespace Radishplank {
+
+/// Fibers that run beside each other, and the wait for all of them.
+class FiberGroup
+{
+public:
+    explicit FiberGroup(FiberThreads &threads)
+        : m_threads(threads)
+    {
+    }
+
+    /// Starts a fiber; it may outlive the group, so the function owns what it uses.
+    template<typename Function>
+    void spawn(Function function)
+    {
+        {
+            const std::scoped_lock lock(m_state->mutex);
+            m_state->running += 1;
+        }
+        m_threads.spawn([state = m_state, function = std::move(function)] {
+            function();
+            const std::scoped_lock lock(state->mutex);
+            state->running -= 1;
+            state->changed.notify_all();
+        });
+    }
+
+    /// Waits until all fibers have ended, at most for the given time.
+    void waitFor(Milliseconds wait)
+    {
+        std::unique_lock lock(m_state->mutex);
+        m_state->changed.wait_for(lock, wait, [this] { return m_state->running == 0; });
+    }
+
+private:
+    struct State
+    {
+        boost::fibers::mutex mutex;
+        boost::fibers::condition_variable changed;
+        std::size_t running = 0;
+    };
+
+    FiberThreads &m_threads;
+    std::shared_ptr<State> m_state = std::make_shared<State>();
+};
+
+} // namespace Radishplank
--- a/Tests/Integration/TestOnlinePromises.cpp
+++ b/Tests/Integration/TestOnlinePromises.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <thread>
 
 using namespace Radishplank;
 using namespace Radishplank::Test;
@@ -357,10 +358,40 @@
     CHECK(dead() == 2);
 }
 
+TEST_CASE("A crashing request sent to two entry processes at once costs three upstreams at most")
+{
+    Deployment deployment;
+    const std::vector<std::string> agents{"agent1", "agent2", "agent3", "agent4", "agent5"};
+    for (const auto &name : agents)
+        deployment.addAgent(name);
+    deployment.addEntry("entry1");
+    deployment.addEntry("entry2");
+    for (int round = 0; round < 3; ++round) {
+        for (const auto &name : agents) {
+            if (!deployment.upstream(name).process->isRunning())
+                deployment.restartUpstream(name);
+        }
+        if (round == 0)
+            deployment.putCatalogue(agents.size());
+        for (const auto *entry : {"entry1", "entry2"})
+            deployment.waitForUpstreams(entry, agents.size());
+        const auto bad = completion("crash-the-engine in round " + std::to_string(round), 5);
+        const auto first = deployment.start("entry1", bad);
+        const auto second = deployment.start("entry2", bad);
+        CHECK(first.answer.get().status == 422);
+        CHECK(second.answer.get().status == 422);
+        const auto dead = std::count_if(agents.begin(), agents.end(), [&](const auto &name) {
+            return !deployment.upstream(name).process->isRunning();
+        });
+        // One for each process that did not know of the other's, and one that either may try.
+        CHECK(dead <= 3);
+    }
+}
+
 TEST_CASE("An upstream that leaves gets no new work and finishes what it has")
 {
     Deployment deployment;
-    deployment.addAgent("agent1", {.slots = 4, .tokenIntervalMs = 20});
+    deployment.addAgent("agent1", {.slots = 4, .tokenIntervalMs = 20, .isBehindProxy = true});
     deployment.addAgent("agent2", {.slots = 4, .tokenIntervalMs = 20});
     deployment.addEntry("entry1");
     deployment.putCatalogue(2);
@@ -404,6 +435,47 @@
         checkLeft();
         deployment.agent("agent1").process->thaw();
     }
+    SECTION("cut off from control one way, after which it comes back")
+    {
+        const auto direction = GENERATE(as<std::string>(), "forward", "backward");
+        deployment.link("agent1-control", R"({"mode":"stall","direction":")" + direction + R"("})");
+        checkLeft();
+        deployment.link("agent1-control", R"({"mode":"pass"})");
+        deployment.waitForUpstreams("entry1", 2);
+    }
+}
+
+TEST_CASE("Members that come and go again and again lose no call")
+{
+    Deployment deployment;
+    for (const auto *name : {"agent1", "agent2", "agent3"})
+        deployment.addAgent(name, {.slots = 4, .isBehindProxy = true});
+    // With the others all away, a refusal would be the right answer.
+    deployment.addAgent("steady", {.slots = 8});
+    deployment.addEntry("entry1");
+    deployment.addEntry("entry2");
+    deployment.putCatalogue(4);
+    constexpr int rounds = 6;
+    constexpr int callsOfRound = 24;
+    for (int round = 0; round < rounds; ++round) {
+        deployment.link("agent1-control", R"({"mode":"stall"})");
+        deployment.agent("agent2").process->freeze();
+        std::vector<std::pair<RunningCall, std::string>> calls;
+        for (int i = 0; i < callsOfRound; ++i) {
+            const auto prompt = "call " + std::to_string(round * callsOfRound + i);
+            const auto *entry = i % 2 == 0 ? "entry1" : "entry2";
+            calls.emplace_back(deployment.start(entry, completion(prompt, 10)), prompt);
+            std::this_thread::sleep_for(std::chrono::milliseconds(20 * (round % 3 + 1)));
+        }
+        deployment.agent("agent2").process->thaw();
+        deployment.link("agent1-control", R"({"mode":"pass"})");
+        deployment.setVm("agent3", round % 2 == 0 ? "live" : "leaving");
+        for (const auto &[call, prompt] : calls)
+            CHECK(wholeText(call.answer.get()) == expectedText(prompt, 10));
+    }
+    // One that was told to leave does not come back by itself; its VM is replaced.
+    deployment.waitForUpstreams("entry1", 3);
+    deployment.waitForUpstreams("entry2", 3);
 }
 
 TEST_CASE("A planned stop of an entry process cuts off no request")
