--- a/Libraries/Catalogue/CatalogueObjects.cpp
+++ b/Libraries/Catalogue/CatalogueObjects.cpp
@@ -159,6 +159,7 @@
     agent.zone = ZoneName(reader.requiredText("zone"));
     agent.region = RegionName(reader.requiredText("region"));
     agent.pools = reader.texts("pools");
+    agent.models = reader.texts("models");
     agent.slots = reader.integer("slots", 1, 1, largestCount);
     agent.state = parseChoice<MemberState>(
             reader, place, "state",
@@ -183,11 +184,15 @@
     boost::json::array pools;
     for (const auto &pool : agent.pools)
         pools.emplace_back(pool);
+    boost::json::array models;
+    for (const auto &model : agent.models)
+        models.emplace_back(model);
     return {{"data", agent.data.text()},
             {"control", agent.control.text()},
             {"zone", agent.zone.text()},
             {"region", agent.region.text()},
             {"pools", std::move(pools)},
+            {"models", std::move(models)},
             {"slots", agent.slots},
             {"state", agent.state == MemberState::Live ? "live" : "leaving"}};
 }
--- a/Libraries/Catalogue/CatalogueObjects.h
+++ b/Libraries/Catalogue/CatalogueObjects.h
@@ -67,6 +67,8 @@
     ZoneName zone;
     RegionName region;
     std::vector<std::string> pools;
+    /// Models that its engine loads on order; then the pool is the one loaded, if any.
+    std::vector<std::string> models;
     std::int64_t slots = 0;
     MemberState state = MemberState::Live;
 };
--- a/Libraries/Control/Control.capnp
+++ b/Libraries/Control/Control.capnp
@@ -41,6 +41,15 @@
   requestsPerSecond @1 :Float64;
 }
 
+# What was asked of one pool at an entry process since it started.
+struct PoolDemand {
+  pool @0 :Text;
+  slotSeconds @1 :Float64;
+  refused @2 :UInt64;
+  answered @3 :UInt64;
+  hasBatch @4 :Bool;
+}
+
 interface Gate {
   # Hands out the control interface to holders of the cluster's secret.
   open @0 (secret :Text) -> (control :Control);
@@ -58,4 +67,6 @@
   # Asked of entry processes: lends what they do not need of their parts of limits, for a fixed
   # time that the borrower counts from before it asked, and the lender from when it answers.
   lend @3 (node :Text, wanted :List(RateShare)) -> (lent :List(RateShare));
+  # Asked of entry processes by the one that places models.
+  demand @4 () -> (pools :List(PoolDemand));
 }
--- a/Libraries/Control/Control.capnp.cpp
+++ b/Libraries/Control/Control.capnp.cpp
@@ -414,6 +414,113 @@
   0, 2, i_8d68fc25661ee167, nullptr, nullptr, { &s_8d68fc25661ee167, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<96> b_92140bc1d68dd219 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     25, 210, 141, 214, 193,  11,  20, 146,
+     14,   0,   0,   0,   1,   0,   4,   0,
+    214,  12, 111, 246, 102, 173, 110, 233,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 202,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  31,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     67, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  80, 111,
+    111, 108,  68, 101, 109,  97, 110, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     20,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    125,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    120,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    129,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    128,   0,   0,   0,   3,   0,   1,   0,
+    140,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    137,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    132,   0,   0,   0,   3,   0,   1,   0,
+    144,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    141,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    140,   0,   0,   0,   3,   0,   1,   0,
+    152,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0, 192,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    149,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
+    112, 111, 111, 108,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 108, 111, 116,  83, 101,  99, 111,
+    110, 100, 115,   0,   0,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 102, 117, 115, 101, 100,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 110, 115, 119, 101, 114, 101, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,  97, 115,  66,  97, 116,  99, 104,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_92140bc1d68dd219 = b_92140bc1d68dd219.words;
+#if !CAPNP_LITE
+static const uint16_t m_92140bc1d68dd219[] = {3, 4, 0, 2, 1};
+static const uint16_t i_92140bc1d68dd219[] = {0, 1, 2, 3, 4};
+const ::capnp::_::RawSchema s_92140bc1d68dd219 = {
+  0x92140bc1d68dd219, b_92140bc1d68dd219.words, 96, nullptr, m_92140bc1d68dd219,
+  0, 5, i_92140bc1d68dd219, nullptr, nullptr, { &s_92140bc1d68dd219, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<28> b_8caf7549191b3861 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      97,  56,  27,  25,  73, 117, 175, 140,
@@ -545,7 +652,7 @@
   1, 1, i_aeb97dbcece41bc2, nullptr, nullptr, { &s_aeb97dbcece41bc2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<60> b_904a559627b6658b = {
+static const ::capnp::_::AlignedData<70> b_904a559627b6658b = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     139, 101, 182,  39, 150,  85,  74, 144,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -555,46 +662,54 @@
      21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,   7,   1,   0,   0,
-    193,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0,  71,   1,   0,   0,
+    233,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      67, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  67, 111,
     110, 116, 114, 111, 108,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      32,  91, 127,  74, 229, 227, 174, 158,
      57, 245, 184,  57, 194, 200,  23, 164,
-    113,   0,   0,   0,  66,   0,   0,   0,
+    145,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    133,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     105,  33, 173, 156, 115,  42, 170, 197,
     214, 174, 152,  43, 178, 254,  63, 145,
-     89,   0,   0,   0, 114,   0,   0,   0,
+    121,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,   7,   0,   0,   0,
+    113,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      27, 213, 131, 187,  47, 230, 213, 138,
     130,  13,  11,  14, 253,   3, 141, 193,
-     69,   0,   0,   0,  74,   0,   0,   0,
+    101,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     61,   0,   0,   0,   7,   0,   0,   0,
+     93,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     218, 166, 236, 243,  80,  29,  75, 167,
     165, 253,  86, 237, 192,  55, 180, 232,
-     49,   0,   0,   0,  42,   0,   0,   0,
+     81,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    219, 171, 245,  25, 201,   4, 206, 146,
+     32,  62, 213, 100,  36,  98, 184, 153,
+     57,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,   7,   0,   0,   0,
     111,  98, 115, 101, 114, 118, 101,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      99,  97, 110,  99, 101, 108,  65, 116,
@@ -605,6 +720,8 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     108, 101, 110, 100,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    100, 101, 109,  97, 110, 100,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_904a559627b6658b = b_904a559627b6658b.words;
@@ -612,6 +729,8 @@
 static const ::capnp::_::RawSchema* const d_904a559627b6658b[] = {
   &s_8ad5e62fbb83d51b,
   &s_913ffeb22b98aed6,
+  &s_92ce04c919f5abdb,
+  &s_99b8622464d53e20,
   &s_9eaee3e54a7f5b20,
   &s_a417c8c239b8f539,
   &s_a74b1d50f3eca6da,
@@ -619,10 +738,10 @@
   &s_c5aa2a739cad2169,
   &s_e8b437c0ed56fda5,
 };
-static const uint16_t m_904a559627b6658b[] = {1, 2, 3, 0};
+static const uint16_t m_904a559627b6658b[] = {1, 4, 2, 3, 0};
 const ::capnp::_::RawSchema s_904a559627b6658b = {
-  0x904a559627b6658b, b_904a559627b6658b.words, 60, d_904a559627b6658b, m_904a559627b6658b,
-  8, 4, nullptr, nullptr, nullptr, { &s_904a559627b6658b, nullptr, nullptr, 0, 0, nullptr }
+  0x904a559627b6658b, b_904a559627b6658b.words, 70, d_904a559627b6658b, m_904a559627b6658b,
+  10, 5, nullptr, nullptr, nullptr, { &s_904a559627b6658b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<17> b_9eaee3e54a7f5b20 = {
@@ -1110,6 +1229,83 @@
   1, 1, i_e8b437c0ed56fda5, nullptr, nullptr, { &s_e8b437c0ed56fda5, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_92ce04c919f5abdb = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    219, 171, 245,  25, 201,   4, 206, 146,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     67, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  67, 111,
+    110, 116, 114, 111, 108,  46, 100, 101,
+    109,  97, 110, 100,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_92ce04c919f5abdb = b_92ce04c919f5abdb.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_92ce04c919f5abdb = {
+  0x92ce04c919f5abdb, b_92ce04c919f5abdb.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_92ce04c919f5abdb, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<37> b_99b8622464d53e20 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     32,  62, 213, 100,  36,  98, 184, 153,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     67, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  67, 111,
+    110, 116, 114, 111, 108,  46, 100, 101,
+    109,  97, 110, 100,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    112, 111, 111, 108, 115,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     25, 210, 141, 214, 193,  11,  20, 146,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_99b8622464d53e20 = b_99b8622464d53e20.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_99b8622464d53e20[] = {
+  &s_92140bc1d68dd219,
+};
+static const uint16_t m_99b8622464d53e20[] = {0};
+static const uint16_t i_99b8622464d53e20[] = {0};
+const ::capnp::_::RawSchema s_99b8622464d53e20 = {
+  0x99b8622464d53e20, b_99b8622464d53e20.words, 37, d_99b8622464d53e20, m_99b8622464d53e20,
+  1, 1, i_99b8622464d53e20, nullptr, nullptr, { &s_99b8622464d53e20, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1150,6 +1346,14 @@
 constexpr ::capnp::_::RawSchema const* RateShare::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// PoolDemand
+constexpr uint16_t PoolDemand::_capnpPrivate::dataWordSize;
+constexpr uint16_t PoolDemand::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind PoolDemand::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* PoolDemand::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::Radishplank::Rpc::Gate::OpenParams,  ::Radishplank::Rpc::Gate::OpenResults>
 Gate::Client::openRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -1253,6 +1457,16 @@
       "Control.capnp:Control", "lend",
       0x904a559627b6658bull, 3);
 }
+::capnp::Request< ::Radishplank::Rpc::Control::DemandParams,  ::Radishplank::Rpc::Control::DemandResults>
+Control::Client::demandRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Radishplank::Rpc::Control::DemandParams,  ::Radishplank::Rpc::Control::DemandResults>(
+      0x904a559627b6658bull, 4, sizeHint);
+}
+::kj::Promise<void> Control::Server::demand(DemandContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Control.capnp:Control", "demand",
+      0x904a559627b6658bull, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult Control::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1291,6 +1505,12 @@
              ::Radishplank::Rpc::Control::LendParams,  ::Radishplank::Rpc::Control::LendResults>(context)),
         false
       };
+    case 4:
+      return {
+        demand(::capnp::Capability::Server::internalGetTypedContext<
+             ::Radishplank::Rpc::Control::DemandParams,  ::Radishplank::Rpc::Control::DemandResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1370,6 +1590,22 @@
 constexpr ::capnp::_::RawSchema const* Control::LendResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Control::DemandParams
+constexpr uint16_t Control::DemandParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Control::DemandParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Control::DemandParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::DemandParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Control::DemandResults
+constexpr uint16_t Control::DemandResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Control::DemandResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Control::DemandResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::DemandResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/Libraries/Control/Control.capnp.h
+++ b/Libraries/Control/Control.capnp.h
@@ -30,6 +30,7 @@
 CAPNP_DECLARE_SCHEMA(9266c447f2306f7f);
 CAPNP_DECLARE_SCHEMA(db710a12cf9b1155);
 CAPNP_DECLARE_SCHEMA(8d68fc25661ee167);
+CAPNP_DECLARE_SCHEMA(92140bc1d68dd219);
 CAPNP_DECLARE_SCHEMA(8caf7549191b3861);
 CAPNP_DECLARE_SCHEMA(b1f1b5f4dfa369c1);
 CAPNP_DECLARE_SCHEMA(aeb97dbcece41bc2);
@@ -42,6 +43,8 @@
 CAPNP_DECLARE_SCHEMA(c18d03fd0e0b0d82);
 CAPNP_DECLARE_SCHEMA(a74b1d50f3eca6da);
 CAPNP_DECLARE_SCHEMA(e8b437c0ed56fda5);
+CAPNP_DECLARE_SCHEMA(92ce04c919f5abdb);
+CAPNP_DECLARE_SCHEMA(99b8622464d53e20);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -111,6 +114,21 @@
   };
 };
 
+struct PoolDemand {
+  PoolDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(92140bc1d68dd219, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gate {
   Gate() = delete;
 
@@ -176,6 +194,8 @@
   struct ExchangeResults;
   struct LendParams;
   struct LendResults;
+  struct DemandParams;
+  struct DemandResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -305,6 +325,36 @@
   };
 };
 
+struct Control::DemandParams {
+  DemandParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(92ce04c919f5abdb, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Control::DemandResults {
+  DemandResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(99b8622464d53e20, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class LoadReport::Reader {
@@ -696,6 +746,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class PoolDemand::Reader {
+public:
+  typedef PoolDemand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
+
+  inline double getSlotSeconds() const;
+
+  inline  ::uint64_t getRefused() const;
+
+  inline  ::uint64_t getAnswered() const;
+
+  inline bool getHasBatch() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PoolDemand::Builder {
+public:
+  typedef PoolDemand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
+
+  inline double getSlotSeconds();
+  inline void setSlotSeconds(double value);
+
+  inline  ::uint64_t getRefused();
+  inline void setRefused( ::uint64_t value);
+
+  inline  ::uint64_t getAnswered();
+  inline void setAnswered( ::uint64_t value);
+
+  inline bool getHasBatch();
+  inline void setHasBatch(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PoolDemand::Pipeline {
+public:
+  typedef PoolDemand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Gate::Client
     : public virtual ::capnp::Capability::Client {
@@ -943,6 +1094,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Radishplank::Rpc::Control::LendParams,  ::Radishplank::Rpc::Control::LendResults> lendRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Radishplank::Rpc::Control::DemandParams,  ::Radishplank::Rpc::Control::DemandResults> demandRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -975,6 +1128,10 @@
   typedef  ::Radishplank::Rpc::Control::LendResults LendResults;
   typedef ::capnp::CallContext<LendParams, LendResults> LendContext;
   virtual ::kj::Promise<void> lend(LendContext context);
+  typedef  ::Radishplank::Rpc::Control::DemandParams DemandParams;
+  typedef  ::Radishplank::Rpc::Control::DemandResults DemandResults;
+  typedef ::capnp::CallContext<DemandParams, DemandResults> DemandContext;
+  virtual ::kj::Promise<void> demand(DemandContext context);
 
   inline  ::Radishplank::Rpc::Control::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1676,6 +1833,158 @@
 };
 #endif  // !CAPNP_LITE
 
+class Control::DemandParams::Reader {
+public:
+  typedef DemandParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::DemandParams::Builder {
+public:
+  typedef DemandParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::DemandParams::Pipeline {
+public:
+  typedef DemandParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::DemandResults::Reader {
+public:
+  typedef DemandResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPools() const;
+  inline  ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>::Reader getPools() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::DemandResults::Builder {
+public:
+  typedef DemandResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPools();
+  inline  ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>::Builder getPools();
+  inline void setPools( ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>::Builder initPools(unsigned int size);
+  inline void adoptPools(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>> disownPools();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::DemandResults::Pipeline {
+public:
+  typedef DemandResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint64_t LoadReport::Reader::getIncarnation() const {
@@ -2002,6 +2311,96 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PoolDemand::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PoolDemand::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PoolDemand::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PoolDemand::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PoolDemand::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PoolDemand::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PoolDemand::Builder::adoptPool(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PoolDemand::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double PoolDemand::Reader::getSlotSeconds() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double PoolDemand::Builder::getSlotSeconds() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PoolDemand::Builder::setSlotSeconds(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PoolDemand::Reader::getRefused() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PoolDemand::Builder::getRefused() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PoolDemand::Builder::setRefused( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PoolDemand::Reader::getAnswered() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PoolDemand::Builder::getAnswered() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PoolDemand::Builder::setAnswered( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PoolDemand::Reader::getHasBatch() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool PoolDemand::Builder::getHasBatch() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void PoolDemand::Builder::setHasBatch(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -2524,6 +2923,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Control::DemandResults::Reader::hasPools() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::DemandResults::Builder::hasPools() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>::Reader Control::DemandResults::Reader::getPools() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>::Builder Control::DemandResults::Builder::getPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::DemandResults::Builder::setPools( ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>::Builder Control::DemandResults::Builder::initPools(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::DemandResults::Builder::adoptPools(
+    ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>> Control::DemandResults::Builder::disownPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::PoolDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/Control/ControlMessages.cpp
+++ b/Libraries/Control/ControlMessages.cpp
@@ -31,4 +31,9 @@
     return notOfThisRole();
 }
 
+Result<std::vector<PoolDemand>> ControlHandler::demand()
+{
+    return notOfThisRole();
+}
+
 } // namespace Radishplank
--- a/Libraries/Control/ControlMessages.h
+++ b/Libraries/Control/ControlMessages.h
@@ -65,6 +65,19 @@
     std::vector<RateShare> wanted;
 };
 
+/// What was asked of one pool at one entry process since it started; only ever rises.
+struct PoolDemand
+{
+    std::string pool;
+    /// Time that online calls have spent, all together.
+    double slotSeconds = 0;
+    /// Online calls that found no place.
+    std::uint64_t refused = 0;
+    std::uint64_t answered = 0;
+    /// Whether batch items wait for the pool.
+    bool hasBatch = false;
+};
+
 /// What a process answers to control calls; called on the control thread, so it must not block.
 class ControlHandler
 {
@@ -79,6 +92,7 @@
                                               const std::string &incarnation);
     virtual Result<ExchangeAnswer> exchange(const ExchangeRequest &request);
     virtual Result<std::vector<RateShare>> lend(const LendRequest &request);
+    virtual Result<std::vector<PoolDemand>> demand();
 };
 
 } // namespace Radishplank
--- a/Libraries/Control/ControlThread.cpp
+++ b/Libraries/Control/ControlThread.cpp
@@ -151,6 +151,21 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> demand(DemandContext context) override
+    {
+        const auto demands = valueOrThrow(m_handler.demand());
+        auto pools = context.getResults().initPools(static_cast<unsigned>(demands.size()));
+        for (std::size_t i = 0; i < demands.size(); ++i) {
+            auto pool = pools[static_cast<unsigned>(i)];
+            pool.setPool(demands[i].pool);
+            pool.setSlotSeconds(demands[i].slotSeconds);
+            pool.setRefused(demands[i].refused);
+            pool.setAnswered(demands[i].answered);
+            pool.setHasBatch(demands[i].hasBatch);
+        }
+        return kj::READY_NOW;
+    }
+
 private:
     ControlHandler &m_handler;
 };
@@ -458,4 +473,19 @@
             [](auto &response) { return readShares(response.getLent()); });
 }
 
+Result<std::vector<PoolDemand>> ControlThread::demand(const Endpoint &peer, Milliseconds timeout)
+{
+    return m_implementation->call<std::vector<PoolDemand>>(
+            peer, timeout,
+            [](Rpc::Control::Client &control) { return control.demandRequest().send(); },
+            [](auto &response) {
+                std::vector<PoolDemand> demands;
+                for (const auto pool : response.getPools()) {
+                    demands.push_back({pool.getPool().cStr(), pool.getSlotSeconds(),
+                                       pool.getRefused(), pool.getAnswered(), pool.getHasBatch()});
+                }
+                return demands;
+            });
+}
+
 } // namespace Radishplank
--- a/Libraries/Control/ControlThread.h
+++ b/Libraries/Control/ControlThread.h
@@ -32,6 +32,7 @@
                                     Milliseconds timeout);
     Result<std::vector<RateShare>> lend(const Endpoint &peer, const LendRequest &request,
                                         Milliseconds timeout);
+    Result<std::vector<PoolDemand>> demand(const Endpoint &peer, Milliseconds timeout);
 
 private:
     struct Implementation;
--- a/Libraries/Serving/AttemptLine.h
+++ b/Libraries/Serving/AttemptLine.h
@@ -63,6 +63,7 @@
 inline constexpr std::string_view workClass = "Radishplank-Class";
 inline constexpr std::string_view suspect = "Radishplank-Suspect";
 inline constexpr std::string_view deadline = "Radishplank-Deadline-Ms";
+inline constexpr std::string_view pool = "Radishplank-Pool";
 inline constexpr std::string_view kind = "Radishplank-Kind";
 inline constexpr std::string_view method = "Radishplank-Method";
 inline constexpr std::string_view target = "Radishplank-Target";
--- a/Services/radishplankd/Agent.cpp
+++ b/Services/radishplankd/Agent.cpp
@@ -17,6 +17,9 @@
 constexpr Milliseconds probeTimeout{2'000};
 constexpr Milliseconds cancelRepeatInterval{20};
 constexpr Milliseconds jointCrashWindow{1'000};
+/// Online attempts have so long to end before another model is loaded.
+constexpr Milliseconds quiescePatience{30'000};
+constexpr Milliseconds quiescePollInterval{20};
 constexpr std::int64_t longestDeadlineMilliseconds = 24LL * 3600 * 1000;
 constexpr std::string_view attemptPrefix = "/attempts/";
 
@@ -39,6 +42,7 @@
 {
     AttemptOrder order;
     order.id = id;
+    order.pool = headers.value(AttemptHeader::pool);
     order.kind = headers.value(AttemptHeader::kind) == "service" ? EntryKind::Service
                                                                  : EntryKind::Model;
     order.workClass = headers.value(AttemptHeader::workClass) == "batch" ? WorkClass::Batch
@@ -63,6 +67,7 @@
     , m_incarnation(threadRandomEngine()())
     , m_ledger(std::to_string(m_incarnation), attemptRetention)
     , m_scheduler(m_settings.slots)
+    , m_loader(m_settings.upstream, m_settings.models)
 {
 }
 
@@ -124,6 +129,10 @@
     AttemptPointer attempt;
     {
         const std::scoped_lock lock(m_mutex);
+        // Under the lock, so that a load that begins now either refuses the attempt or waits for
+        // it.
+        if (!m_loader.serves(order.pool))
+            return {{}, refusal(409, "the engine does not have this model now")};
         switch (m_ledger.admit(order.id, incarnation)) {
         case AttemptLedger::Admission::OtherIncarnation:
             return {{}, refusal(409, "this agent has restarted")};
@@ -302,11 +311,21 @@
         (void)exchange.respond({400, {}, order.error().message});
         return;
     }
-    if (!raiseFencing(integerField(order.value(), "fencing", 0))) {
+    if (!m_knowsFencing) {
+        (void)exchange.respond({503, {}, "this agent does not know the fencing number yet"});
+        return;
+    }
+    const auto fencing = integerField(order.value(), "fencing", 0);
+    if (!raiseFencing(fencing)) {
         m_refusedOrders.increase();
         (void)exchange.respond({409, {}, "the order's fencing number is old"});
         return;
     }
+    const auto model = textField(order.value(), "load");
+    if (model && m_loader.isManaged()) {
+        takeLoadOrder(exchange, *model, fencing);
+        return;
+    }
     auto forwarded
             = HttpClient::fetch(m_settings.upstream, {"POST", "/orders", {}, body.value()}, {});
     if (forwarded.isError()) {
@@ -316,6 +335,55 @@
     (void)exchange.respond({forwarded.value().status, {}, forwarded.value().body});
 }
 
+void Agent::takeLoadOrder(HttpExchange &exchange, const std::string &model, std::int64_t fencing)
+{
+    if (!m_loader.canLoad(model)) {
+        (void)exchange.respond({400, {}, "this engine does not load that model"});
+        return;
+    }
+    m_loader.order(model, fencing);
+    (void)exchange.respond({202, {}, "ordered"});
+}
+
+void Agent::learnFencing(std::int64_t fencing)
+{
+    (void)raiseFencing(fencing);
+    m_knowsFencing = true;
+}
+
+void Agent::loadModels(const std::function<void(const std::string &model)> &announce)
+{
+    m_loader.run({[this] { quiesce(); }, announce});
+}
+
+void Agent::quiesce()
+{
+    preempt(WorkClass::Batch);
+    const auto until = SteadyClock().now() + quiescePatience;
+    while (attemptsInProgress() > 0) {
+        boost::this_fiber::sleep_for(quiescePollInterval);
+        if (SteadyClock().now() > until)
+            preempt(WorkClass::Online);
+    }
+}
+
+void Agent::preempt(WorkClass workClass)
+{
+    std::vector<AttemptPointer> preempted;
+    {
+        const std::scoped_lock lock(m_mutex);
+        for (const auto &[ticket, attempt] : m_inProgress) {
+            const auto &order = attempt->order();
+            // An online attempt that must not run twice is waited for instead.
+            const bool mayStop = order.workClass == WorkClass::Batch || order.isRepeatable;
+            if (order.workClass == workClass && mayStop)
+                preempted.push_back(attempt);
+        }
+    }
+    for (const auto &attempt : preempted)
+        stop(attempt, StopReason::Preempted);
+}
+
 bool Agent::raiseFencing(std::int64_t fencing)
 {
     // Checked here because some engines ignore the number.
@@ -337,7 +405,7 @@
     report.onlineQueued = static_cast<std::uint32_t>(counts.onlineQueued);
     report.batchRunning = static_cast<std::uint32_t>(counts.batchRunning);
     report.batchQueued = static_cast<std::uint32_t>(counts.batchQueued);
-    report.isAccepting = !m_isDraining && m_isUpstreamUp;
+    report.isAccepting = !m_isDraining && m_isUpstreamUp && !m_loader.isLoading();
     return report;
 }
 
@@ -362,18 +430,7 @@
 void Agent::beginDrain()
 {
     m_isDraining = true;
-    std::vector<AttemptPointer> batch;
-    {
-        const std::scoped_lock lock(m_mutex);
-        for (const auto &[ticket, attempt] : m_inProgress) {
-            if (attempt->order().workClass == WorkClass::Batch)
-                batch.push_back(attempt);
-        }
-    }
-    m_threads.spawn([this, batch] {
-        for (const auto &attempt : batch)
-            stop(attempt, StopReason::Preempted);
-    });
+    m_threads.spawn([this] { preempt(WorkClass::Batch); });
 }
 
 std::size_t Agent::attemptsInProgress()
@@ -392,12 +449,22 @@
         const auto probed
                 = HttpClient::fetch(m_settings.upstream, {"GET", target, {}, ""}, options);
         const bool isUp = !probed.isError();
+        if (isUp && m_loader.isManaged())
+            noteEngineLoad(probed.value());
         if (m_isUpstreamUp.exchange(isUp) != isUp)
             logStateChange(isUp ? "upstream-up" : "upstream-down",
                            {{"upstream", m_settings.upstream.text()}});
     }
 }
 
+void Agent::noteEngineLoad(const HttpResponse &load)
+{
+    const auto fields = parseJsonObject(load.body, DuplicateFields::LastCounts);
+    if (!fields.isError())
+        m_loader.noteEngineModel(textField(fields.value(), "model").value_or(""),
+                                 SteadyClock().now());
+}
+
 void Agent::sweep()
 {
     while (true) {
@@ -448,6 +515,7 @@
             {"batchQueued", counts.batchQueued},
             {"attemptsRemembered", m_ledger.size()},
             {"highestFencing", m_highestFencing},
+            {"model", m_loader.state()},
             {"attempts", std::move(attempts)}};
 }
 
--- a/Services/radishplankd/Agent.h
+++ b/Services/radishplankd/Agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Attempt.h"
+#include "ModelLoader.h"
 
 #include <Control/Control.h>
 #include <Net/Net.h>
@@ -18,6 +19,8 @@
     EntryKind kind = EntryKind::Model;
     SlotLimits slots;
     std::string secret;
+    /// Models that the engine loads on order; empty if it serves what it has.
+    std::vector<std::string> models;
 };
 
 /// The process beside one upstream, and the only one that talks to it.
@@ -38,6 +41,10 @@
     Result<AttemptFate> cancelAttempt(const AttemptId &attempt,
                                       const std::string &incarnation) override;
 
+    /// Takes the fencing number known so far; orders are refused before that.
+    void learnFencing(std::int64_t fencing);
+    /// Loads models as ordered; never returns.
+    void loadModels(const std::function<void(const std::string &model)> &announce);
     /// Refuses new attempts and preempts batch; running online attempts go on.
     void beginDrain();
     [[nodiscard]] std::size_t attemptsInProgress();
@@ -54,6 +61,8 @@
     void handleNew(HttpExchange &exchange, const AttemptId &id);
     void handleAttach(HttpExchange &exchange, const AttemptId &id, const HttpTarget &target);
     void handleOrder(HttpExchange &exchange);
+    void takeLoadOrder(HttpExchange &exchange, const std::string &model, std::int64_t fencing);
+    void noteEngineLoad(const HttpResponse &load);
     Admitted admit(AttemptOrder order, const std::string &incarnation);
     void streamLines(HttpExchange &exchange, const AttemptPointer &attempt, std::size_t from);
     void run(const AttemptPointer &attempt);
@@ -62,6 +71,9 @@
     void apply(const SchedulerActions &actions);
     void stop(const AttemptPointer &attempt, StopReason reason);
     bool raiseFencing(std::int64_t fencing);
+    /// Waits until nothing runs; past a bound it preempts what can run again elsewhere.
+    void quiesce();
+    void preempt(WorkClass workClass);
     AttemptPointer find(const AttemptId &id);
     void watchUpstream();
     void sweep();
@@ -80,6 +92,8 @@
     std::size_t m_suspectsInProgress = 0;
     TimePoint m_suspectLostAt{};
     std::int64_t m_highestFencing = 0;
+    std::atomic<bool> m_knowsFencing{false};
+    ModelLoader m_loader;
     Counter m_begun;
     Counter m_refused;
     Counter m_preempted;
--- a/Services/radishplankd/AgentDaemon.cpp
+++ b/Services/radishplankd/AgentDaemon.cpp
@@ -5,6 +5,9 @@
 #include "MemberRegistration.h"
 #include "OperatorApi.h"
 
+#include <Placement/Placement.h>
+
+#include <boost/fiber/operations.hpp>
 #include <thread>
 
 namespace Radishplank {
@@ -12,6 +15,7 @@
 namespace {
 
 constexpr Milliseconds drainPollInterval{20};
+constexpr Milliseconds storeRetryInterval{500};
 /// Time for the last lines to reach the entry processes that read them.
 constexpr Milliseconds lastLinesTime{300};
 
@@ -44,6 +48,7 @@
                                                              : SlotOrder::ArrivalOrder;
     result.slots = {settings.slots, settings.onlineQueue, settings.batchQueue, order};
     result.secret = settings.common.secret;
+    result.models = settings.models;
     return result;
 }
 
@@ -56,10 +61,27 @@
     member.zone = ZoneName(settings.common.zone);
     member.region = RegionName(settings.common.region);
     member.pools = settings.pools;
+    member.models = settings.models;
     member.slots = static_cast<std::int64_t>(settings.slots);
     return member;
 }
 
+/// Reads the fencing number of the placement, so that an agent that has restarted goes on refusing
+/// old orders. Goes on trying through an outage of the store.
+std::int64_t readFencing(HttpObjectStore &store)
+{
+    while (true) {
+        const auto object = store.get(placementLeaseKey);
+        if (object.isError() && object.error().kind == ErrorKind::NotFound)
+            return 0;
+        if (!object.isError()) {
+            const auto lease = parsePlacementLease(object.value().value);
+            return lease.isError() ? 0 : lease.value().fencing;
+        }
+        boost::this_fiber::sleep_for(storeRetryInterval);
+    }
+}
+
 void drain(Agent &agent, HttpServer &dataServer, Milliseconds timeout)
 {
     agent.beginDrain();
@@ -94,7 +116,17 @@
             = memberOf(settings, advertised(settings.dataAdvertise, dataServer->endpoint()),
                        advertised(common.controlAdvertise, control->endpoint()));
     MemberRegistration registration(store, std::string(agentPrefix) + common.node);
-    threads.spawn([&registration, member] { registration.write(toJson(member)); });
+    threads.spawn([&store, &agent] { agent.learnFencing(readFencing(store)); });
+    threads.spawn([&registration, &agent, member] {
+        registration.write(toJson(member));
+        if (member.models.empty())
+            return;
+        agent.loadModels([&registration, &member](const std::string &model) {
+            auto serving = member;
+            serving.pools = {model};
+            registration.write(toJson(serving));
+        });
+    });
     TRY(writeReadyFile(common.readyFile, {{"data", dataServer->endpoint().text()},
                                           {"control", control->endpoint().text()},
                                           {"operator", operatorServer->endpoint().text()}}));
--- a/Services/radishplankd/Attempt.h
+++ b/Services/radishplankd/Attempt.h
@@ -16,6 +16,7 @@
 struct AttemptOrder
 {
     AttemptId id;
+    std::string pool;
     EntryKind kind = EntryKind::Model;
     WorkClass workClass = WorkClass::Online;
     Suspicion suspicion = Suspicion::None;
--- a/Services/radishplankd/AttemptClient.cpp
+++ b/Services/radishplankd/AttemptClient.cpp
@@ -135,6 +135,7 @@
             = std::chrono::duration_cast<Milliseconds>(request.deadline - SteadyClock().now());
     add(AttemptHeader::secret, m_secret);
     add(AttemptHeader::incarnation, incarnation);
+    add(AttemptHeader::pool, request.pool);
     add(AttemptHeader::kind, request.kind == EntryKind::Model ? "model" : "service");
     add(AttemptHeader::workClass, request.workClass == WorkClass::Online ? "online" : "batch");
     add(AttemptHeader::deadline, std::to_string(std::max<long long>(remaining.count(), 0)));
--- a/Services/radishplankd/AttemptClient.h
+++ b/Services/radishplankd/AttemptClient.h
@@ -13,6 +13,7 @@
 struct AttemptRequest
 {
     AttemptId id;
+    std::string pool;
     EntryKind kind = EntryKind::Model;
     WorkClass workClass = WorkClass::Online;
     Suspicion suspicion = Suspicion::None;
--- a/Services/radishplankd/BatchScheduler.cpp
+++ b/Services/radishplankd/BatchScheduler.cpp
@@ -60,6 +60,17 @@
     return m_shards.size();
 }
 
+std::set<std::string> BatchScheduler::waitingPools()
+{
+    const std::scoped_lock lock(m_mutex);
+    std::set<std::string> pools;
+    for (const auto &shard : m_shards) {
+        if (shard->hasWaitingItems())
+            pools.insert(shard->pool());
+    }
+    return pools;
+}
+
 bool BatchScheduler::takeItem(const OwnerId &owner)
 {
     const auto part = m_context.configuration.read(
--- a/Services/radishplankd/BatchScheduler.h
+++ b/Services/radishplankd/BatchScheduler.h
@@ -23,6 +23,8 @@
     /// Stops claiming, ends the items in flight and hands the shards back.
     void beginDrain();
     [[nodiscard]] std::size_t shardsHeld();
+    /// Returns the pools that items wait for here.
+    [[nodiscard]] std::set<std::string> waitingPools();
     [[nodiscard]] boost::json::object state();
 
     /// Tells whether one more item of the owner may run here, and counts it.
--- a/Services/radishplankd/CallRunner.cpp
+++ b/Services/radishplankd/CallRunner.cpp
@@ -8,6 +8,8 @@
 constexpr std::size_t maxUpstreams = 3;
 constexpr Milliseconds busyRetryAfter{1'000};
 constexpr std::size_t prefixBytes = 128;
+constexpr std::string_view noUpstreamCode = "no_upstream";
+constexpr std::string_view overloadedCode = "overloaded";
 
 } // namespace
 
@@ -22,6 +24,19 @@
 }
 
 CallResult CallRunner::run(const CallSpec &spec, const TokenSink &sink)
+{
+    const auto &pool = spec.entry->pool;
+    m_context.demand.noteBegin(pool, SteadyClock().now());
+    auto result = runOnUpstreams(spec, sink);
+    const bool foundNoPlace = result.code == noUpstreamCode || result.code == overloadedCode;
+    if (foundNoPlace)
+        m_context.demand.noteRefused(pool, SteadyClock().now());
+    else
+        m_context.demand.noteAnswered(pool, SteadyClock().now());
+    return result;
+}
+
+CallResult CallRunner::runOnUpstreams(const CallSpec &spec, const TokenSink &sink)
 {
     Progress progress;
     while (true) {
@@ -71,10 +86,10 @@
 CallResult CallRunner::refuseExhausted(const Progress &progress)
 {
     const auto outcome = progress.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
-    auto result
-            = progress.sawFullQueue
-                      ? refusal(429, outcome, "overloaded", "every upstream that was asked is full")
-                      : refusal(503, outcome, "no_upstream", "no upstream takes this call now");
+    auto result = progress.sawFullQueue ? refusal(429, outcome, std::string(overloadedCode),
+                                                  "every upstream that was asked is full")
+                                        : refusal(503, outcome, std::string(noUpstreamCode),
+                                                  "no upstream takes this call now");
     if (!progress.lastDetail.empty())
         result.message += " (" + progress.lastDetail + ")";
     result.retryAfter = busyRetryAfter;
@@ -164,6 +179,7 @@
 {
     AttemptRequest request;
     request.id = std::move(id);
+    request.pool = spec.entry->pool;
     request.kind = spec.entry->kind;
     request.workClass = workClass;
     request.suspicion = suspicion;
@@ -175,6 +191,8 @@
     request.body = spec.body;
     if (spec.entry->kind == EntryKind::Model) {
         auto body = spec.request;
+        // Engines know models, not the names that catalogue entries give them.
+        body["model"] = spec.entry->pool;
         body["stream"] = true;
         if (resumeFrom > 0)
             body["resume_from"] = resumeFrom;
--- a/Services/radishplankd/CallRunner.h
+++ b/Services/radishplankd/CallRunner.h
@@ -70,6 +70,7 @@
         std::string lastDetail;
     };
 
+    CallResult runOnUpstreams(const CallSpec &spec, const TokenSink &sink);
     std::optional<CallResult> refuseBarred(const CallSpec &spec, const Progress &progress);
     CallResult refuseExhausted(const Progress &progress);
     AttemptResult attempt(const CallSpec &spec, Upstream &upstream, const TokenSink &sink,
--- a/Services/radishplankd/DaemonSettings.cpp
+++ b/Services/radishplankd/DaemonSettings.cpp
@@ -59,6 +59,12 @@
                   "is left of uploads cut off is removed after twice that time.");
     settings.bind(&values.callMemory, "call-memory", "MILLISECONDS",
                   "How long an idempotency key finds the first call; the same everywhere.");
+    settings.bind(&values.placementInterval, "placement-interval", "MILLISECONDS",
+                  "How often the process that places models looks at the demand.");
+    settings.bind(&values.placementDwell, "placement-dwell", "MILLISECONDS",
+                  "An engine keeps a model for at least so long.");
+    settings.bind(&values.loadInterval, "load-interval", "MILLISECONDS",
+                  "Least time between two loads of models in the whole fleet.");
 }
 
 void bindAgentSettings(Settings &settings, AgentRoleSettings &values)
@@ -71,8 +77,9 @@
     settings.bind(&values.upstream, "upstream", "ADDRESS:PORT", "The upstream beside this agent.",
                   required);
     settings.bind(&values.kind, "kind", "model|service", "What the upstream is.");
-    settings.bind(&values.pools, "pools", "NAME,...", "Pools that the upstream belongs to.",
-                  required);
+    settings.bind(&values.pools, "pools", "NAME,...", "Pools that the upstream belongs to.");
+    settings.bind(&values.models, "models", "NAME,...",
+                  "Models that the engine loads on order; its pool is then the model it has.");
     settings.bind(&values.slots, "slots", "COUNT", "Calls that the upstream runs at once.");
     settings.bind(&values.onlineQueue, "online-queue", "COUNT",
                   "Online calls that may wait for a slot; further ones are refused at once.");
@@ -109,6 +116,8 @@
     }
     if (values.lease < shortestLease)
         findings.add("--lease", "must be at least " + std::to_string(shortestLease.count()));
+    if (values.placementInterval.count() == 0)
+        findings.add("--placement-interval", "must be above 0");
     if (values.uploadTime < shortestUploadTime)
         findings.add("--upload-time",
                      "must be at least " + std::to_string(shortestUploadTime.count()));
@@ -131,8 +140,10 @@
         findings.add("--scheduling", "must be online-first or arrival-order");
     if (values.slots < 1)
         findings.add("--slots", "must be above 0");
-    if (values.pools.empty())
-        findings.add("--pools", "must name a pool");
+    if (values.pools.empty() == values.models.empty())
+        findings.add("--pools", "either pools or --models must be named, and not both");
+    if (!values.models.empty() && values.kind != "model")
+        findings.add("--models", "only a model engine loads models");
 }
 
 } // namespace Radishplank
--- a/Services/radishplankd/DaemonSettings.h
+++ b/Services/radishplankd/DaemonSettings.h
@@ -35,6 +35,9 @@
     double batchLinkBytes = 375'000;
     Milliseconds uploadTime{1'800'000};
     Milliseconds callMemory{86'400'000};
+    Milliseconds placementInterval{5'000};
+    Milliseconds placementDwell{60'000};
+    Milliseconds loadInterval{10'000};
 };
 
 struct AgentRoleSettings
@@ -45,6 +48,7 @@
     Endpoint upstream;
     std::string kind = "model";
     std::vector<std::string> pools;
+    std::vector<std::string> models;
     std::uint64_t slots = 4;
     std::uint64_t onlineQueue = 16;
     std::uint64_t batchQueue = 2;
--- a/Services/radishplankd/EntryContext.h
+++ b/Services/radishplankd/EntryContext.h
@@ -5,6 +5,7 @@
 #include "UsageLedger.h"
 
 #include <Limits/Limits.h>
+#include <Placement/Placement.h>
 #include <Store/Store.h>
 
 namespace Radishplank {
@@ -41,6 +42,7 @@
     EntryMetrics &metrics;
     UsageLedger &usage;
     LinkAllowance &batchLink;
+    DemandMeter &demand;
     NodeId node;
 };
 
--- a/Services/radishplankd/EntryDaemon.cpp
+++ b/Services/radishplankd/EntryDaemon.cpp
@@ -5,6 +5,7 @@
 #include "LimitSharing.h"
 #include "MemberRegistration.h"
 #include "OperatorApi.h"
+#include "PlacementController.h"
 #include "StoreSweeper.h"
 #include "VmWatch.h"
 
@@ -50,6 +51,29 @@
             return Error{ErrorKind::Unavailable, "this process is starting"};
         return target->answer(request);
     }
+
+    std::atomic<DemandMeter *> demandMeter{nullptr};
+    std::atomic<BatchScheduler *> batch{nullptr};
+
+    Result<std::vector<PoolDemand>> demand() override
+    {
+        auto *meter = demandMeter.load();
+        auto *scheduler = batch.load();
+        if (meter == nullptr || scheduler == nullptr)
+            return Error{ErrorKind::Unavailable, "this process is starting"};
+        const auto waiting = scheduler->waitingPools();
+        auto totals = meter->totals(SteadyClock().now());
+        for (auto &each : totals)
+            each.hasBatch = waiting.contains(each.pool);
+        for (const auto &pool : waiting) {
+            const bool isKnown
+                    = std::any_of(totals.begin(), totals.end(),
+                                  [&](const PoolDemand &each) { return each.pool == pool; });
+            if (!isKnown)
+                totals.push_back({pool, 0, 0, 0, true});
+        }
+        return totals;
+    }
 };
 
 RoutingPolicy routingPolicy(const std::string &name)
@@ -102,6 +126,7 @@
                 routingPolicy(settings.routing));
     LinkAllowance batchLink(settings.batchLinkBytes, SteadyClock().now());
     AttemptClient attempts(*control, common.secret, batchLink);
+    DemandMeter demand;
     OwnerLimits limits;
     Quarantine quarantine(crashMemory, maxCrashRecords);
     RetryBudget retryBudget(retryShare, retryReserve);
@@ -109,7 +134,7 @@
     UsageLedger usage;
     EntryContext context{threads,  *control,  store,      configuration, fleet,
                          attempts, limits,    quarantine, retryBudget,   metrics,
-                         usage,    batchLink, node};
+                         usage,    batchLink, demand,     node};
     ConfigurationSync sync(context, syncSettings(settings), [&] {
         std::vector<NodeId> nodes;
         std::vector<AgentMember> agents;
@@ -129,9 +154,14 @@
     runner.onCrash = [&sync] { sync.announceCrashes(); };
     KeyedCalls keyedCalls(context, runner);
     BatchScheduler batch(context, runner, settings.lease);
+    controlHandler.demandMeter = &demand;
+    controlHandler.batch = &batch;
+    PlacementController placement(context,
+                                  {settings.placementInterval, settings.lease,
+                                   settings.placementDwell, settings.loadInterval, common.secret});
     BatchApi batchApi(context, batch, settings.uploadTime);
     CallerApi callerApi(context, runner, keyedCalls, batchApi);
-    OperatorApi operatorApi(context, sync, batch, common.operatorToken);
+    OperatorApi operatorApi(context, sync, batch, placement, common.operatorToken);
 
     HttpServerLimits callerLimits;
     callerLimits.bodyBytes = callerBodyBytes;
@@ -148,6 +178,7 @@
     batch.start();
     StoreSweeper sweeper(context, {settings.uploadTime, settings.callMemory});
     sweeper.start();
+    placement.start();
 
     const EntryMember member{node, advertised(common.controlAdvertise, control->endpoint()),
                              ZoneName(common.zone), RegionName(common.region)};
@@ -165,6 +196,7 @@
     waitForStopSignal();
     logStateChange("entry-draining");
     operatorApi.setDraining();
+    placement.beginDrain();
     drain(*callerServer, batch, settings,
           [&] { threads.spawn([&registration] { registration.remove(); }); });
     logStateChange("entry-stopped");
--- a/Services/radishplankd/OperatorApi.cpp
+++ b/Services/radishplankd/OperatorApi.cpp
@@ -51,10 +51,11 @@
 }
 
 OperatorApi::OperatorApi(EntryContext &context, ConfigurationSync &sync, BatchScheduler &batch,
-                         const std::string &token)
+                         PlacementController &placement, const std::string &token)
     : m_context(context)
     , m_sync(sync)
     , m_batch(batch)
+    , m_placement(placement)
     , m_tokenDigest(sha256Hex(token))
 {
 }
@@ -197,7 +198,8 @@
                                     {"retryBudget", m_context.retryBudget.available()},
                                     {"usage", m_context.usage.state()},
                                     {"crashes", std::move(quarantined)},
-                                    {"batch", m_batch.state()}});
+                                    {"batch", m_batch.state()},
+                                    {"placement", m_placement.state()}});
 }
 
 void OperatorApi::showMetrics(HttpExchange &exchange)
--- a/Services/radishplankd/OperatorApi.h
+++ b/Services/radishplankd/OperatorApi.h
@@ -2,6 +2,7 @@
 
 #include "BatchScheduler.h"
 #include "ConfigurationSync.h"
+#include "PlacementController.h"
 
 namespace Radishplank {
 
@@ -14,7 +15,7 @@
 {
 public:
     OperatorApi(EntryContext &context, ConfigurationSync &sync, BatchScheduler &batch,
-                const std::string &token);
+                PlacementController &placement, const std::string &token);
 
     void handle(HttpExchange &exchange);
     /// Makes /readyz say that this process takes no new callers.
@@ -33,6 +34,7 @@
     EntryContext &m_context;
     ConfigurationSync &m_sync;
     BatchScheduler &m_batch;
+    PlacementController &m_placement;
     std::string m_tokenDigest;
     std::atomic<bool> m_isDraining{false};
 };
--- /dev/null
+++ b/Services/radishplankd/PlacementController.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "EntryContext.h"
+
+#include <Batch/Batch.h>
+#include <Placement/Placement.h>
+
+#include <set>
+
+namespace Radishplank {
+
+struct PlacementSettings
+{
+    /// Time between two looks at the demand.
+    Milliseconds interval;
+    Milliseconds lease;
+    Milliseconds dwell;
+    /// Least time between two loads anywhere, which the store of weights can bear.
+    Milliseconds loadInterval;
+    std::string secret;
+};
+
+/// Places models on the engines that load them on order, while this process holds the lease for it.
+///
+/// What is placed where is read from the members, and the demand from the entry processes, so a new
+/// holder needs nothing from the one before it.
+class PlacementController
+{
+public:
+    PlacementController(EntryContext &context, PlacementSettings settings);
+
+    void start();
+    /// Gives the lease back.
+    void beginDrain();
+    [[nodiscard]] boost::json::object state();
+
+private:
+    struct Engine
+    {
+        PlaceableEngine engine;
+        Endpoint data;
+    };
+    /// What one entry process has told, and when.
+    struct Reading
+    {
+        TimePoint at;
+        std::map<std::string, PoolDemand> pools;
+        /// Slots wanted between the last two readings.
+        std::map<std::string, double> slots;
+    };
+    struct Answers;
+    enum class OrderResult { Taken, Old, Failed };
+
+    void run();
+    void look();
+    [[nodiscard]] std::vector<Engine> engines(TimePoint now);
+    [[nodiscard]] bool isCandidate() const;
+    bool keepLease(const std::vector<Engine> &engines);
+    void announceFencing(const std::vector<Engine> &engines);
+    void collectDemand();
+    void takeReading(const NodeId &node, const std::vector<PoolDemand> &demand, TimePoint now);
+    [[nodiscard]] std::vector<ModelDemand> fleetDemand() const;
+    [[nodiscard]] std::set<std::string> wantedModels() const;
+    void moveIfDue(const std::vector<Engine> &engines);
+    OrderResult sendOrder(const Endpoint &agent, boost::json::object order) const;
+
+    EntryContext &m_context;
+    PlacementSettings m_settings;
+    std::atomic<bool> m_isDraining{false};
+    LeaseObserver m_observer;
+    std::mutex m_mutex;
+    PlacementLease<HttpObjectStore> m_lease;
+    PlacementPlanner m_planner;
+    std::map<NodeId, Reading> m_readings;
+    std::map<UpstreamId, TimePoint> m_failedAt;
+    TimePoint m_movedAt{};
+    Counter m_moves;
+    std::atomic<bool> m_isHeld{false};
+    std::atomic<std::int64_t> m_fencing{0};
+};
+
+} // namespace Radishplank
--- a/Services/radishplankd/ShardRunner.h
+++ b/Services/radishplankd/ShardRunner.h
@@ -24,6 +24,8 @@
 
     [[nodiscard]] const JobKey &job() const { return m_lease.job(); }
     [[nodiscard]] std::size_t shard() const { return m_lease.shard(); }
+    /// Returns the pool whose upstreams run the items; call only while items wait.
+    [[nodiscard]] const std::string &pool() const { return m_entry->pool; }
     /// Tells whether items still wait to be handed out.
     [[nodiscard]] bool hasWaitingItems() const { return m_waitingCount > 0; }
     [[nodiscard]] bool isComplete() const { return m_isComplete; }
--- a/Tests/Integration/Deployment.cpp
+++ b/Tests/Integration/Deployment.cpp
@@ -70,6 +70,10 @@
             = {isModel ? "engine" : "service", "--slots=" + std::to_string(options.slots),
                "--token-interval=" + std::to_string(options.tokenIntervalMs),
                "--service-time=" + std::to_string(options.serviceTimeMs), "--listen=127.0.0.1:0"};
+    if (!options.models.empty())
+        upstream.arguments.push_back("--weight-store=" + m_platformHttp.text());
+    upstream.arguments.push_back(std::string("--check-fencing=")
+                                 + (options.checksFencing ? "true" : "false"));
     upstream.arguments.insert(upstream.arguments.end(), options.upstreamArguments.begin(),
                               options.upstreamArguments.end());
     upstream.process = std::make_unique<Process>(STANDIN_PATH, upstream.arguments, m_directory,
@@ -79,16 +83,17 @@
     upstream.arguments.push_back("--listen=" + upstream.http.text());
 
     auto &agent = m_agents[name];
-    agent.arguments = {"agent",
-                       "--node=" + name,
-                       "--zone=" + options.zone,
-                       "--region=" + options.region,
-                       "--store=" + m_platformHttp.text(),
-                       "--upstream=" + upstream.http.text(),
-                       "--kind=" + options.kind,
-                       "--pools=" + options.pool,
-                       "--slots=" + std::to_string(options.slots),
-                       "--online-queue=" + std::to_string(options.onlineQueue)};
+    agent.arguments
+            = {"agent",
+               "--node=" + name,
+               "--zone=" + options.zone,
+               "--region=" + options.region,
+               "--store=" + m_platformHttp.text(),
+               "--upstream=" + upstream.http.text(),
+               "--kind=" + options.kind,
+               options.models.empty() ? "--pools=" + options.pool : "--models=" + options.models,
+               "--slots=" + std::to_string(options.slots),
+               "--online-queue=" + std::to_string(options.onlineQueue)};
     if (options.isBehindProxy) {
         agent.arguments.push_back("--data-advertise=" + openRoute(name + "-data").text());
         agent.arguments.push_back("--control-advertise=" + openRoute(name + "-control").text());
@@ -168,7 +173,7 @@
     REQUIRE(written.status == 200);
 }
 
-void Deployment::putCatalogue(std::size_t acceptingUpstreams)
+void Deployment::putCatalogue()
 {
     putObject("owners/lotka", R"({"tokenDigest":")" + sha256Hex(token) + R"("})");
     putObject("entries/lotka/captions", R"({"pool":"captions"})");
@@ -180,10 +185,16 @@
                     = client.call(entry.callers, withToken({"GET", "/v1/models", {}, ""}, token));
             return models.status == 200 && models.body.find("captions") != std::string::npos;
         }));
-        waitForUpstreams(name, acceptingUpstreams);
     }
 }
 
+void Deployment::putCatalogue(std::size_t acceptingUpstreams)
+{
+    putCatalogue();
+    for (const auto &[name, entry] : m_entries)
+        waitForUpstreams(name, acceptingUpstreams);
+}
+
 void Deployment::waitForUpstreams(const std::string &entry, std::size_t accepting)
 {
     REQUIRE(eventually([&] {
--- a/Tests/Integration/Deployment.h
+++ b/Tests/Integration/Deployment.h
@@ -23,6 +23,9 @@
     /// Puts the fault proxy between the entry processes and this agent, on links NAME-data and
     /// NAME-control.
     bool isBehindProxy = false;
+    /// Models, separated by commas, that the engine loads on order; the pool then does not count.
+    std::string models{};
+    bool checksFencing = false;
     std::vector<std::string> upstreamArguments{};
 };
 
@@ -73,7 +76,9 @@
     void restartAgent(const std::string &name);
     void restartEntry(const std::string &name);
     /// Writes the owner and entries through the first entry process, and waits until every entry
-    /// process serves them with the given number of accepting upstreams.
+    /// process knows them.
+    void putCatalogue();
+    /// As above, and waits until every entry process has the given number of accepting upstreams.
     void putCatalogue(std::size_t acceptingUpstreams);
     /// Writes one catalogue object, whatever its version.
     void putObject(const std::string &key, const std::string &value);
--- /dev/null
+++ b/Tests/Integration/TestPlacement.cpp
@@ -0,0 +1,208 @@
+#include "Deployment.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using namespace Radishplank;
+using namespace Radishplank::Test;
+
+namespace {
+
+const std::vector<std::string> agentNames{"agent1", "agent2", "agent3"};
+const std::vector<std::string> entryNames{"entry1", "entry2"};
+
+/// Three engines that load models on order, two entry processes, and two models in the catalogue.
+class PlacedModels
+{
+public:
+    explicit PlacedModels(bool checksFencing = false)
+    {
+        for (const auto &name : agentNames)
+            deployment.addAgent(name,
+                                {.models = "captions,proofs", .checksFencing = checksFencing});
+        for (const auto &name : entryNames) {
+            deployment.addEntry(name,
+                                {.arguments = {"--placement-interval=200", "--placement-dwell=2000",
+                                               "--load-interval=100", "--lease=2000"}});
+        }
+        deployment.putCatalogue();
+        deployment.putObject("entries/lotka/proofs", R"({"pool":"proofs"})");
+        REQUIRE(eventually([&] { return serves("captions") && serves("proofs"); }));
+    }
+
+    bool serves(const std::string &model)
+    {
+        return std::all_of(entryNames.begin(), entryNames.end(), [&](const std::string &entry) {
+            return deployment.call(entry, request(model, "probe")).status == 200;
+        });
+    }
+
+    static HttpRequest request(const std::string &model, const std::string &prompt)
+    {
+        return {"POST",
+                "/v1/completions",
+                {},
+                boost::json::serialize(boost::json::object{
+                        {"model", model}, {"prompt", prompt}, {"max_tokens", 3}})};
+    }
+
+    std::size_t enginesWith(const std::string &model)
+    {
+        return static_cast<std::size_t>(
+                std::count_if(agentNames.begin(), agentNames.end(), [&](const auto &name) {
+                    return textField(deployment.engineStats(name), "model") == model;
+                }));
+    }
+
+    boost::json::object placement(const std::string &entry)
+    {
+        return deployment.state(deployment.entry(entry).operators).at("placement").as_object();
+    }
+
+    bool holds(const std::string &entry) { return placement(entry).at("held").as_bool(); }
+
+    std::string holder()
+    {
+        std::string found;
+        REQUIRE(eventually([&] {
+            for (const auto &entry : entryNames) {
+                if (holds(entry))
+                    found = entry;
+            }
+            return !found.empty();
+        }));
+        return found;
+    }
+
+    Deployment deployment;
+};
+
+} // namespace
+
+TEST_CASE("Models are placed where they are asked for")
+{
+    SECTION("Before any engine has the model, a call is refused at once, and told when to come "
+            "back")
+    {
+        Deployment deployment;
+        deployment.addAgent("agent1", {.models = "captions"});
+        deployment.addEntry("entry1", {.arguments = {"--placement-interval=60000"}});
+        deployment.putCatalogue();
+        const auto refused = deployment.call("entry1", completion("early", 1));
+        CHECK(refused.status == 503);
+        CHECK(refused.headers.value("Radishplank-Outcome") == "not-run");
+        CHECK_FALSE(refused.headers.value("Retry-After").empty());
+    }
+    SECTION("Each model of the catalogue is served, by engines that have it")
+    {
+        PlacedModels models;
+        const auto answer
+                = models.deployment.call("entry1", PlacedModels::request("proofs", "a proof"));
+        CHECK(wholeText(answer) == expectedText("a proof", 3));
+        for (const auto &name : agentNames)
+            CHECK(integerField(models.deployment.engineStats(name), "wrongModel", -1) == 0);
+    }
+    SECTION("A model that more is asked of gets more engines, and no call is lost on the way")
+    {
+        PlacedModels models;
+        for (const auto *busy : {"proofs", "captions"}) {
+            int number = 0;
+            REQUIRE(eventually([&] {
+                std::vector<std::pair<RunningCall, std::string>> calls;
+                for (int i = 0; i < 8; ++i) {
+                    const auto prompt = std::string(busy) + std::to_string(number++);
+                    calls.emplace_back(
+                            models.deployment.start(entryNames[static_cast<std::size_t>(i) % 2],
+                                                    PlacedModels::request(busy, prompt)),
+                            prompt);
+                }
+                for (const auto &[call, prompt] : calls)
+                    CHECK(wholeText(call.answer.get()) == expectedText(prompt, 3));
+                return models.enginesWith(busy) == 2;
+            }));
+        }
+        for (const auto &name : agentNames)
+            CHECK(integerField(models.deployment.engineStats(name), "wrongModel", -1) == 0);
+    }
+    SECTION("An engine that restarts is given its model again")
+    {
+        PlacedModels models;
+        models.deployment.restartUpstream("agent1");
+        CHECK(eventually([&] {
+            return models.enginesWith("captions") + models.enginesWith("proofs") == 3;
+        }));
+        CHECK(eventually([&] { return models.serves("captions") && models.serves("proofs"); }));
+    }
+    SECTION("The store of weights refuses loads that come too fast, and all are loaded in the end")
+    {
+        Deployment deployment;
+        deployment.platform(R"({"weightIntervalMs":1500})");
+        for (const auto &name : agentNames)
+            deployment.addAgent(name, {.models = "captions"});
+        deployment.addEntry("entry1",
+                            {.arguments = {"--placement-interval=100", "--load-interval=100"}});
+        deployment.putCatalogue(3);
+        const auto counts = deployment.platformCounts();
+        CHECK(integerField(counts, "weights", 0) == 3);
+        CHECK(integerField(counts, "weightsRefused", 0) > 0);
+    }
+}
+
+TEST_CASE("Two processes that hold the placement at once do no harm")
+{
+    const bool checksFencing = GENERATE(true, false);
+    CAPTURE(checksFencing);
+    PlacedModels models(checksFencing);
+    auto &deployment = models.deployment;
+    const auto old = models.holder();
+    const auto other = old == "entry1" ? "entry2" : "entry1";
+    const auto fencing = integerField(models.placement(old), "fencing", 0);
+    deployment.entry(old).process->freeze();
+    REQUIRE(eventually([&] { return models.holds(other); }));
+    CHECK(integerField(models.placement(other), "fencing", 0) > fencing);
+
+    SECTION("The old one wakes, finds that it is not the holder, and places nothing")
+    {
+        deployment.entry(old).process->thaw();
+        CHECK(eventually([&] { return !models.holds(old); }));
+        CHECK(models.holds(other));
+    }
+    SECTION("An order that it sent before it slept, and that arrives only now, is refused")
+    {
+        const auto order = [&](const std::string &agent, std::int64_t number) {
+            HttpRequest request{"POST",
+                                "/orders",
+                                {},
+                                R"({"fencing":)" + std::to_string(number) + R"(,"load":"proofs"})"};
+            request.headers.add("Radishplank-Secret", "secret-of-the-cluster");
+            return deployment.client.call(deployment.agentData(agent), request).status;
+        };
+        REQUIRE(eventually([&] {
+            return std::all_of(agentNames.begin(), agentNames.end(), [&](const auto &name) {
+                const auto state = deployment.state(deployment.agent(name).operators);
+                return integerField(state, "highestFencing", 0) > fencing;
+            });
+        }));
+        for (const auto &name : agentNames)
+            CHECK(order(name, fencing) == 409);
+        SECTION("also by an agent that has restarted since")
+        {
+            deployment.restartAgent("agent1");
+            REQUIRE(eventually([&] { return order("agent1", fencing) != 503; }));
+            CHECK(order("agent1", fencing) == 409);
+        }
+        for (const auto &name : agentNames)
+            CHECK(integerField(deployment.engineStats(name), "staleOrders", -1) == 0);
+        deployment.entry(old).process->thaw();
+    }
+}
+
+TEST_CASE("A planned stop of the process that places models hands the placement on at once")
+{
+    PlacedModels models;
+    const auto old = models.holder();
+    const auto other = old == "entry1" ? "entry2" : "entry1";
+    models.deployment.entry(old).process->signal(SIGTERM);
+    CHECK(eventually([&] { return models.holds(other); }));
+}
--- a/Utilities/radishplank-standin/EngineStandin.cpp
+++ b/Utilities/radishplank-standin/EngineStandin.cpp
@@ -103,6 +103,14 @@
         respondJson(exchange, 400, {{"error", parsed.error().message}});
         return;
     }
+    if (managesModels()) {
+        const std::scoped_lock lock(m_mutex);
+        if (parsed.value().model != m_model) {
+            m_wrongModel += 1;
+            respondJson(exchange, 404, {{"error", "the model is not loaded"}});
+            return;
+        }
+    }
     const auto stream = std::make_shared<Stream>();
     stream->id = exchange.request().headers.value("X-Request-Id");
     if (waitForSlot(stream))
@@ -120,6 +128,7 @@
     JsonReader reader(request, "request", findings);
     Job job;
     job.isChat = isChat;
+    job.model = reader.text("model", "");
     job.prompt = isChat ? chatPrompt(request) : reader.requiredText("prompt");
     job.tokens = static_cast<std::uint64_t>(reader.integer("max_tokens", 16, 1, maxTokens));
     job.resumeFrom = static_cast<std::uint64_t>(reader.integer("resume_from", 0, 0, maxTokens));
@@ -260,10 +269,10 @@
         const std::scoped_lock lock(m_mutex);
         const auto now = SteadyClock().now();
         if (m_loadSample.empty() || now - m_loadSampledAt >= m_settings.loadLag) {
-            m_loadSample
-                    = boost::json::serialize(boost::json::object{{"slots", m_settings.slots},
-                                                                 {"running", m_running},
-                                                                 {"waiting", m_waiting.size()}});
+            m_loadSample = boost::json::serialize(boost::json::object{{"slots", m_settings.slots},
+                                                                      {"running", m_running},
+                                                                      {"waiting", m_waiting.size()},
+                                                                      {"model", m_model}});
             m_loadSampledAt = now;
         }
         sample = m_loadSample;
@@ -289,9 +298,37 @@
             m_staleOrders += 1;
         m_highestFencing = std::max(m_highestFencing, fencing);
     }
+    const auto model = textField(order.value(), "load");
+    if (!isRefused && model && managesModels()) {
+        loadModel(exchange, *model);
+        return;
+    }
     respondJson(exchange, isRefused ? 409 : 200, {{"fencing", m_highestFencing}});
 }
 
+void EngineStandin::loadModel(HttpExchange &exchange, const std::string &model)
+{
+    const auto weights
+            = HttpClient::fetch(m_settings.weightStore, {"GET", "/weights/" + model, {}, ""}, {});
+    if (weights.isError() || weights.value().status != 200) {
+        (void)exchange.respond({503, {{"Retry-After", "1"}}, "no weights now"});
+        return;
+    }
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_model.clear();
+    }
+    boost::this_fiber::sleep_for(m_settings.loadTime);
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_model = model;
+        m_loads += 1;
+        m_cache.clear();
+        m_cacheOrder.clear();
+    }
+    respondJson(exchange, 200, {{"model", model}});
+}
+
 void EngineStandin::showStats(HttpExchange &exchange)
 {
     boost::json::object stats;
@@ -308,6 +345,9 @@
                  {"cachedWords", m_cachedWords},
                  {"promptWords", m_promptWords},
                  {"staleOrders", m_staleOrders},
+                 {"model", m_model},
+                 {"loads", m_loads},
+                 {"wrongModel", m_wrongModel},
                  {"uptimeMicroseconds",
                   std::chrono::duration_cast<std::chrono::microseconds>(uptime).count()}};
     }
--- a/Utilities/radishplank-standin/EngineStandin.h
+++ b/Utilities/radishplank-standin/EngineStandin.h
@@ -23,6 +23,9 @@
     std::uint64_t cacheBlocks = 256;
     Milliseconds loadLag{200};
     bool checksFencing = false;
+    /// Where models are loaded from; without it the engine has every model.
+    Endpoint weightStore{"", 0};
+    Milliseconds loadTime{200};
 };
 
 /// Stands in for a model engine: continuous batching over a fixed number of slots, admitted in
@@ -52,6 +55,7 @@
     };
     struct Job
     {
+        std::string model;
         std::string prompt;
         std::uint64_t tokens = 0;
         std::uint64_t resumeFrom = 0;
@@ -71,6 +75,8 @@
     void cancel(HttpExchange &exchange, const std::string &id);
     void showLoad(HttpExchange &exchange);
     void takeOrder(HttpExchange &exchange);
+    void loadModel(HttpExchange &exchange, const std::string &model);
+    [[nodiscard]] bool managesModels() const { return !m_settings.weightStore.address.empty(); }
     void showStats(HttpExchange &exchange);
 
     EngineSettings m_settings;
@@ -86,6 +92,9 @@
     std::string m_loadSample;
     std::int64_t m_highestFencing = 0;
     std::int64_t m_staleOrders = 0;
+    std::string m_model;
+    std::uint64_t m_loads = 0;
+    std::uint64_t m_wrongModel = 0;
     TimePoint m_startedAt;
     std::int64_t m_busyMicroseconds = 0;
     std::uint64_t m_executions = 0;
--- a/Utilities/radishplank-standin/PlatformStandin.h
+++ b/Utilities/radishplank-standin/PlatformStandin.h
@@ -13,7 +13,8 @@
 /// Objects: `GET|PUT|DELETE /objects/KEY` (header `If-Version`), `GET /objects?prefix=&after=`,
 /// `GET /watch?prefix=&since=&wait=`. VMs: `GET /vms`, `PUT /vms/ID` with `live` or `leaving`.
 /// Faults: `POST /switches` with any of `outage`, `delayMs`, `loseAnswers`, `loseWatches`,
-/// `vmLagMs`.
+/// `vmLagMs`, `weightIntervalMs`. Weights of models: `GET /weights/MODEL`, refused when they are
+/// asked for sooner after each other than that.
 /// Counts of calls: `GET /counts`.
 class PlatformStandin
 {
@@ -30,6 +31,7 @@
         /// Watches answer in time, but without the changes.
         bool losesWatches = false;
         std::int64_t vmListLagMilliseconds = 0;
+        std::int64_t weightIntervalMilliseconds = 0;
     };
     struct VmChange
     {
@@ -45,6 +47,7 @@
     HttpResponse changeSwitches(HttpExchange &exchange);
     HttpResponse changeVm(HttpExchange &exchange, const std::string &vm);
     HttpResponse listVms();
+    HttpResponse serveWeights();
     HttpResponse showCounts();
     bool takeLostAnswer();
     void noteChange();
@@ -57,6 +60,9 @@
     Counter m_reads;
     Counter m_writes;
     Counter m_watches;
+    TimePoint m_weightsServedAt{};
+    Counter m_weights;
+    Counter m_weightsRefused;
 };
 
 } // namespace Radishplank
--- a/Utilities/radishplank-standin/main.cpp
+++ b/Utilities/radishplank-standin/main.cpp
@@ -40,6 +40,10 @@
                   "Engine: age of the load that it reports.");
     settings.bind(&values.engine.checksFencing, "check-fencing", "true|false",
                   "Engine: refuse orders with an old fencing number.");
+    settings.bind(&values.engine.weightStore, "weight-store", "ADDRESS:PORT",
+                  "Engine: where it loads models from; without it, it has every model.");
+    settings.bind(&values.engine.loadTime, "load-time", "MILLISECONDS",
+                  "Engine: time of one load of a model.");
     settings.bind(&values.serviceTime, "service-time", "MILLISECONDS",
                   "Service: time of one call.");
 }
