--- a/Libraries/Core/DuplicateFields.cpp
+++ b/Libraries/Core/DuplicateFields.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 /// Follows the events of the parser and keeps the names seen in each object that is still open.
-/// The parser prescribes the names of constants and functions.
+// The parser prescribes the names of constants and functions.
+// NOLINTBEGIN(readability-identifier-naming)
 class FieldNames
 {
 public:
@@ -72,6 +73,7 @@
     std::string m_name;
     std::vector<std::unordered_set<std::string>> m_openObjects;
 };
+// NOLINTEND(readability-identifier-naming)
 
 } // namespace
 
--- a/Services/radishplankd/PlacementController.cpp
+++ b/Services/radishplankd/PlacementController.cpp
@@ -246,8 +246,8 @@
     m_planner.forget(move->engine);
 }
 
-PlacementController::OrderResult PlacementController::sendOrder(const Endpoint &agent,
-                                                                boost::json::object order) const
+PlacementController::OrderResult
+PlacementController::sendOrder(const Endpoint &agent, const boost::json::object &order) const
 {
     HttpRequest request{"POST", "/orders", {}, boost::json::serialize(order)};
     request.headers.add(std::string(AttemptHeader::secret), m_settings.secret);
--- a/Services/radishplankd/PlacementController.h
+++ b/Services/radishplankd/PlacementController.h
@@ -62,7 +62,7 @@
     [[nodiscard]] std::vector<ModelDemand> fleetDemand() const;
     [[nodiscard]] std::set<std::string> wantedModels() const;
     void moveIfDue(const std::vector<Engine> &engines);
-    OrderResult sendOrder(const Endpoint &agent, boost::json::object order) const;
+    OrderResult sendOrder(const Endpoint &agent, const boost::json::object &order) const;
 
     EntryContext &m_context;
     PlacementSettings m_settings;
--- a/Utilities/radishplank-standin/EngineStandin.cpp
+++ b/Utilities/radishplank-standin/EngineStandin.cpp
@@ -66,7 +66,7 @@
 } // namespace
 
 EngineStandin::EngineStandin(EngineSettings settings)
-    : m_settings(settings)
+    : m_settings(std::move(settings))
     , m_startedAt(SteadyClock().now())
 {
 }
