BatchScheduler: Hold no shard without a part of the owner's limit on items

Cause: with a limit on items below the number of entry processes, a process without a part could claim a shard and keep it by renewing, but run none of its items: the job never ended. Ruled out: the lease (it was renewed in time), the agents (idle). Before: 'A limit on items below the number of entry processes holds up no job' failed after 60 s, with a limit of 1 and three processes. After: passes. Such a process claims nothing, and hands back what it holds when its part goes.

--- a/Services/radishplankd/BatchScheduler.cpp
+++ b/Services/radishplankd/BatchScheduler.cpp
@@ -73,7 +73,18 @@
 
 bool BatchScheduler::takeItem(const OwnerId &owner)
 {
-    const auto part = m_context.configuration.read(
+    const auto part = itemPart(owner);
+    const std::scoped_lock lock(m_mutex);
+    auto &load = m_owners[owner];
+    if (part && load.inFlight >= static_cast<std::size_t>(*part))
+        return false;
+    load.inFlight += 1;
+    return true;
+}
+
+std::optional<std::int64_t> BatchScheduler::itemPart(const OwnerId &owner) const
+{
+    return m_context.configuration.read(
             [&](const CatalogueSnapshot &catalogue) -> std::optional<std::int64_t> {
                 const auto *known = catalogue.owner(owner);
                 if (known == nullptr || known->limits.concurrentItems == 0)
@@ -81,12 +92,6 @@
                 return concurrencyPart(known->limits.concurrentItems, owner.text(),
                                        catalogue.nodeIds(), m_context.node);
             });
-    const std::scoped_lock lock(m_mutex);
-    auto &load = m_owners[owner];
-    if (part && load.inFlight >= static_cast<std::size_t>(*part))
-        return false;
-    load.inFlight += 1;
-    return true;
 }
 
 void BatchScheduler::releaseItem(const OwnerId &owner, bool isCompleted)
@@ -161,6 +166,7 @@
 {
     while (!m_isDraining) {
         boost::this_fiber::sleep_for(claimInterval);
+        handBackWithoutPart();
         if (!wantsShard())
             continue;
         for (const auto &job : jobsInOrder()) {
@@ -170,6 +176,16 @@
     }
 }
 
+void BatchScheduler::handBackWithoutPart()
+{
+    const std::scoped_lock lock(m_mutex);
+    for (const auto &shard : m_shards) {
+        // Another process has the part, and could go on with the shard.
+        if (itemPart(shard->job().owner) == 0)
+            shard->handBack();
+    }
+}
+
 bool BatchScheduler::wantsShard()
 {
     const std::scoped_lock lock(m_mutex);
@@ -234,7 +250,8 @@
         return false;
     }
     const auto shards = m_jobs.readShards(job, manifest);
-    if (shards.isError() || !isNearEnough(job, manifest.shardItems.size())) {
+    if (shards.isError() || itemPart(job.owner) == 0
+        || !isNearEnough(job, manifest.shardItems.size())) {
         postpone(job, nothingToClaimWait);
         return false;
     }
@@ -307,7 +324,12 @@
     // job, the calls to the store would grow with the fleet.
     constexpr std::size_t processesPerShard = 2;
     constexpr std::size_t spareProcesses = 4;
+    const auto part = itemPart(job.owner);
     return m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
+        // With fewer items than processes, those that have a part are few enough.
+        const bool isLimitSmall = part && *part <= 1;
+        if (isLimitSmall)
+            return true;
         const auto own = stableHash(m_context.node.text(), stableHash(job.prefix()));
         std::size_t nearer = 0;
         for (const auto &node : catalogue.nodes())
--- a/Services/radishplankd/BatchScheduler.h
+++ b/Services/radishplankd/BatchScheduler.h
@@ -54,6 +54,9 @@
     bool claimFrom(const JobKey &job);
     bool claimShard(const JobKey &job, const JobManifest &manifest, std::size_t shard);
     void finishCancelled(const JobKey &job);
+    /// Returns how many items of the owner may run here; nothing if there is no limit.
+    [[nodiscard]] std::optional<std::int64_t> itemPart(const OwnerId &owner) const;
+    void handBackWithoutPart();
     [[nodiscard]] bool isNearEnough(const JobKey &job, std::size_t shards) const;
     void postpone(const JobKey &job, Milliseconds wait);
     void runShard(const std::shared_ptr<ShardRunner> &shard);
--- a/Tests/Integration/TestBatchPromises.cpp
+++ b/Tests/Integration/TestBatchPromises.cpp
@@ -482,3 +482,19 @@
         }
     }
 }
+
+TEST_CASE("A limit on items below the number of entry processes holds up no job")
+{
+    Deployment deployment;
+    deployment.addAgent("agent1", {.slots = 8, .tokenIntervalMs = 2});
+    for (const auto *name : {"entry1", "entry2", "entry3"})
+        deployment.addEntry(name);
+    deployment.putCatalogue(1);
+    deployment.putObject("owners/lotka", R"({"tokenDigest":")" + sha256Hex(Deployment::token)
+                                                 + R"(","limits":{"concurrentItems":1}})");
+    const std::vector<std::string> jobs{"first", "second", "third", "fourth"};
+    for (const auto &job : jobs)
+        REQUIRE(deployment.call("entry1", submission(job, jobLines(30, 1))).status == 201);
+    for (const auto &job : jobs)
+        waitForState(deployment, "entry2", job, "completed");
+}
