--- a/Meta/capacity.py
+++ b/Meta/capacity.py
@@ -152,22 +152,26 @@
     """Memory of an open stream that carries nothing but heartbeats."""
     entry_memory, agent_memory, entry_cpu = [], [], []
     with tempfile.TemporaryDirectory() as directory:
-        for count in (500, 2000, 4000):
+        # One process cannot open enough connections for 10,000 streams.
+        for total, processes in ((500, 1), (2000, 1), (4000, 1), (10_000, 2)):
+            count = total // processes
             with Deployment(args.build) as deployment:
-                deployment.add_upstream("zone1", "region1", count, 8_000,
-                                        engine=("--prefill=0",))
-                entry = deployment.add_entry("zone1", "region1")
+                for _ in range(processes):
+                    deployment.add_upstream("zone1", "region1", count + 200, 8_000,
+                                            engine=("--prefill=0",))
+                    deployment.add_entry("zone1", "region1")
+                entry = deployment.entries[0]
                 deployment.put_catalogue("lotka")
                 trace = pathlib.Path(directory, "streams.jsonl")
                 with open(trace, "w", encoding="utf-8") as file:
-                    for number in range(count):
+                    for number in range(total):
                         file.write(json.dumps({"offsetMs": number * 0.4, "owner": "lotka",
                                                "entry": "assistant", "prompt": f"p{number}",
                                                "tokens": 9}) + "\n")
                 base = entry.usage()[1], deployment.agents[0].usage()[1]
                 running = deployment.start_replay(trace)
                 until = time.monotonic() + 40
-                while deployment.engine_stats()[0]["running"] < count:
+                while sum(each["running"] for each in deployment.engine_stats()) < total:
                     if time.monotonic() > until:
                         raise RuntimeError("the streams did not open")
                     time.sleep(0.1)
@@ -182,6 +186,45 @@
     report("entry: processor share by idle streams", "% of a core", entry_cpu, 100, "stream")
 
 
+def time_in_force(args):
+    """Time until a change is in force in six entry processes of two regions, one of them reached
+    over the link, by which region it is made in."""
+    changes = 20
+    with Deployment(args.build) as deployment:
+        deployment.add_upstream("zone1", "region1", 4, 20)
+        store_route = deployment.route("store", "regions")
+        deployment.route("store", "regions", deployment.store)
+        for number in range(6):
+            if number < 3:
+                deployment.add_entry("zone1", "region1", ("--threads=1",))
+                continue
+            name = f"entry{number}-control"
+            route = deployment.route(name, "regions")
+            entry = deployment.add_entry("zone3", "region2",
+                                         ("--threads=1", f"--store={store_route}",
+                                          f"--control-advertise={route}"))
+            deployment.route(name, "regions", entry.addresses["control"])
+        deployment.link("regions", delayMs=8, bytesPerSecond=30_000_000 // 8)
+        deployment.put_catalogue("lotka")
+        time.sleep(3)
+        for label, maker in (("the store's region", 0), ("the other region", 5)):
+            times = []
+            for number in range(changes):
+                name = f"late{maker}-{number}"
+                began = time.monotonic()
+                deployment.put(f"entries/lotka/{name}", {"pool": "assistant"}, entry=maker)
+                waiting = list(deployment.entries)
+                while waiting:
+                    waiting = [entry for entry in waiting if name not in http(
+                        "GET", entry.addresses["callers"], "/v1/models",
+                        token="bench-owner-token")[1]]
+                times.append(time.monotonic() - began)
+                time.sleep(0.2)
+            times.sort()
+            print(f"made in {label}: {changes} changes in force everywhere after "
+                  f"{times[len(times) // 2]:.2f} s at the median, {times[-1]:.2f} s at most")
+
+
 def proxy_cost(args):
     """Added latency, and processor time by requests and by tokens."""
     with tempfile.TemporaryDirectory() as directory:
@@ -221,7 +264,7 @@
 
 def main():
     parts = {"agents": agents_watched, "entries": entries_at_agent, "bytes": control_bytes,
-             "owners": owners, "streams": idle_streams, "cost": proxy_cost}
+             "owners": owners, "streams": idle_streams, "force": time_in_force, "cost": proxy_cost}
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="Build")
     parser.add_argument("--parts", default=",".join(parts), help="of: " + ", ".join(parts))
--- a/Meta/deployment.py
+++ b/Meta/deployment.py
@@ -175,8 +175,8 @@
         self.entries.append(entry)
         return entry
 
-    def put(self, key, value):
-        operators = self.entries[0].addresses["operator"]
+    def put(self, key, value, entry=0):
+        operators = self.entries[entry].addresses["operator"]
         status, body = http("PUT", operators, f"/catalogue/{key}", json.dumps(value),
                             OPERATOR_TOKEN, {"If-Version": "0"})
         if status != 200:
