radishplank-load: Tell answers that were cut off, and said so, from wrong ones

Ruled out: mixed-up tokens on resuming (each stream's text was a prefix of the right one). After: such calls count as cut off, and not as answered. Conclusion: the load tool's fault; the entry process said what had happened.

--- a/Meta/bench.py
+++ b/Meta/bench.py
@@ -105,7 +105,7 @@
     for name, row in rows:
         online = row["online"]
         first = online["firstTokenMs"]
-        bad = online["refused"] + online["failed"] + online["wrong"]
+        bad = online["refused"] + online["failed"] + online["cutOff"] + online["wrong"]
         print(f"{name:34} {first.get('p50', 0):10.1f} {first.get('p99', 0):10.1f} "
               f"{online['wholeAnswerMs'].get('p99', 0):10.1f} {row['busyShare']:6.2f} "
               f"{row['itemsPerSecond']:8.1f} {row['storeCallsPerSecond']:8.1f} "
@@ -217,7 +217,8 @@
         results = deployment.results("league")
         identifiers = {result["id"] for result in results}
         print(f"online: {report['answered']} of {report['calls']} answered, "
-              f"{report['refused']} refused, {report['failed']} failed, {report['wrong']} wrong; "
+              f"{report['refused']} refused, {report['failed']} failed, "
+              f"{report['cutOff']} cut off, {report['wrong']} wrong; "
               f"first token p99 {report['firstTokenMs']['p99']:.0f} ms, "
               f"max {report['firstTokenMs']['max']:.0f} ms")
         print(f"batch: {len(identifiers)} of {items} items, {len(results)} results, "
@@ -260,7 +261,8 @@
               f"{during['streams_resumed']:.0f} streams resumed: "
               f"{1 + during['retries'] / during['requests']:.3f} attempts a call")
         print(f"online: {report['answered']} of {report['calls']} answered, "
-              f"{report['refused']} refused, {report['failed']} failed, {report['wrong']} wrong; "
+              f"{report['refused']} refused, {report['failed']} failed, "
+              f"{report['cutOff']} cut off, {report['wrong']} wrong; "
               f"first token p99 {report['firstTokenMs']['p99']:.0f} ms, "
               f"max {report['firstTokenMs']['max']:.0f} ms")
 
@@ -307,7 +309,8 @@
                         for entry in deployment.entries)
             first = report["firstTokenMs"]
             print(f"{name:8} {report['answered']} of {report['calls']} answered, "
-                  f"{report['refused']} refused, {report['failed']} failed; first token "
+                  f"{report['refused']} refused, {report['failed']} failed, "
+                  f"{report['cutOff']} cut off, {report['wrong']} wrong; first token "
                   f"p50 {first['p50']:.0f} ms, p99 {first['p99']:.0f} ms; {moves} loads")
 
 
--- a/Utilities/radishplank-load/LoadReport.cpp
+++ b/Utilities/radishplank-load/LoadReport.cpp
@@ -32,6 +32,7 @@
     std::vector<double> firstTokens;
     std::vector<double> wholes;
     std::uint64_t wrong = 0;
+    std::uint64_t cutOff = 0;
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
     for (const auto &sample : samples) {
@@ -39,14 +40,18 @@
             (sample.status == 0 ? failed : refused) += 1;
             continue;
         }
-        wrong += sample.isRight ? 0 : 1;
+        wrong += sample.content == AnswerContent::Wrong ? 1 : 0;
+        cutOff += sample.content == AnswerContent::CutOff ? 1 : 0;
         firstTokens.push_back(milliseconds(sample.firstToken));
+        if (sample.content != AnswerContent::Right)
+            continue;
         wholes.push_back(milliseconds(sample.whole));
     }
     return {{"calls", samples.size()},
             {"answered", wholes.size()},
             {"refused", refused},
             {"failed", failed},
+            {"cutOff", cutOff},
             {"wrong", wrong},
             {"seconds", milliseconds(duration) / 1000},
             {"firstTokenMs", quantiles(std::move(firstTokens))},
--- a/Utilities/radishplank-load/LoadReport.h
+++ b/Utilities/radishplank-load/LoadReport.h
@@ -7,6 +7,13 @@
 
 namespace Radishplank {
 
+/// What an answer that began with status 200 came to.
+enum class AnswerContent {
+    Right,
+    CutOff, ///< The answer ended with an error, as it said.
+    Wrong,
+};
+
 /// What became of one call of a replay.
 struct CallSample
 {
@@ -15,7 +22,7 @@
     unsigned status = 0;
     Duration firstToken{};
     Duration whole{};
-    bool isRight = true;
+    AnswerContent content = AnswerContent::Right;
 };
 
 struct LoadReport
--- a/Utilities/radishplank-load/Replay.cpp
+++ b/Utilities/radishplank-load/Replay.cpp
@@ -11,6 +11,7 @@
 constexpr Milliseconds answerTimeout{60'000};
 constexpr std::uint64_t vocabularySize = 9973;
 constexpr std::string_view eventPrefix = "data: ";
+constexpr std::string_view errorEvent = "data: {\"error\"";
 
 HttpRequest requestFor(const TraceCall &call, const ReplaySettings &settings)
 {
@@ -80,8 +81,12 @@
         events += piece.value();
         sample.whole = now - wantedAt;
     }
-    if (sample.status == 200 && settings.checksText)
-        sample.isRight = textOf(events) == expectedText(call);
+    if (sample.status != 200)
+        return sample;
+    if (events.find(errorEvent) != std::string::npos)
+        sample.content = AnswerContent::CutOff;
+    else if (settings.checksText && textOf(events) != expectedText(call))
+        sample.content = AnswerContent::Wrong;
     return sample;
 }
 
