ConfigurationSync: Find changes that a watch has lost, and halve limits when isolated

Cause 1: when the watches lose a change and go on, nobody ever learned of it: not even the process through which an operator made it, and peers compare revisions only. Cause 2: a process cut off from all others kept its part of the limits while the fleet grew. Change: a process takes what it has written itself; exchanges carry a digest of all objects, and one that differs at the same revision lists the store again, at most once a minute; watchers list every five minutes. A process that is stale for 4 s, and half of whose last eight exchanges failed, goes on with half of its parts. Ruled out: fetching the peer's objects on a difference (a listed replica lacks removals, so the two would differ for ever); halving on staleness alone (an outage of the store would halve every limit). Also new: a process frozen for a minute.

--- a/Libraries/Catalogue/ConfigurationReplica.cpp
+++ b/Libraries/Catalogue/ConfigurationReplica.cpp
@@ -53,10 +53,10 @@
     return apply(changes, revision);
 }
 
-Version ConfigurationReplica::revision() const
+ConfigurationReplica::Summary ConfigurationReplica::summary() const
 {
     const std::scoped_lock lock(m_mutex);
-    return m_revision;
+    return {m_revision, m_digest};
 }
 
 std::vector<ObjectChange> ConfigurationReplica::changesSince(Version revision) const
@@ -89,9 +89,12 @@
 void ConfigurationReplica::rebuild()
 {
     std::vector<StoredObject> objects;
+    m_digest = 0;
     for (const auto &[key, change] : m_objects) {
-        if (!change.isRemoval)
-            objects.push_back(change.object);
+        if (change.isRemoval)
+            continue;
+        objects.push_back(change.object);
+        m_digest ^= stableHash(key, change.object.version);
     }
     Findings findings;
     m_snapshot.publish(CatalogueSnapshot::build(objects, m_revision, findings));
--- a/Libraries/Catalogue/ConfigurationReplica.h
+++ b/Libraries/Catalogue/ConfigurationReplica.h
@@ -24,8 +24,15 @@
     /// Takes a full listing: what it lacks was removed at or before the revision.
     bool applyListing(std::span<const StoredObject> objects, Version revision);
 
-    /// Every change up to this revision is included.
-    [[nodiscard]] Version revision() const;
+    /// What two replicas compare; both that hold the same objects have the same digest.
+    struct Summary
+    {
+        /// Every change up to this revision is included, as far as it was told.
+        Version revision = noVersion;
+        std::uint64_t digest = 0;
+    };
+    [[nodiscard]] Summary summary() const;
+    [[nodiscard]] Version revision() const { return summary().revision; }
     /// Returns what a peer lacks that is complete up to the given revision.
     [[nodiscard]] std::vector<ObjectChange> changesSince(Version revision) const;
     /// Calls the function with the snapshot in force; the function must not suspend.
@@ -43,6 +50,7 @@
     mutable std::mutex m_mutex;
     std::map<std::string, ObjectChange> m_objects;
     Version m_revision = noVersion;
+    std::uint64_t m_digest = 0;
     Counter m_refused;
     RcuPointer<CatalogueSnapshot> m_snapshot;
 };
--- a/Libraries/Control/Control.capnp
+++ b/Libraries/Control/Control.capnp
@@ -66,7 +66,7 @@
   # Asked of entry processes: what the caller lacks of the configuration, and recent crashes.
   exchange @2 (node :Text, revision :UInt64, crashes :List(CrashNotice))
            -> (revision :UInt64, objects :List(ConfigurationObject), crashes :List(CrashNotice),
-               stalenessMilliseconds :UInt64);
+               stalenessMilliseconds :UInt64, digest :UInt64);
   # Asked of entry processes: lends what they do not need of their parts of limits, for a fixed
   # time that the borrower counts from before it asked, and the lender from when it answers.
   lend @3 (node :Text, wanted :List(LimitShare)) -> (lent :List(LimitShare));
--- a/Libraries/Control/Control.capnp.h
+++ b/Libraries/Control/Control.capnp.h
@@ -288,7 +288,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c18d03fd0e0b0d82, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c18d03fd0e0b0d82, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1602,6 +1602,8 @@
 
   inline  ::uint64_t getStalenessMilliseconds() const;
 
+  inline  ::uint64_t getDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1650,6 +1652,9 @@
   inline  ::uint64_t getStalenessMilliseconds();
   inline void setStalenessMilliseconds( ::uint64_t value);
 
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2878,6 +2883,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Control::ExchangeResults::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Control::ExchangeResults::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Control::ExchangeResults::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Control::LendParams::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/Control/ControlMessages.h
+++ b/Libraries/Control/ControlMessages.h
@@ -48,6 +48,8 @@
     Version revision = noVersion;
     std::vector<ObjectChange> changes;
     std::vector<CrashNotice> crashes;
+    /// Of all objects that the answering process has at its revision.
+    std::uint64_t digest = 0;
     /// How long ago the answering process was known to be in step with the store.
     Milliseconds staleness{0};
 };
--- a/Libraries/Control/ControlThread.cpp
+++ b/Libraries/Control/ControlThread.cpp
@@ -131,6 +131,7 @@
                                     readCrashes(params.getCrashes())}));
         auto results = context.getResults();
         results.setRevision(answer.revision);
+        results.setDigest(answer.digest);
         results.setStalenessMilliseconds(static_cast<std::uint64_t>(answer.staleness.count()));
         auto objects = results.initObjects(static_cast<unsigned>(answer.changes.size()));
         for (std::size_t i = 0; i < answer.changes.size(); ++i) {
@@ -451,6 +452,7 @@
             [](auto &response) {
                 ExchangeAnswer answer;
                 answer.revision = response.getRevision();
+                answer.digest = response.getDigest();
                 answer.staleness = Milliseconds(response.getStalenessMilliseconds());
                 for (const auto object : response.getObjects()) {
                     answer.changes.push_back({{object.getKey().cStr(), object.getValue().cStr(),
--- a/Libraries/Limits/OwnerLimits.cpp
+++ b/Libraries/Limits/OwnerLimits.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Milliseconds concurrencyRetry{1'000};
+constexpr int isolationDivisor = 2;
 
 /// A limit without a burst lets in one second's worth at once, and one request at the least.
 double burstOf(const Limits &limits)
@@ -192,16 +193,18 @@
 
 std::int64_t OwnerLimits::concurrentPart(const std::string &key, const Limits &limits) const
 {
-    return m_members.read([&](const Members &members) {
+    const auto whole = m_members.read([&](const Members &members) {
         return concurrencyPart(limits.concurrentRequests, key, members.all, members.own);
     });
+    return m_isIsolated ? whole / isolationDivisor : whole;
 }
 
 double OwnerLimits::share() const
 {
-    return m_members.read([](const Members &members) {
+    const double whole = m_members.read([](const Members &members) {
         return 1.0 / static_cast<double>(std::max<std::size_t>(members.all.size(), 1));
     });
+    return m_isIsolated ? whole / isolationDivisor : whole;
 }
 
 } // namespace Radishplank
--- a/Libraries/Limits/OwnerLimits.h
+++ b/Libraries/Limits/OwnerLimits.h
@@ -25,6 +25,10 @@
     /// because the others may not know yet that the limit has one more part.
     void ownParts() { m_ownsParts = true; }
 
+    /// Halves the own parts while this process cannot know how many share the limit, which holds
+    /// the limit until they are twice as many.
+    void setIsolated(bool isIsolated) { m_isIsolated = isIsolated; }
+
     /// Takes one request from the limit; otherwise returns how long to wait.
     std::optional<Duration> take(const std::string &key, const Limits &limits, TimePoint now);
     /// Gives back the concurrency that take() took.
@@ -74,6 +78,7 @@
     std::array<Shard, 16> m_shards;
     RcuPointer<Members> m_members{std::make_unique<const Members>()};
     std::atomic<bool> m_ownsParts{false};
+    std::atomic<bool> m_isIsolated{false};
 };
 
 } // namespace Radishplank
--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -163,6 +163,14 @@
         "Libraries/Placement/PlacementPlanner.cpp", "constexpr double leastGain = 1.25;",
         "constexpr double leastGain = 0.5;",
         "TestPlacement", "Engines are placed where the demand is"),
+    "comparing digests": (
+        DAEMON + "ConfigurationSync.cpp", "    if (!isComparable || answer.digest == own.digest)",
+        "    if (!isComparable || answer.digest + 1 > 0)",
+        "TestIntegration", "A catalogue change comes into force*"),
+    "halving when isolated": (
+        "Libraries/Limits/OwnerLimits.cpp", "    return m_isIsolated ? whole / isolationDivisor : whole;\n}\n\n}",
+        "    return m_isIsolated ? whole / 1 : whole;\n}\n\n}",
+        "TestIntegration", "A catalogue change comes into force*"),
     "fencing of orders": (
         DAEMON + "Agent.cpp", "    if (fencing < m_highestFencing)",
         "    if (fencing < 0)",
--- a/Services/radishplankd/ConfigurationSync.cpp
+++ b/Services/radishplankd/ConfigurationSync.cpp
@@ -3,6 +3,8 @@
 #include "FiberGroup.h"
 
 #include <algorithm>
+#include <array>
+#include <bit>
 #include <boost/fiber/operations.hpp>
 
 namespace Radishplank {
@@ -21,6 +23,10 @@
 /// to list, it keeps a change in force everywhere within 4 s.
 constexpr Milliseconds staleLimit{2'000};
 constexpr Milliseconds neverFresh{3'600'000};
+constexpr Milliseconds relistInterval{300'000};
+constexpr Milliseconds mismatchInterval{60'000};
+/// A process that knows nothing newer, and whose peers mostly do not answer, counts as isolated.
+constexpr Milliseconds isolationAge{4'000};
 
 } // namespace
 
@@ -30,6 +36,7 @@
     , m_settings(std::move(settings))
     , m_onChange(std::move(onChange))
     , m_freshAt(SteadyClock().now() - neverFresh)
+    , m_mismatchAt(SteadyClock().now() - neverFresh)
 {
 }
 
@@ -43,7 +50,9 @@
 {
     m_context.quarantine.take(request.crashes, SteadyClock().now());
     ExchangeAnswer answer;
-    answer.revision = m_context.configuration.revision();
+    const auto summary = m_context.configuration.summary();
+    answer.revision = summary.revision;
+    answer.digest = summary.digest;
     answer.changes = m_context.configuration.changesSince(request.revision);
     answer.crashes = m_context.quarantine.notices(SteadyClock().now());
     answer.staleness = staleness();
@@ -101,7 +110,9 @@
             boost::this_fiber::sleep_for(exchangeInterval);
             continue;
         }
-        const auto result = m_hasListed ? watchStore() : listStore();
+        // A watch that has lost a change for everybody is found out only by listing again.
+        const bool isListDue = SteadyClock().now() - m_listedAt.load() > relistInterval;
+        const auto result = m_hasListed && !isListDue ? watchStore() : listStore();
         if (result.isError()) {
             m_hasListed = m_hasListed && result.error().kind != ErrorKind::NotFound;
             boost::this_fiber::sleep_for(storeRetryInterval);
@@ -116,6 +127,7 @@
             = TRY(listAll(m_context.store, configurationPrefix, ListContent::KeysAndValues));
     const bool hasChanged = m_context.configuration.applyListing(listing.objects, listing.revision);
     m_hasListed = true;
+    m_listedAt = askedAt;
     noteFresh(askedAt);
     if (hasChanged)
         m_onChange();
@@ -142,6 +154,7 @@
             continue;
         const auto askedAt = SteadyClock().now();
         const auto answer = exchangeWith(*peer);
+        noteExchange(!answer.isError());
         if (!answer.isError())
             noteFresh(askedAt - answer.value().staleness);
     }
@@ -157,9 +170,49 @@
     m_context.quarantine.take(answer.crashes, SteadyClock().now());
     if (m_context.configuration.apply(answer.changes, answer.revision))
         m_onChange();
+    compareWith(answer);
     return answer;
 }
 
+void ConfigurationSync::compareWith(const ExchangeAnswer &answer)
+{
+    const auto own = m_context.configuration.summary();
+    const bool isComparable = answer.changes.empty() && answer.revision == own.revision;
+    if (!isComparable || answer.digest == own.digest)
+        return;
+    // One of the two has missed a change that it should have been told of. Which one, only the
+    // store can tell. Listing it again does not help against an object that only some refuse, so
+    // that it is not done over and over.
+    const auto now = SteadyClock().now();
+    auto last = m_mismatchAt.load();
+    if (now - last < mismatchInterval || !m_mismatchAt.compare_exchange_strong(last, now))
+        return;
+    logStateChange("configuration-differs", {{"revision", std::to_string(own.revision)}});
+    const auto listed = listStore();
+    if (listed.isError())
+        m_hasListed = false;
+}
+
+void ConfigurationSync::takeOwnChange(const ObjectChange &change)
+{
+    const std::array changes{change};
+    if (m_context.configuration.apply(changes, noVersion))
+        m_onChange();
+}
+
+void ConfigurationSync::noteExchange(bool hasSucceeded)
+{
+    constexpr unsigned remembered = 8;
+    constexpr unsigned mask = (1U << remembered) - 1;
+    m_recentExchanges = ((m_recentExchanges << 1U) | (hasSucceeded ? 1U : 0U)) & mask;
+    const auto succeeded = std::popcount(m_recentExchanges);
+    const bool isStale = staleness() > isolationAge;
+    const bool isIsolated = isStale && succeeded <= static_cast<int>(remembered / 2);
+    if (isIsolated != m_isIsolated.exchange(isIsolated))
+        logStateChange(isIsolated ? "isolated" : "not-isolated");
+    m_context.limits.setIsolated(isIsolated);
+}
+
 std::vector<EntryMember> ConfigurationSync::zoneByRank() const
 {
     std::vector<EntryMember> members;
--- a/Services/radishplankd/ConfigurationSync.h
+++ b/Services/radishplankd/ConfigurationSync.h
@@ -32,6 +32,10 @@
     [[nodiscard]] Milliseconds staleness() const;
     /// Tells whether this process watches the store, as against asking its peers.
     [[nodiscard]] bool isWatching() const { return m_isWatching; }
+    /// Takes a change that this process has written itself, of which a watch may never tell.
+    void takeOwnChange(const ObjectChange &change);
+    /// Tells whether this process is cut off from the store and from most of its peers.
+    [[nodiscard]] bool isIsolated() const { return m_isIsolated; }
     /// Asks every known entry process for its revision.
     [[nodiscard]] boost::json::array memberRevisions();
 
@@ -44,6 +48,8 @@
     Result<void> listStore();
     Result<void> watchStore();
     Result<ExchangeAnswer> exchangeWith(const Endpoint &peer);
+    void compareWith(const ExchangeAnswer &answer);
+    void noteExchange(bool hasSucceeded);
     [[nodiscard]] std::vector<EntryMember> others() const;
     [[nodiscard]] std::optional<Endpoint> nextPeer();
     void noteFresh(TimePoint at);
@@ -54,6 +60,11 @@
     std::atomic<bool> m_isWatching{false};
     std::atomic<bool> m_hasListed{false};
     std::atomic<TimePoint> m_freshAt;
+    std::atomic<TimePoint> m_mismatchAt;
+    std::atomic<TimePoint> m_listedAt{TimePoint()};
+    /// One bit for each of the last exchanges, set if it succeeded; used by one fiber.
+    unsigned m_recentExchanges = ~0U;
+    std::atomic<bool> m_isIsolated{false};
 };
 
 } // namespace Radishplank
--- a/Services/radishplankd/OperatorApi.cpp
+++ b/Services/radishplankd/OperatorApi.cpp
@@ -156,6 +156,7 @@
         respondError(exchange, written.error());
         return;
     }
+    m_sync.takeOwnChange({{key, body.value(), written.value()}, false});
     logStateChange("catalogue-changed",
                    {{"key", key}, {"version", std::to_string(written.value())}});
     respondJson(exchange, 200, boost::json::object{{"version", written.value()}});
@@ -193,6 +194,7 @@
                                     {"configurationRevision", m_context.configuration.revision()},
                                     {"configurationStalenessMs", m_sync.staleness().count()},
                                     {"watchesStore", m_sync.isWatching()},
+                                    {"isolated", m_sync.isIsolated()},
                                     {"upstreams", m_context.fleet.state()},
                                     {"limits", m_context.limits.state(now)},
                                     {"retryBudget", m_context.retryBudget.available()},
--- a/Tests/Integration/TestSharedState.cpp
+++ b/Tests/Integration/TestSharedState.cpp
@@ -74,6 +74,12 @@
         REQUIRE(deployment.client.call(deployment.entry("entry3").operators, put).status == 200);
         CHECK(servedEverywhere("new"));
     }
+    SECTION("Those that watch the store are told of later changes, but not of this one")
+    {
+        deployment.platform(R"({"loseWatches":true})");
+        deployment.putObject("entries/lotka/new", entryText(1'000));
+        CHECK(servedEverywhere("new"));
+    }
     SECTION("A process that starts during an outage gets the newest known version from a peer")
     {
         deployment.putObject("entries/lotka/new", entryText(1'000));
@@ -97,6 +103,50 @@
             CHECK(eventually([&] { return revision(deployment, entry) >= after; }));
         CHECK(servedEverywhere("new"));
     }
+    SECTION("A process frozen for a minute catches up with all that has changed meanwhile")
+    {
+        deployment.entry("entry2").process->freeze();
+        const auto thawAt = SteadyClock().now() + std::chrono::minutes(1);
+        for (int deadline = 1'000; deadline < 1'020; ++deadline) {
+            deployment.putObject("entries/lotka/new", entryText(deadline));
+            std::this_thread::sleep_until(thawAt - std::chrono::seconds(1'020 - deadline));
+        }
+        std::this_thread::sleep_until(thawAt);
+        const auto after = revision(deployment, "entry1");
+        deployment.entry("entry2").process->thaw();
+        CHECK(eventually([&] { return revision(deployment, "entry2") >= after; }));
+        CHECK(servedEverywhere("new"));
+        CHECK(wholeText(deployment.call("entry2", completion("awake", 2)))
+              == expectedText("awake", 2));
+    }
+    SECTION("A process cut off from everybody goes on, with half of its parts of the limits")
+    {
+        deployment.putObject("owners/lotka", R"({"tokenDigest":")" + sha256Hex(Deployment::token)
+                                                     + R"(","limits":{"requestsPerSecond":400}})");
+        const auto ownedPerSecond = [&] {
+            const auto state = deployment.state(deployment.entry("entry1").operators);
+            for (const auto &limit : state.at("limits").as_array()) {
+                if (textField(limit.as_object(), "key") == "lotka")
+                    return limit.at("ownedPerSecond").to_number<double>();
+            }
+            return 0.0;
+        };
+        const auto callAndRead = [&] {
+            (void)deployment.call("entry1", completion("alone", 1));
+            return ownedPerSecond();
+        };
+        REQUIRE(eventually([&] { return callAndRead() == 100; }));
+        deployment.link("entry1-store", R"({"mode":"cut"})");
+        for (const auto *name : {"entry2", "entry3", "entry4"})
+            deployment.entry(name).process->freeze();
+        CHECK(eventually([&] { return callAndRead() == 50; }));
+        CHECK(wholeText(deployment.call("entry1", completion("alone", 2)))
+              == expectedText("alone", 2));
+        for (const auto *name : {"entry2", "entry3", "entry4"})
+            deployment.entry(name).process->thaw();
+        deployment.link("entry1-store", R"({"mode":"pass"})");
+        CHECK(eventually([&] { return callAndRead() == 100; }));
+    }
     SECTION("Of two operators who change one version, one is told of the conflict")
     {
         const auto put = [&](const std::string &entry, int deadline) {
