Control: Bound what strangers can use of the control port

Cause: the library's simple server takes any number of connections and keeps them for ever, so whoever reaches the port could fill memory and file descriptors without the secret. Change: our own listener over the library's two-party network. A connection that has not shown the secret after 5 s is closed; at most 64 such are open, a new one takes the place of the oldest, so that they keep nobody out; requests are bounded to 512 KB, answers to 4 MB. ControlThread.cpp is split: listener, server, peer, codec. Before: 200 silent connections stayed open. After: all closed, and a caller with the secret was answered while they were open: 'Strangers who say nothing, or too much ...'.

--- /dev/null
+++ b/Libraries/Control/ControlListener.cpp
@@ -0,0 +1,123 @@
+#include <Control/ControlListener.h>
+
+#include <Control/ControlServer.h>
+
+#include <capnp/rpc-twoparty.h>
+
+namespace Radishplank {
+
+namespace {
+
+constexpr std::size_t maxConnections = 4'000;
+constexpr std::size_t maxStrangers = 64;
+constexpr auto timeToOpen = 5 * kj::SECONDS;
+constexpr auto acceptRetryDelay = 50 * kj::MILLISECONDS;
+/// Requests are small; answers, which may carry the whole configuration, go the other way.
+constexpr std::uint64_t maxRequestWords = std::uint64_t{512} * 1024 / 8;
+constexpr int maxNesting = 16;
+
+capnp::ReaderOptions requestOptions()
+{
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = maxRequestWords;
+    options.nestingLimit = maxNesting;
+    return options;
+}
+
+} // namespace
+
+struct ControlListener::Connection
+{
+    Connection(kj::Own<kj::AsyncIoStream> connectionStream, const std::string &secretDigest,
+               ControlHandler &handler, std::shared_ptr<Connections> allConnections)
+        : all(std::move(allConnections))
+        , eviction(kj::newPromiseAndFulfiller<void>())
+        , stream(kj::mv(connectionStream))
+        , network(*stream, capnp::rpc::twoparty::Side::SERVER, requestOptions())
+        , system(capnp::makeRpcServer(
+                  network, kj::heap<GateServer>(secretDigest, handler, [this] { noteOpened(); })))
+    {
+        all->count += 1;
+        all->strangers.push_back(this);
+    }
+
+    ~Connection()
+    {
+        all->count -= 1;
+        all->strangers.remove(this);
+    }
+
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    void noteOpened()
+    {
+        isOpened = true;
+        all->strangers.remove(this);
+    }
+
+    void evict()
+    {
+        all->strangers.remove(this);
+        eviction.fulfiller->fulfill();
+    }
+
+    std::shared_ptr<Connections> all;
+    bool isOpened = false;
+    kj::PromiseFulfillerPair<void> eviction;
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> system;
+};
+
+ControlListener::ControlListener(kj::Own<kj::ConnectionReceiver> receiver, kj::Timer &timer,
+                                 const std::string &secret, ControlHandler &handler)
+    : m_receiver(kj::mv(receiver))
+    , m_timer(timer)
+    , m_secretDigest(sha256Hex(secret))
+    , m_handler(handler)
+    , m_tasks(*this)
+{
+    m_tasks.add(acceptNext());
+}
+
+kj::Promise<void> ControlListener::acceptNext()
+{
+    return m_receiver->accept().then(
+            [this](kj::Own<kj::AsyncIoStream> &&stream) {
+                serve(kj::mv(stream));
+                return acceptNext();
+            },
+            [this](kj::Exception &&) {
+                // Out of file descriptors, most likely; the next connection may find some free.
+                return m_timer.afterDelay(acceptRetryDelay).then([this] { return acceptNext(); });
+            });
+}
+
+void ControlListener::serve(kj::Own<kj::AsyncIoStream> stream)
+{
+    if (m_connections->count >= maxConnections)
+        return;
+    // Whoever has the secret shows it at once, so the oldest has most likely none.
+    if (m_connections->strangers.size() >= maxStrangers)
+        m_connections->strangers.front()->evict();
+    auto connection
+            = kj::heap<Connection>(kj::mv(stream), m_secretDigest, m_handler, m_connections);
+    auto &current = *connection;
+    auto isLate = m_timer.afterDelay(timeToOpen).then([&current]() -> kj::Promise<void> {
+        if (current.isOpened)
+            return kj::NEVER_DONE;
+        return kj::READY_NOW;
+    });
+    m_tasks.add(current.network.onDisconnect()
+                        .exclusiveJoin(kj::mv(isLate))
+                        .exclusiveJoin(kj::mv(current.eviction.promise))
+                        .attach(kj::mv(connection)));
+}
+
+void ControlListener::taskFailed(kj::Exception &&)
+{
+    // The connection is closed with its task, and its peer opens a new one.
+}
+
+} // namespace Radishplank
--- a/Libraries/Control/ControlThread.cpp
+++ b/Libraries/Control/ControlThread.cpp
@@ -1,223 +1,20 @@
 #include <Control/ControlThread.h>
 
-#include <Control/Control.capnp.h>
+#include <Control/ControlCodec.h>
+#include <Control/ControlListener.h>
+#include <Control/ControlPeer.h>
 
-#include <algorithm>
 #include <boost/fiber/future.hpp>
-#include <capnp/ez-rpc.h>
 #include <deque>
 #include <functional>
 #include <kj/async-io.h>
 #include <kj/timer.h>
-#include <limits>
 #include <map>
 #include <mutex>
 #include <thread>
 
 namespace Radishplank {
 
-namespace {
-
-constexpr std::uint64_t maxMessageWords = std::uint64_t{4} * 1024 * 1024 / 8;
-constexpr int maxNesting = 16;
-
-capnp::ReaderOptions readerOptions()
-{
-    capnp::ReaderOptions options;
-    options.traversalLimitInWords = maxMessageWords;
-    options.nestingLimit = maxNesting;
-    return options;
-}
-
-std::uint16_t shortCount(std::uint32_t count)
-{
-    constexpr std::uint32_t highest = std::numeric_limits<std::uint16_t>::max();
-    return static_cast<std::uint16_t>(std::min(count, highest));
-}
-
-/// Turns an error of a handler into the exception that Cap'n Proto carries to the caller.
-template<typename Value>
-Value valueOrThrow(Result<Value> result)
-{
-    if (result.isError())
-        kj::throwFatalException(KJ_EXCEPTION(FAILED, result.error().message));
-    return result.takeValue();
-}
-
-std::vector<CrashNotice> readCrashes(capnp::List<Rpc::CrashNotice>::Reader list)
-{
-    std::vector<CrashNotice> crashes;
-    for (const auto notice : list) {
-        crashes.push_back({notice.getFingerprint().cStr(), AttemptId(notice.getAttempt().cStr()),
-                           Milliseconds(notice.getAgeMilliseconds())});
-    }
-    return crashes;
-}
-
-template<typename Builder>
-void writeCrashes(Builder list, const std::vector<CrashNotice> &crashes)
-{
-    for (std::size_t i = 0; i < crashes.size(); ++i) {
-        auto notice = list[static_cast<unsigned>(i)];
-        notice.setFingerprint(crashes[i].fingerprint);
-        notice.setAttempt(crashes[i].attempt.text());
-        notice.setAgeMilliseconds(static_cast<std::uint64_t>(crashes[i].age.count()));
-    }
-}
-
-std::vector<LimitShare> readShares(capnp::List<Rpc::LimitShare>::Reader list)
-{
-    std::vector<LimitShare> shares;
-    for (const auto share : list)
-        shares.push_back({share.getKey().cStr(), share.getRequestsPerSecond(), share.getSlots(),
-                          share.getSlotsHeld(), share.getSequence()});
-    return shares;
-}
-
-template<typename Builder>
-void writeShares(Builder list, const std::vector<LimitShare> &shares)
-{
-    for (std::size_t i = 0; i < shares.size(); ++i) {
-        auto share = list[static_cast<unsigned>(i)];
-        share.setKey(shares[i].key);
-        share.setRequestsPerSecond(shares[i].requestsPerSecond);
-        share.setSlots(shares[i].slots);
-        share.setSlotsHeld(shares[i].slotsHeld);
-        share.setSequence(shares[i].sequence);
-    }
-}
-
-class ControlServer final : public Rpc::Control::Server
-{
-public:
-    explicit ControlServer(ControlHandler &handler)
-        : m_handler(handler)
-    {
-    }
-
-    kj::Promise<void> observe(ObserveContext context) override
-    {
-        const auto report = valueOrThrow(m_handler.observe());
-        auto builder = context.getResults().initReport();
-        builder.setIncarnation(report.incarnation);
-        builder.setSlots(shortCount(report.slots));
-        builder.setOnlineRunning(shortCount(report.onlineRunning));
-        builder.setOnlineQueued(shortCount(report.onlineQueued));
-        builder.setBatchRunning(shortCount(report.batchRunning));
-        builder.setBatchQueued(shortCount(report.batchQueued));
-        builder.setIsAccepting(report.isAccepting);
-        return kj::READY_NOW;
-    }
-
-    kj::Promise<void> cancelAttempt(CancelAttemptContext context) override
-    {
-        const auto params = context.getParams();
-        const auto fate = valueOrThrow(m_handler.cancelAttempt(
-                AttemptId(params.getAttempt().cStr()), params.getIncarnation().cStr()));
-        auto answer = Rpc::AttemptFate::UNKNOWN;
-        if (fate == AttemptFate::NeverBegan)
-            answer = Rpc::AttemptFate::NEVER_BEGAN;
-        else if (fate == AttemptFate::Began)
-            answer = Rpc::AttemptFate::BEGAN;
-        context.getResults().setFate(answer);
-        return kj::READY_NOW;
-    }
-
-    kj::Promise<void> exchange(ExchangeContext context) override
-    {
-        const auto params = context.getParams();
-        const auto answer = valueOrThrow(
-                m_handler.exchange({NodeId(params.getNode().cStr()), params.getRevision(),
-                                    readCrashes(params.getCrashes())}));
-        auto results = context.getResults();
-        results.setRevision(answer.revision);
-        results.setDigest(answer.digest);
-        results.setStalenessMilliseconds(static_cast<std::uint64_t>(answer.staleness.count()));
-        auto objects = results.initObjects(static_cast<unsigned>(answer.changes.size()));
-        for (std::size_t i = 0; i < answer.changes.size(); ++i) {
-            const auto &change = answer.changes[i];
-            auto object = objects[static_cast<unsigned>(i)];
-            object.setKey(change.object.key);
-            object.setValue(change.object.value);
-            object.setVersion(change.object.version);
-            object.setIsRemoval(change.isRemoval);
-        }
-        writeCrashes(results.initCrashes(static_cast<unsigned>(answer.crashes.size())),
-                     answer.crashes);
-        return kj::READY_NOW;
-    }
-
-    kj::Promise<void> lend(LendContext context) override
-    {
-        const auto params = context.getParams();
-        const auto lent = valueOrThrow(
-                m_handler.lend({NodeId(params.getNode().cStr()), readShares(params.getWanted())}));
-        writeShares(context.getResults().initLent(static_cast<unsigned>(lent.size())), lent);
-        return kj::READY_NOW;
-    }
-
-    kj::Promise<void> demand(DemandContext context) override
-    {
-        const auto demands = valueOrThrow(m_handler.demand());
-        auto pools = context.getResults().initPools(static_cast<unsigned>(demands.size()));
-        for (std::size_t i = 0; i < demands.size(); ++i) {
-            auto pool = pools[static_cast<unsigned>(i)];
-            pool.setPool(demands[i].pool);
-            pool.setSlotSeconds(demands[i].slotSeconds);
-            pool.setRefused(demands[i].refused);
-            pool.setAnswered(demands[i].answered);
-            pool.setHasBatch(demands[i].hasBatch);
-        }
-        return kj::READY_NOW;
-    }
-
-private:
-    ControlHandler &m_handler;
-};
-
-class GateServer final : public Rpc::Gate::Server
-{
-public:
-    GateServer(const std::string &secret, ControlHandler &handler)
-        : m_secretDigest(sha256Hex(secret))
-        , m_handler(handler)
-    {
-    }
-
-    kj::Promise<void> open(OpenContext context) override
-    {
-        // Digests are compared, so that the time taken tells nothing of the secret.
-        const auto digest = sha256Hex(context.getParams().getSecret().cStr());
-        if (digest != m_secretDigest)
-            kj::throwFatalException(KJ_EXCEPTION(FAILED, "wrong cluster secret"));
-        context.getResults().setControl(kj::heap<ControlServer>(m_handler));
-        return kj::READY_NOW;
-    }
-
-private:
-    std::string m_secretDigest;
-    ControlHandler &m_handler;
-};
-
-/// An outgoing connection and the interface that the peer has handed out on it.
-struct PeerConnection
-{
-    PeerConnection(const Endpoint &endpoint, const std::string &secret)
-        : client(kj::StringPtr(endpoint.address.c_str()), endpoint.port, readerOptions())
-        , control([&] {
-            auto request = client.getMain<Rpc::Gate>().openRequest();
-            request.setSecret(secret);
-            return request.send().getControl();
-        }())
-    {
-    }
-
-    capnp::EzRpcClient client;
-    Rpc::Control::Client control;
-};
-
-} // namespace
-
 struct ControlThread::Implementation
 {
     std::string secret;
@@ -232,8 +29,9 @@
     kj::Own<kj::CrossThreadPromiseFulfiller<void>> mailboxSignal;
 
     // Used on the control thread only.
-    std::map<Endpoint, std::shared_ptr<PeerConnection>> peers;
+    std::map<Endpoint, std::shared_ptr<ControlPeer>> peers;
     kj::Timer *timer = nullptr;
+    kj::Network *network = nullptr;
     std::unique_ptr<kj::TaskSet> tasks;
 
     void post(std::function<void()> function)
@@ -267,15 +65,15 @@
             function();
     }
 
-    std::shared_ptr<PeerConnection> peer(const Endpoint &endpointOfPeer)
+    std::shared_ptr<ControlPeer> peer(const Endpoint &endpointOfPeer)
     {
         auto &connection = peers[endpointOfPeer];
         if (!connection)
-            connection = std::make_shared<PeerConnection>(endpointOfPeer, secret);
+            connection = std::make_shared<ControlPeer>(*network, endpointOfPeer, secret);
         return connection;
     }
 
-    void abandon(const Endpoint &endpointOfPeer, const std::shared_ptr<PeerConnection> &connection)
+    void abandon(const Endpoint &endpointOfPeer, const std::shared_ptr<ControlPeer> &connection)
     {
         const auto found = peers.find(endpointOfPeer);
         if (found != peers.end() && found->second == connection)
@@ -299,12 +97,12 @@
                         Error{ErrorKind::Unavailable, "control call to " + to.text() + ": "
                                                               + exception.getDescription().cStr()});
             };
-            auto answered = send(connection->control).then([read, promise](auto &&response) {
+            auto answered = send(connection->control()).then([read, promise](auto &&response) {
                 promise->set_value(read(response));
             });
             tasks->add(timer->timeoutAfter(timeout.count() * kj::MILLISECONDS, kj::mv(answered))
                                .catch_([fail](kj::Exception &&exception) { fail(exception); })
-                               .attach(std::shared_ptr<PeerConnection>(connection)));
+                               .attach(std::shared_ptr<ControlPeer>(connection)));
         });
         return future.get();
     }
@@ -332,14 +130,17 @@
     state->thread = std::thread([state, listen, &started] {
         bool hasStarted = false;
         try {
-            capnp::EzRpcServer server(kj::heap<GateServer>(state->secret, *state->handler),
-                                      kj::StringPtr(listen.address.c_str()), listen.port,
-                                      readerOptions());
+            auto io = kj::setupAsyncIo();
             IgnoreTaskFailures errorHandler;
-            state->timer = &server.getIoProvider().getTimer();
+            state->timer = &io.provider->getTimer();
+            state->network = &io.provider->getNetwork();
             state->tasks = std::make_unique<kj::TaskSet>(errorHandler);
-            auto &waitScope = server.getWaitScope();
-            const auto boundPort = server.getPort().wait(waitScope);
+            auto &waitScope = io.waitScope;
+            auto address = state->network->parseAddress(listen.address.c_str(), listen.port)
+                                   .wait(waitScope);
+            ControlListener listener(address->listen(), *state->timer, state->secret,
+                                     *state->handler);
+            const auto boundPort = listener.port();
             started.set_value(static_cast<std::uint16_t>(boundPort));
             hasStarted = true;
             while (true) {
--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -171,6 +171,10 @@
         "Libraries/Limits/OwnerLimits.cpp", "    return m_isIsolated ? whole / isolationDivisor : whole;\n}\n\n}",
         "    return m_isIsolated ? whole / 1 : whole;\n}\n\n}",
         "TestIntegration", "A catalogue change comes into force*"),
+    "closing silent strangers": (
+        "Libraries/Control/ControlListener.cpp", "        if (current.isOpened)\n",
+        "        if (current.isOpened || timeToOpen > 0 * kj::SECONDS)\n",
+        "TestControl", "Processes ask each other*"),
     "fencing of orders": (
         DAEMON + "Agent.cpp", "    if (fencing < m_highestFencing)",
         "    if (fencing < 0)",
--- a/Tests/Control/TestControlThread.cpp
+++ b/Tests/Control/TestControlThread.cpp
@@ -1,11 +1,15 @@
 #include <Control/Control.h>
 #include <Net/Net.h>
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
 #include <future>
+#include <sys/socket.h>
+#include <sys/time.h>
 
 using namespace Radishplank;
 
@@ -107,6 +111,43 @@
         REQUIRE(answer.isError());
         CHECK(answer.error().message.find("wrong cluster secret") != std::string::npos);
     }
+    SECTION("Strangers who say nothing, or too much, keep nobody out and are closed")
+    {
+        const auto observes = NAMED_ALLOW_CALL(served, observe()).RETURN(LoadReport());
+        boost::asio::io_context context;
+        const boost::asio::ip::tcp::endpoint port(boost::asio::ip::address_v4::loopback(),
+                                                  server->endpoint().port);
+        std::vector<boost::asio::ip::tcp::socket> strangers;
+        for (int i = 0; i < 200; ++i) {
+            strangers.emplace_back(context);
+            strangers.back().connect(port);
+            // Ends the wait below if the server leaves the connection open.
+            const timeval patience{20, 0};
+            ::setsockopt(strangers.back().native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience,
+                         sizeof(patience));
+        }
+        // The length of a message of 4 GB.
+        const std::array<std::uint32_t, 2> endless{0, 0x1fffffff};
+        boost::system::error_code ignored;
+        boost::asio::write(strangers.back(), boost::asio::buffer(endless), ignored);
+        const auto answer
+                = inFiber(threads, [&] { return client->observe(server->endpoint(), timeout); });
+        CHECK_FALSE(answer.isError());
+        for (auto &stranger : strangers) {
+            std::array<char, 64> bytes{};
+            boost::system::error_code code;
+            while (!code)
+                stranger.read_some(boost::asio::buffer(bytes), code);
+            CHECK(code != boost::asio::error::try_again);
+            if (code == boost::asio::error::try_again)
+                break;
+        }
+        // The connection of the one who showed the secret is still there.
+        CHECK_FALSE(inFiber(threads, [&] {
+                        return client->observe(server->endpoint(), timeout);
+                    }).isError());
+        CHECK(client->callsFailed().value() == 0);
+    }
     SECTION("A peer that never answers costs its deadline and no more")
     {
         boost::asio::io_context context;
