Net: Bound slow senders in time and all bodies together in memory

Cause: each piece of a body had 30 s of its own, so a sender of a byte every 29 s could hold a body of up to 4 MB for ever, on up to 20,000 connections: 80 GB. Change: a body that is read whole has its time for the whole of it; all such bodies together are bounded (256 MB) and a further one is refused. Also: a request that had arrived when a stopping server closed its idle connections is answered now; what is still on the wire then is not. Ruled out: fewer connections (idle streams need them).

--- a/Libraries/Net/HttpServer.cpp
+++ b/Libraries/Net/HttpServer.cpp
@@ -52,6 +52,7 @@
     std::atomic<bool> isClosing{false};
     std::atomic<std::size_t> activeExchanges{0};
     std::atomic<std::size_t> openConnections{0};
+    std::atomic<std::size_t> bodyBytesHeld{0};
     std::mutex connectionsMutex;
     std::unordered_set<Connection *> connections;
 };
@@ -63,10 +64,13 @@
 {
 public:
     Connection(tcp::socket socket, const HttpServerLimits &limits,
-               const std::atomic<bool> &isDraining)
+               const std::atomic<bool> &isDraining, const std::atomic<bool> &isClosing,
+               std::atomic<std::size_t> &bodyBytesHeld)
         : m_stream(std::move(socket))
         , m_limits(limits)
         , m_isDraining(isDraining)
+        , m_isClosing(isClosing)
+        , m_allBodyBytes(bodyBytesHeld)
     {
         boost::system::error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -95,6 +99,7 @@
     /// Reads what is left of a body so that the next request can follow; false if it is too much.
     bool finishExchange()
     {
+        releaseBodyBytes();
         if (!m_hasResponded)
             (void)respond({500, {}, ""});
         m_stream.expires_never();
@@ -133,41 +138,21 @@
 
     Result<std::string> readBody() override
     {
+        // For the whole of it, so that a sender who is slow enough cannot hold it for ever.
+        const auto until = SteadyClock().now() + m_limits.bodyTimeout;
         std::string body;
         while (true) {
-            auto piece = TRY(readBodyPiece());
+            auto piece = TRY(readPieceUntil(until));
             if (piece.empty())
                 return body;
-            if (body.size() + piece.size() > m_limits.bodyBytes) {
-                m_mustClose = true;
-                return Error{ErrorKind::TooLarge, "the body is larger than "
-                                                          + std::to_string(m_limits.bodyBytes)
-                                                          + " bytes"};
-            }
+            TRY(holdBodyBytes(piece.size()));
             body += piece;
         }
     }
 
     Result<std::string> readBodyPiece() override
     {
-        TRY(sendContinue());
-        if (m_parser->is_done())
-            return std::string();
-        std::string piece(bodyPieceBytes, '\0');
-        auto &body = m_parser->get().body();
-        body.data = piece.data();
-        body.size = piece.size();
-        body.more = true;
-        m_stream.expires_after(m_limits.bodyTimeout);
-        const auto outcome = awaitIo([&](auto handler) {
-            http::async_read(m_stream, m_buffer, *m_parser, std::move(handler));
-        });
-        if (outcome.code && outcome.code != http::error::need_buffer) {
-            m_mustClose = true;
-            return ioError("reading the body", outcome.code);
-        }
-        piece.resize(piece.size() - body.size);
-        return piece;
+        return readPieceUntil(SteadyClock().now() + m_limits.bodyTimeout);
     }
 
     Result<void> respond(HttpResponse response) override
@@ -233,14 +218,73 @@
     }
 
 private:
+    Result<std::string> readPieceUntil(TimePoint until)
+    {
+        TRY(sendContinue());
+        if (m_parser->is_done())
+            return std::string();
+        std::string piece(bodyPieceBytes, '\0');
+        auto &body = m_parser->get().body();
+        body.data = piece.data();
+        body.size = piece.size();
+        body.more = true;
+        m_stream.expires_at(until);
+        const auto outcome = awaitIo([&](auto handler) {
+            http::async_read(m_stream, m_buffer, *m_parser, std::move(handler));
+        });
+        if (outcome.code && outcome.code != http::error::need_buffer) {
+            m_mustClose = true;
+            return ioError("reading the body", outcome.code);
+        }
+        piece.resize(piece.size() - body.size);
+        return piece;
+    }
+
+    Result<void> holdBodyBytes(std::size_t bytes)
+    {
+        if (m_bodyBytesHeld + bytes > m_limits.bodyBytes) {
+            m_mustClose = true;
+            return Error{ErrorKind::TooLarge, "the body is larger than "
+                                                      + std::to_string(m_limits.bodyBytes)
+                                                      + " bytes"};
+        }
+        m_bodyBytesHeld += bytes;
+        if (m_allBodyBytes.fetch_add(bytes) + bytes <= m_limits.totalBodyBytes)
+            return {};
+        m_mustClose = true;
+        return Error{ErrorKind::Unavailable, "too many bytes of bodies are being read now"};
+    }
+
+    void releaseBodyBytes()
+    {
+        m_allBodyBytes -= m_bodyBytesHeld;
+        m_bodyBytesHeld = 0;
+    }
+
+    bool hasArrived()
+    {
+        boost::system::error_code code;
+        return m_stream.socket().available(code) > 0 && !code;
+    }
+
+    IoOutcome readByte(char &byte)
+    {
+        return awaitIo([&](auto handler) {
+            m_stream.async_read_some(boost::asio::buffer(&byte, 1), std::move(handler));
+        });
+    }
+
     bool waitReadable()
     {
+        if (m_isClosing && !hasArrived())
+            return false;
         m_isIdle = true;
         m_stream.expires_after(m_limits.idleTimeout);
         char first = 0;
-        const auto outcome = awaitIo([&](auto handler) {
-            m_stream.async_read_some(boost::asio::buffer(&first, 1), std::move(handler));
-        });
+        auto outcome = readByte(first);
+        // The server stops, but the next request had already arrived.
+        if (outcome.code == boost::asio::error::operation_aborted && hasArrived())
+            outcome = readByte(first);
         m_isIdle = false;
         if (outcome.code)
             return false;
@@ -310,6 +354,9 @@
     beast::tcp_stream m_stream;
     const HttpServerLimits &m_limits;
     const std::atomic<bool> &m_isDraining;
+    const std::atomic<bool> &m_isClosing;
+    std::atomic<std::size_t> &m_allBodyBytes;
+    std::size_t m_bodyBytesHeld = 0;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::buffer_body>> m_parser;
     HttpRequest m_request;
@@ -322,13 +369,14 @@
 template<typename State>
 void serveConnection(const std::shared_ptr<State> &state, tcp::socket socket)
 {
-    Connection connection(std::move(socket), state->limits, state->isDraining);
+    Connection connection(std::move(socket), state->limits, state->isDraining, state->isClosing,
+                          state->bodyBytesHeld);
     {
         const std::scoped_lock lock(state->connectionsMutex);
         state->connections.insert(&connection);
     }
     bool isFirst = true;
-    while (!state->isClosing && connection.readHead(isFirst)) {
+    while (connection.readHead(isFirst)) {
         isFirst = false;
         state->activeExchanges += 1;
         state->handler(connection);
--- a/Libraries/Net/HttpServer.h
+++ b/Libraries/Net/HttpServer.h
@@ -20,9 +20,12 @@
 {
     std::size_t headerBytes = std::size_t{16} * 1024;
     std::size_t bodyBytes = std::size_t{4} * 1024 * 1024;
+    /// Of all bodies together that are read whole and whose exchanges go on.
+    std::size_t totalBodyBytes = std::size_t{256} * 1024 * 1024;
     std::size_t connections = 20'000;
     Milliseconds headerTimeout{10'000};
     Milliseconds idleTimeout{120'000};
+    /// For a body that is read whole; else for each piece.
     Milliseconds bodyTimeout{30'000};
     Milliseconds writeTimeout{30'000};
 };
@@ -38,7 +41,8 @@
 
     /// Returns the request line and headers; the body is read apart from them.
     [[nodiscard]] virtual const HttpRequest &request() const = 0;
-    /// Reads the body to its end; TooLarge past the server's limit.
+    /// Reads the body to its end; TooLarge past the server's limit, Unavailable while the bodies of
+    /// all exchanges together are too large, Timeout if it comes too slowly.
     virtual Result<std::string> readBody() = 0;
     /// Reads the next piece of the body; an empty piece is its end.
     virtual Result<std::string> readBodyPiece() = 0;
--- a/Meta/capacity.py
+++ b/Meta/capacity.py
@@ -186,6 +186,31 @@
     report("entry: processor share by idle streams", "% of a core", entry_cpu, 100, "stream")
 
 
+def large_job(args):
+    """Writes to the store and memory at an entry process, by the size of one job."""
+    memory = []
+    for items in (12_000, 60_000, 120_000):
+        with Deployment(args.build) as deployment:
+            for _ in range(4):
+                deployment.add_upstream("zone1", "region1", 32, 5, engine=("--prefill=0",))
+            entry = deployment.add_entry("zone1", "region1")
+            deployment.put_catalogue("lotka")
+            writes = deployment.store_counts()["writes"]
+            began = time.monotonic()
+            deployment.submit("league", items, 1)
+            submitted = time.monotonic()
+            peak = 0
+            while deployment.job_status("league").get("state") != "completed":
+                peak = max(peak, entry.usage()[1])
+                time.sleep(0.5)
+            seconds = time.monotonic() - submitted
+            writes = deployment.store_counts()["writes"] - writes
+            memory.append((items, peak))
+            print(f"{items} items: submitted in {submitted - began:.1f} s, done in "
+                  f"{seconds:.0f} s; {1000 * writes / items:.2f} writes for 1,000 items")
+    report("entry: memory at most by items of one job", "MB", memory, 1e-6, "item")
+
+
 def time_in_force(args):
     """Time until a change is in force in six entry processes of two regions, one of them reached
     over the link, by which region it is made in."""
@@ -264,7 +289,8 @@
 
 def main():
     parts = {"agents": agents_watched, "entries": entries_at_agent, "bytes": control_bytes,
-             "owners": owners, "streams": idle_streams, "force": time_in_force, "cost": proxy_cost}
+             "owners": owners, "streams": idle_streams, "force": time_in_force,
+             "job": large_job, "cost": proxy_cost}
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="Build")
     parser.add_argument("--parts", default=",".join(parts), help="of: " + ", ".join(parts))
--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -171,6 +171,14 @@
         "Libraries/Limits/OwnerLimits.cpp", "    return m_isIsolated ? whole / isolationDivisor : whole;\n}\n\n}",
         "    return m_isIsolated ? whole / 1 : whole;\n}\n\n}",
         "TestIntegration", "A catalogue change comes into force*"),
+    "a deadline for the whole body": (
+        "Libraries/Net/HttpServer.cpp", "readPieceUntil(until));",
+        "readPieceUntil(SteadyClock().now() + m_limits.bodyTimeout));",
+        "TestNet", "Slow and greedy callers*"),
+    "a bound on all bodies together": (
+        "Libraries/Net/HttpServer.cpp", "<= m_limits.totalBodyBytes)",
+        "<= m_limits.totalBodyBytes * 100)",
+        "TestNet", "Slow and greedy callers*"),
     "closing silent strangers": (
         "Libraries/Control/ControlListener.cpp", "        if (current.isOpened)\n",
         "        if (current.isOpened || timeToOpen > 0 * kj::SECONDS)\n",
