Upstream: Ask agents that are not used every 1.5 s

Cause: control at an entry process took 30.6 KB/s at the target, of 23 allowed. With 64 agents, 19% of the pairs busy: 24.7 KB/s, still too much. Change: idle pairs are asked every 1.5 s instead of 1 s; a report still lasts 3.5 s, so an agent that falls silent is noticed as before. 83 heartbeats/s instead of 100: 20.6 KB/s. Ruled out: fewer agents (32 models need two each); slower heartbeats of busy pairs (routing would work on older load).

--- a/Services/radishplankd/Upstream.cpp
+++ b/Services/radishplankd/Upstream.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Milliseconds busyHeartbeat{250};
-constexpr Milliseconds idleHeartbeat{1'000};
+constexpr Milliseconds idleHeartbeat{1'500};
 /// An upstream counts as used for so long after its last attempt.
 constexpr Milliseconds useMemory{2'000};
 /// An agent that has not answered for so long gets no new work.
