--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -152,8 +152,8 @@
         "        if (m_isDraining)\n            handBackWithoutPart();",
         "TestIntegration", "A limit on items below the number of entry processes*"),
     "attempts name their pool": (
-        DAEMON + "Agent.cpp", "        if (!m_loader.serves(order.pool))",
-        "        if (!m_loader.serves(order.pool) && order.pool.empty())",
+        DAEMON + "Agent.cpp", "        if (!m_orders.loader().serves(order.pool))",
+        "        if (!m_orders.loader().serves(order.pool) && order.pool.empty())",
         "TestIntegration", "Models are placed where they are asked for"),
     "fencing after a restart of the agent": (
         DAEMON + "AgentDaemon.cpp", "            return lease.isError() ? 0 : lease.value().fencing;",
@@ -172,11 +172,11 @@
         "    return m_isIsolated ? whole / 1 : whole;\n}\n\n}",
         "TestIntegration", "A catalogue change comes into force*"),
     "a deadline for the whole body": (
-        "Libraries/Net/HttpServer.cpp", "readPieceUntil(until));",
+        "Libraries/Net/HttpConnection.cpp", "readPieceUntil(until));",
         "readPieceUntil(SteadyClock().now() + m_limits.bodyTimeout));",
         "TestNet", "Slow and greedy callers*"),
     "a bound on all bodies together": (
-        "Libraries/Net/HttpServer.cpp", "<= m_limits.totalBodyBytes)",
+        "Libraries/Net/HttpConnection.cpp", "<= m_limits.totalBodyBytes)",
         "<= m_limits.totalBodyBytes * 100)",
         "TestNet", "Slow and greedy callers*"),
     "closing silent strangers": (
@@ -184,7 +184,7 @@
         "        if (current.isOpened || timeToOpen > 0 * kj::SECONDS)\n",
         "TestControl", "Processes ask each other*"),
     "fencing of orders": (
-        DAEMON + "Agent.cpp", "    if (fencing < m_highestFencing)",
+        DAEMON + "EngineOrders.cpp", "    if (fencing < m_highestFencing)",
         "    if (fencing < 0)",
         "TestIntegration", "Orders to an engine*"),
 }
