--- a/Services/radishplankd/Agent.cpp
+++ b/Services/radishplankd/Agent.cpp
@@ -67,7 +67,7 @@
     , m_incarnation(threadRandomEngine()())
     , m_ledger(std::to_string(m_incarnation), attemptRetention)
     , m_scheduler(m_settings.slots)
-    , m_loader(m_settings.upstream, m_settings.models)
+    , m_orders(m_settings.upstream, m_settings.models)
 {
 }
 
@@ -86,7 +86,7 @@
         return;
     }
     if (target.path == "/orders" && request.method == "POST") {
-        handleOrder(exchange);
+        m_orders.handle(exchange);
         return;
     }
     if (!target.path.starts_with(attemptPrefix)) {
@@ -131,7 +131,7 @@
         const std::scoped_lock lock(m_mutex);
         // Under the lock, so that a load that begins now either refuses the attempt or waits for
         // it.
-        if (!m_loader.serves(order.pool))
+        if (!m_orders.loader().serves(order.pool))
             return {{}, refusal(409, "the engine does not have this model now")};
         switch (m_ledger.admit(order.id, incarnation)) {
         case AttemptLedger::Admission::OtherIncarnation:
@@ -303,57 +303,9 @@
     return found == m_attempts.end() ? nullptr : found->second;
 }
 
-void Agent::handleOrder(HttpExchange &exchange)
-{
-    const auto body = exchange.readBody();
-    const auto order = parseJsonObject(body.isError() ? "" : body.value());
-    if (order.isError()) {
-        (void)exchange.respond({400, {}, order.error().message});
-        return;
-    }
-    if (!m_knowsFencing) {
-        (void)exchange.respond({503, {}, "this agent does not know the fencing number yet"});
-        return;
-    }
-    const auto fencing = integerField(order.value(), "fencing", 0);
-    if (!raiseFencing(fencing)) {
-        m_refusedOrders.increase();
-        (void)exchange.respond({409, {}, "the order's fencing number is old"});
-        return;
-    }
-    const auto model = textField(order.value(), "load");
-    if (model && m_loader.isManaged()) {
-        takeLoadOrder(exchange, *model, fencing);
-        return;
-    }
-    auto forwarded
-            = HttpClient::fetch(m_settings.upstream, {"POST", "/orders", {}, body.value()}, {});
-    if (forwarded.isError()) {
-        (void)exchange.respond({502, {}, forwarded.error().message});
-        return;
-    }
-    (void)exchange.respond({forwarded.value().status, {}, forwarded.value().body});
-}
-
-void Agent::takeLoadOrder(HttpExchange &exchange, const std::string &model, std::int64_t fencing)
-{
-    if (!m_loader.canLoad(model)) {
-        (void)exchange.respond({400, {}, "this engine does not load that model"});
-        return;
-    }
-    m_loader.order(model, fencing);
-    (void)exchange.respond({202, {}, "ordered"});
-}
-
-void Agent::learnFencing(std::int64_t fencing)
-{
-    (void)raiseFencing(fencing);
-    m_knowsFencing = true;
-}
-
 void Agent::loadModels(const std::function<void(const std::string &model)> &announce)
 {
-    m_loader.run({[this] { quiesce(); }, announce});
+    m_orders.loader().run({[this] { quiesce(); }, announce});
 }
 
 void Agent::quiesce()
@@ -384,16 +336,6 @@
         stop(attempt, StopReason::Preempted);
 }
 
-bool Agent::raiseFencing(std::int64_t fencing)
-{
-    // Checked here because some engines ignore the number.
-    const std::scoped_lock lock(m_mutex);
-    if (fencing < m_highestFencing)
-        return false;
-    m_highestFencing = fencing;
-    return true;
-}
-
 Result<LoadReport> Agent::observe()
 {
     const std::scoped_lock lock(m_mutex);
@@ -405,7 +347,7 @@
     report.onlineQueued = static_cast<std::uint32_t>(counts.onlineQueued);
     report.batchRunning = static_cast<std::uint32_t>(counts.batchRunning);
     report.batchQueued = static_cast<std::uint32_t>(counts.batchQueued);
-    report.isAccepting = !m_isDraining && m_isUpstreamUp && !m_loader.isLoading();
+    report.isAccepting = !m_isDraining && m_isUpstreamUp && !m_orders.loader().isLoading();
     return report;
 }
 
@@ -449,22 +391,14 @@
         const auto probed
                 = HttpClient::fetch(m_settings.upstream, {"GET", target, {}, ""}, options);
         const bool isUp = !probed.isError();
-        if (isUp && m_loader.isManaged())
-            noteEngineLoad(probed.value());
+        if (isUp)
+            m_orders.noteEngineLoad(probed.value(), SteadyClock().now());
         if (m_isUpstreamUp.exchange(isUp) != isUp)
             logStateChange(isUp ? "upstream-up" : "upstream-down",
                            {{"upstream", m_settings.upstream.text()}});
     }
 }
 
-void Agent::noteEngineLoad(const HttpResponse &load)
-{
-    const auto fields = parseJsonObject(load.body, DuplicateFields::LastCounts);
-    if (!fields.isError())
-        m_loader.noteEngineModel(textField(fields.value(), "model").value_or(""),
-                                 SteadyClock().now());
-}
-
 void Agent::sweep()
 {
     while (true) {
@@ -514,8 +448,8 @@
             {"batchRunning", counts.batchRunning},
             {"batchQueued", counts.batchQueued},
             {"attemptsRemembered", m_ledger.size()},
-            {"highestFencing", m_highestFencing},
-            {"model", m_loader.state()},
+            {"highestFencing", m_orders.highestFencing()},
+            {"model", m_orders.loader().state()},
             {"attempts", std::move(attempts)}};
 }
 
@@ -527,7 +461,7 @@
     renderCounter(text, "radishplank_agent_batch_preempted_total", m_preempted);
     renderCounter(text, "radishplank_agent_upstream_lost_total", m_lost);
     renderCounter(text, "radishplank_agent_reattached_total", m_reattached);
-    renderCounter(text, "radishplank_agent_orders_refused_total", m_refusedOrders);
+    renderCounter(text, "radishplank_agent_orders_refused_total", m_orders.refused());
     return text;
 }
 
--- a/Services/radishplankd/Agent.h
+++ b/Services/radishplankd/Agent.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Attempt.h"
-#include "ModelLoader.h"
+#include "EngineOrders.h"
 
 #include <Control/Control.h>
 #include <Net/Net.h>
@@ -41,8 +41,7 @@
     Result<AttemptFate> cancelAttempt(const AttemptId &attempt,
                                       const std::string &incarnation) override;
 
-    /// Takes the fencing number known so far; orders are refused before that.
-    void learnFencing(std::int64_t fencing);
+    [[nodiscard]] EngineOrders &orders() { return m_orders; }
     /// Loads models as ordered; never returns.
     void loadModels(const std::function<void(const std::string &model)> &announce);
     /// Refuses new attempts and preempts batch; running online attempts go on.
@@ -60,9 +59,6 @@
 
     void handleNew(HttpExchange &exchange, const AttemptId &id);
     void handleAttach(HttpExchange &exchange, const AttemptId &id, const HttpTarget &target);
-    void handleOrder(HttpExchange &exchange);
-    void takeLoadOrder(HttpExchange &exchange, const std::string &model, std::int64_t fencing);
-    void noteEngineLoad(const HttpResponse &load);
     Admitted admit(AttemptOrder order, const std::string &incarnation);
     void streamLines(HttpExchange &exchange, const AttemptPointer &attempt, std::size_t from);
     void run(const AttemptPointer &attempt);
@@ -70,7 +66,6 @@
     void blame(const AttemptPointer &attempt, EndLine &line);
     void apply(const SchedulerActions &actions);
     void stop(const AttemptPointer &attempt, StopReason reason);
-    bool raiseFencing(std::int64_t fencing);
     /// Waits until nothing runs; past a bound it preempts what can run again elsewhere.
     void quiesce();
     void preempt(WorkClass workClass);
@@ -91,15 +86,12 @@
     Ticket m_nextTicket = 1;
     std::size_t m_suspectsInProgress = 0;
     TimePoint m_suspectLostAt{};
-    std::int64_t m_highestFencing = 0;
-    std::atomic<bool> m_knowsFencing{false};
-    ModelLoader m_loader;
+    EngineOrders m_orders;
     Counter m_begun;
     Counter m_refused;
     Counter m_preempted;
     Counter m_lost;
     Counter m_reattached;
-    Counter m_refusedOrders;
 };
 
 } // namespace Radishplank
--- a/Services/radishplankd/AgentDaemon.cpp
+++ b/Services/radishplankd/AgentDaemon.cpp
@@ -116,7 +116,7 @@
             = memberOf(settings, advertised(settings.dataAdvertise, dataServer->endpoint()),
                        advertised(common.controlAdvertise, control->endpoint()));
     MemberRegistration registration(store, std::string(agentPrefix) + common.node);
-    threads.spawn([&store, &agent] { agent.learnFencing(readFencing(store)); });
+    threads.spawn([&store, &agent] { agent.orders().learnFencing(readFencing(store)); });
     threads.spawn([&registration, &agent, member] {
         registration.write(toJson(member));
         if (member.models.empty())
