--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -151,6 +151,19 @@
         DAEMON + "BatchScheduler.cpp", "    return itemPart(owner) != 0;",
         "    return itemPart(owner) != -1;",
         "TestIntegration", "A limit on items below the number of entry processes*"),
+    "due time first": (
+        DAEMON + "BatchScheduler.cpp",
+        "        return std::tie(left.dueBucket, left.served, left.dueAt, left.job)\n"
+        "               < std::tie(right.dueBucket, right.served, right.dueAt, right.job);",
+        "        return std::tie(left.served, left.job) < std::tie(right.served, right.job);",
+        "TestIntegration", "Batch goes by due time*"),
+    "fairness by weight": (
+        DAEMON + "BatchScheduler.cpp",
+        "        return std::tie(left.dueBucket, left.served, left.dueAt, left.job)\n"
+        "               < std::tie(right.dueBucket, right.served, right.dueAt, right.job);",
+        "        return std::tie(left.dueBucket, left.dueAt, left.job)\n"
+        "               < std::tie(right.dueBucket, right.dueAt, right.job);",
+        "TestIntegration", "Batch goes by due time*"),
     "attempts name their pool": (
         DAEMON + "Agent.cpp", "        if (!m_orders.loader().serves(order.pool))",
         "        if (!m_orders.loader().serves(order.pool) && order.pool.empty())",
--- a/Tests/Integration/TestBatchPromises.cpp
+++ b/Tests/Integration/TestBatchPromises.cpp
@@ -498,3 +498,73 @@
     for (const auto &job : jobs)
         waitForState(deployment, "entry2", job, "completed");
 }
+
+TEST_CASE("Batch goes by due time, and then fairly between owners by weight")
+{
+    Deployment deployment;
+    deployment.addAgent("agent1", {.slots = 1, .tokenIntervalMs = 4});
+    deployment.addEntry("entry1");
+    deployment.putCatalogue(1);
+    const std::string lines = jobLines(40, 1);
+    const auto isCompleted = [](const boost::json::object &job) {
+        return textField(job, "state").value_or("") == "completed";
+    };
+
+    SECTION("A job that is due sooner overtakes those that wait")
+    {
+        const std::vector<std::string> waiting{"late1", "late2", "late3", "late4", "late5"};
+        for (const auto &name : waiting)
+            REQUIRE(deployment.call("entry1", submission(name, lines)).status == 201);
+        auto urgent = submission("soon", lines);
+        urgent.target += "&due=60";
+        REQUIRE(deployment.call("entry1", urgent).status == 201);
+        waitForState(deployment, "entry1", "soon", "completed");
+        const auto before = std::count_if(waiting.begin(), waiting.end(), [&](const auto &name) {
+            return isCompleted(status(deployment, "entry1", name));
+        });
+        // The one that was in hand, and one that was taken while its last items ran.
+        CHECK(before <= 2);
+    }
+    SECTION("An owner of three times the weight gets three times as much")
+    {
+        const std::string otherToken = "token-of-sundholl";
+        deployment.putObject("owners/sundholl",
+                             R"({"tokenDigest":")" + sha256Hex(otherToken) + R"(","weight":3})");
+        deployment.putObject("entries/sundholl/captions", R"({"pool":"captions"})");
+        const auto callAsOther = [&](HttpRequest request) {
+            request.headers.add("Authorization", "Bearer " + otherToken);
+            return deployment.client.call(deployment.entry("entry1").callers, request);
+        };
+        REQUIRE(eventually([&] {
+            return callAsOther({"GET", "/v1/models", {}, ""}).status == 200;
+        }));
+        constexpr int jobs = 8;
+        for (int i = 0; i < jobs; ++i) {
+            const auto name = "job" + std::to_string(i);
+            REQUIRE(deployment.call("entry1", submission(name, lines)).status == 201);
+            REQUIRE(callAsOther(submission(name, lines)).status == 201);
+        }
+        const auto itemsDone = [&](const HttpResponse &answer) {
+            return integerField(boost::json::parse(answer.body).as_object(), "completed", 0);
+        };
+        const auto itemsOfOwner = [&] {
+            std::int64_t total = 0;
+            for (int i = 0; i < jobs; ++i)
+                total += itemsDone(deployment.call(
+                        "entry1", {"GET", "/v1/batches/job" + std::to_string(i), {}, ""}));
+            return total;
+        };
+        const auto itemsOfOther = [&] {
+            std::int64_t total = 0;
+            for (int i = 0; i < jobs; ++i)
+                total += itemsDone(
+                        callAsOther({"GET", "/v1/batches/job" + std::to_string(i), {}, ""}));
+            return total;
+        };
+        REQUIRE(eventually([&] { return itemsOfOther() >= 240; }));
+        const auto own = itemsOfOwner();
+        // A third of 240, give or take the jobs in hand.
+        CHECK(own >= 40);
+        CHECK(own <= 160);
+    }
+}
