--- a/Tests/Integration/TestPlacement.cpp
+++ b/Tests/Integration/TestPlacement.cpp
@@ -103,6 +103,36 @@
         for (const auto &name : agentNames)
             CHECK(integerField(models.deployment.engineStats(name), "wrongModel", -1) == 0);
     }
+    SECTION("An attempt that arrives when its model has gone does not run")
+    {
+        PlacedModels models;
+        auto &deployment = models.deployment;
+        const auto state = deployment.state(deployment.agent("agent1").operators);
+        const auto served = textField(state.at("model").as_object(), "served").value();
+        const auto executions
+                = [&] { return integerField(deployment.engineStats("agent1"), "executions", 0); };
+        const auto attempt = [&](const std::string &id, const std::string &pool) {
+            HttpRequest request{"POST",
+                                "/attempts/" + id,
+                                {},
+                                R"({"model":")" + served + R"(","prompt":"x","max_tokens":1})"};
+            request.headers.add("Radishplank-Secret", "secret-of-the-cluster");
+            request.headers.add("Radishplank-Incarnation", textField(state, "incarnation").value());
+            request.headers.add("Radishplank-Pool", pool);
+            request.headers.add("Radishplank-Kind", "model");
+            request.headers.add("Radishplank-Method", "POST");
+            request.headers.add("Radishplank-Target", "/v1/completions");
+            request.headers.add("Radishplank-Deadline-Ms", "5000");
+            return deployment.client.call(deployment.agentData("agent1"), request);
+        };
+        const auto before = executions();
+        const auto refused = attempt("gone", served == "captions" ? "proofs" : "captions");
+        CHECK(refused.status == 409);
+        CHECK(refused.headers.value("Radishplank-Outcome") == "not-run");
+        CHECK(executions() == before);
+        CHECK(attempt("there", served).status == 200);
+        CHECK(executions() == before + 1);
+    }
     SECTION("A model that more is asked of gets more engines, and no call is lost on the way")
     {
         PlacedModels models;
