--- a/Tests/Integration/TestCallerInterface.cpp
+++ b/Tests/Integration/TestCallerInterface.cpp
@@ -1,7 +1,9 @@
 #include "Deployment.h"
 
 #include <catch2/catch.hpp>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 
 using namespace Radishplank;
@@ -113,6 +115,30 @@
         CHECK(deployment.control({"catalogue", "status"}).output.find("error")
               == std::string::npos);
     }
+    SECTION("Secrets appear in no log and no dump")
+    {
+        CHECK(deployment.call("entry1", completion("hello", 1)).status == 200);
+        const auto wrong = deployment.client.call(
+                deployment.entry("entry1").callers,
+                {"GET", "/v1/models", {{"Authorization", "Bearer not-the-token"}}, ""});
+        CHECK(wrong.status == 401);
+        std::string told
+                = boost::json::serialize(deployment.state(deployment.entry("entry1").operators))
+                  + boost::json::serialize(deployment.state(deployment.agent("agent1").operators));
+        std::size_t logs = 0;
+        for (const auto &file : std::filesystem::directory_iterator(deployment.directory())) {
+            if (file.path().extension() != ".log")
+                continue;
+            std::ifstream log(file.path());
+            told += std::string(std::istreambuf_iterator<char>(log), {});
+            logs += 1;
+        }
+        CHECK(logs > 0);
+        CHECK(told.find("entry-started") != std::string::npos);
+        for (const auto *secret : {"secret-of-the-cluster", Deployment::operatorToken,
+                                   Deployment::token, "not-the-token"})
+            CHECK(told.find(secret) == std::string::npos);
+    }
     SECTION("Every finding of a catalogue file is told with its line")
     {
         const auto good = deployment.control({"catalogue", "check",
