Batch: Keep the hashes of identifiers in a flat table

Cause: memory at an entry process grew with the items of a job: 26, 31 and 38 MB at most for 12,000, 60,000 and 120,000 items; each hash took a node of its own while a job is submitted. Ruled out: held shards (one or two at a time), status reads (60 small objects). Before: 0.11 KB an item. After: 27.6, 32.2 and 33.5 MB, 0.05 KB an item, most of it below 60,000 items. Writes to the store 5.6 to 5.8 for 1,000 items (bound: 10).

--- a/Libraries/Batch/ItemSplitter.h
+++ b/Libraries/Batch/ItemSplitter.h
@@ -2,9 +2,9 @@
 
 #include <Core/Core.h>
 
+#include <boost/unordered/unordered_flat_set.hpp>
 #include <string>
 #include <string_view>
-#include <unordered_set>
 #include <vector>
 
 namespace Radishplank {
@@ -52,7 +52,7 @@
     std::size_t m_lineNumber = 0;
     std::size_t m_items = 0;
     /// Hashes, not texts, of the identifiers seen.
-    std::unordered_set<std::uint64_t> m_identifiers;
+    boost::unordered_flat_set<std::uint64_t> m_identifiers;
     Sha256Stream m_digest;
 };
 
