Tests: Let each piece of a slow body come in time, but not the whole

Cause: the proof of the deadline for a whole body stayed green without it: the body of the test fitted into one piece, whose own time was as good as a deadline. Now it has eleven pieces, each of which comes in time.

--- a/Tests/Net/TestHttpServer.cpp
+++ b/Tests/Net/TestHttpServer.cpp
@@ -67,14 +67,16 @@
     HttpServerLimits limits;
     limits.headerTimeout = Milliseconds(300);
     limits.bodyTimeout = Milliseconds(400);
-    limits.bodyBytes = 1'000;
-    limits.totalBodyBytes = 800;
-    const auto server
-            = HttpServer::listen(threads, {"127.0.0.1", 0}, limits, [](HttpExchange &exchange) {
-                  const auto body = exchange.readBody();
-                  const auto *const answer = body.isError() ? "refused" : "taken";
-                  (void)exchange.respond({200, {}, answer});
-              }).takeValue();
+    const auto serve = [&] {
+        return HttpServer::listen(threads, {"127.0.0.1", 0}, limits,
+                                  [](HttpExchange &exchange) {
+                                      const auto body = exchange.readBody();
+                                      const auto *const answer
+                                              = body.isError() ? "refused" : "taken";
+                                      (void)exchange.respond({200, {}, answer});
+                                  })
+                .takeValue();
+    };
     const auto head = [](std::size_t bytes) {
         return "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(bytes)
                + "\r\n\r\n";
@@ -92,24 +94,36 @@
 
     SECTION("A request line that does not end is cut off")
     {
+        const auto server = serve();
         RawCaller caller(server->endpoint());
         caller.send("POST / HT");
         CHECK(caller.readToEnd());
     }
     SECTION("Headers that come a byte at a time are cut off, however steadily they come")
     {
+        const auto server = serve();
         RawCaller caller(server->endpoint());
         caller.send("POST / HTTP/1.1\r\nX: ");
         CHECK(drip(caller) < longEnough);
     }
-    SECTION("So is a body")
+    SECTION("So is a body, of which every piece comes in time, but not the whole")
     {
+        const auto server = serve();
+        constexpr int pieces = 11;
+        constexpr std::size_t pieceBytes = 9'000;
         RawCaller caller(server->endpoint());
-        caller.send(head(900));
-        CHECK(drip(caller) < longEnough);
+        caller.send(head(pieces * pieceBytes));
+        int sent = 0;
+        while (sent < pieces && caller.send(std::string(pieceBytes, 'x'))) {
+            sent += 1;
+            std::this_thread::sleep_for(std::chrono::milliseconds(250));
+        }
+        CHECK(sent < pieces);
     }
     SECTION("Bodies that are too large together are refused, and others taken afterwards")
     {
+        limits.totalBodyBytes = 800;
+        const auto server = serve();
         const auto answerTo = [&](std::size_t bytes) {
             RawCaller caller(server->endpoint());
             caller.send("POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: "
