--- a/Services/radishplankd/OperatorApi.cpp
+++ b/Services/radishplankd/OperatorApi.cpp
@@ -187,6 +187,13 @@
         quarantined.push_back(boost::json::object{{"fingerprint", notice.fingerprint},
                                                   {"attempt", notice.attempt.text()},
                                                   {"ageMs", notice.age.count()}});
+    boost::json::array members;
+    m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
+        for (const auto &node : catalogue.nodes())
+            members.push_back(boost::json::object{{"node", node.id.text()},
+                                                  {"zone", node.zone.text()},
+                                                  {"control", node.control.text()}});
+    });
     respondJson(exchange, 200,
                 boost::json::object{{"role", "entry"},
                                     {"node", m_context.node.text()},
@@ -195,6 +202,7 @@
                                     {"configurationStalenessMs", m_sync.staleness().count()},
                                     {"watchesStore", m_sync.isWatching()},
                                     {"isolated", m_sync.isIsolated()},
+                                    {"members", std::move(members)},
                                     {"upstreams", m_context.fleet.state()},
                                     {"limits", m_context.limits.state(now)},
                                     {"retryBudget", m_context.retryBudget.available()},
--- a/Tests/Integration/TestSharedState.cpp
+++ b/Tests/Integration/TestSharedState.cpp
@@ -59,6 +59,8 @@
                                     : 0;
             return watching == 2;
         }));
+        const auto state = deployment.state(deployment.entry("entry1").operators);
+        CHECK(state.at("members").as_array().size() == entries.size());
         const auto status = deployment.control({"catalogue", "status"});
         CHECK(status.status == 0);
         for (const auto &entry : entries)
