Limits: Look for a part of slots only where slots are limited

Cause: since slots are lent, each request found its part of the concurrency limit, also of limits without one; that hashes the key with every member, twice a request. Not measured. Ruled out: dropping it where slots are limited (it follows the members).

--- a/Libraries/Limits/OwnerLimits.cpp
+++ b/Libraries/Limits/OwnerLimits.cpp
@@ -182,7 +182,9 @@
 
 void OwnerLimits::configure(const std::string &key, State &state, TimePoint now) const
 {
-    state.slots.setOwned(m_ownsParts ? concurrentPart(key, state.limits) : 0);
+    // Each part is found by hashing with every member, so it is not looked for without need.
+    if (state.limits.concurrentRequests > 0)
+        state.slots.setOwned(m_ownsParts ? concurrentPart(key, state.limits) : 0);
     const double limit = state.limits.requestsPerSecond;
     state.ledger.setOwned(m_ownsParts ? limit * share() : 0);
     const double rate = state.ledger.rate(now);
