--- a/Libraries/Catalogue/CatalogueSnapshot.cpp
+++ b/Libraries/Catalogue/CatalogueSnapshot.cpp
@@ -65,6 +65,15 @@
     return result;
 }
 
+std::size_t CatalogueSnapshot::nodeRank(const NodeId &node, std::string_view key) const
+{
+    const auto seed = stableHash(key);
+    const auto own = stableHash(node.text(), seed);
+    return static_cast<std::size_t>(
+            std::count_if(m_nodeIds.begin(), m_nodeIds.end(),
+                          [&](const NodeId &each) { return stableHash(each.text(), seed) < own; }));
+}
+
 void CatalogueSnapshot::add(const StoredObject &object, const boost::json::object &fields,
                             Findings &findings)
 {
--- a/Libraries/Catalogue/CatalogueSnapshot.h
+++ b/Libraries/Catalogue/CatalogueSnapshot.h
@@ -30,6 +30,9 @@
     [[nodiscard]] std::span<const AgentMember> agents() const { return m_agents; }
     [[nodiscard]] std::span<const EntryMember> nodes() const { return m_nodes; }
     [[nodiscard]] const std::vector<NodeId> &nodeIds() const { return m_nodeIds; }
+    /// Returns how many entry processes come before the given one in the order that rendezvous
+    /// hashing gives them for a key.
+    [[nodiscard]] std::size_t nodeRank(const NodeId &node, std::string_view key) const;
 
 private:
     void add(const StoredObject &object, const boost::json::object &fields, Findings &findings);
--- a/Services/radishplankd/BatchScheduler.cpp
+++ b/Services/radishplankd/BatchScheduler.cpp
@@ -335,10 +335,7 @@
         const bool isLimitSmall = part && *part <= 1;
         if (isLimitSmall)
             return true;
-        const auto own = stableHash(m_context.node.text(), stableHash(job.prefix()));
-        std::size_t nearer = 0;
-        for (const auto &node : catalogue.nodes())
-            nearer += stableHash(node.id.text(), stableHash(job.prefix())) < own ? 1 : 0;
+        const auto nearer = catalogue.nodeRank(m_context.node, job.prefix());
         return nearer < shards * processesPerShard + spareProcesses;
     });
 }
--- a/Services/radishplankd/PlacementController.cpp
+++ b/Services/radishplankd/PlacementController.cpp
@@ -85,15 +85,8 @@
 
 bool PlacementController::isCandidate() const
 {
-    const auto rank
-            = [](const NodeId &node) { return stableHash(electionKey, stableHash(node.text())); };
     return m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
-        const auto own = rank(m_context.node);
-        const auto nodes = catalogue.nodes();
-        const auto nearer = std::count_if(nodes.begin(), nodes.end(), [&](const EntryMember &node) {
-            return rank(node.id) < own;
-        });
-        return nearer < static_cast<std::ptrdiff_t>(maxCandidates);
+        return catalogue.nodeRank(m_context.node, electionKey) < maxCandidates;
     });
 }
 
--- a/Services/radishplankd/StoreSweeper.cpp
+++ b/Services/radishplankd/StoreSweeper.cpp
@@ -2,8 +2,6 @@
 
 #include "KeyedCalls.h"
 
-#include <algorithm>
-
 namespace Radishplank {
 
 namespace {
@@ -63,13 +61,8 @@
 {
     // Two processes that count different members may both sweep for a while; each removal is
     // conditional, so that this costs calls to the store and nothing else.
-    const auto rank
-            = [](const NodeId &node) { return stableHash(electionKey, stableHash(node.text())); };
     return m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
-        const auto &nodes = catalogue.nodes();
-        return std::none_of(nodes.begin(), nodes.end(), [&](const EntryMember &each) {
-            return rank(each.id) < rank(m_context.node);
-        });
+        return catalogue.nodeRank(m_context.node, electionKey) == 0;
     });
 }
 
