Batch: Change the state of a job in one loop

Cancelling and finishing had a loop of conditional update each, and two places asked whether a job has ended.

--- a/Libraries/Batch/JobStore.h
+++ b/Libraries/Batch/JobStore.h
@@ -70,9 +70,7 @@
     /// Makes sure that processes looking for work find the job, unless it has ended.
     Result<void> ensureIndexed(const JobKey &job, const JobManifest &manifest)
     {
-        const bool hasEnded
-                = manifest.state == JobState::Cancelled || manifest.state == JobState::Completed;
-        if (hasEnded)
+        if (hasEnded(manifest.state))
             return {};
         // Read first: this is asked with each status, and the store takes fewer writes than reads.
         const auto known = m_store.get(job.activeKey());
@@ -141,18 +139,11 @@
     /// Makes the cancellation durable; from then on holders stop. NotFound if there is no job.
     Result<JobState> beginCancel(const JobKey &job)
     {
-        while (true) {
-            auto current = TRY(manifest(job));
-            if (current.manifest.state != JobState::Accepted)
-                return current.manifest.state;
-            current.manifest.state = JobState::Cancelling;
-            const auto written
-                    = decide(job.manifestKey(), serialize(current.manifest), current.version);
-            if (!written.isError())
-                break;
-            if (written.error().kind != ErrorKind::Conflict)
-                return written.error();
-        }
+        const auto before = TRY(changeState(job, JobState::Cancelling, [](JobState state) {
+            return state == JobState::Accepted;
+        }));
+        if (before != JobState::Accepted)
+            return before;
         noteCancelInIndex(job);
         return JobState::Cancelling;
     }
@@ -245,22 +236,33 @@
     }
 
     Result<void> finish(const JobKey &job, JobState state)
+    {
+        TRY(changeState(job, state, [](JobState before) { return !hasEnded(before); }));
+        return removeFromIndex(job);
+    }
+
+    /// Changes the state of a job, unless the one it has may not be changed; returns that one.
+    template<typename MayChange>
+    Result<JobState> changeState(const JobKey &job, JobState state, MayChange &&mayChange)
     {
         while (true) {
             auto current = TRY(manifest(job));
-            const bool hasEnded = current.manifest.state == JobState::Cancelled
-                                  || current.manifest.state == JobState::Completed;
-            if (hasEnded)
-                break;
+            const auto before = current.manifest.state;
+            if (!mayChange(before))
+                return before;
             current.manifest.state = state;
             const auto written
                     = decide(job.manifestKey(), serialize(current.manifest), current.version);
             if (!written.isError())
-                break;
+                return before;
             if (written.error().kind != ErrorKind::Conflict)
                 return written.error();
         }
-        return removeFromIndex(job);
+    }
+
+    static bool hasEnded(JobState state)
+    {
+        return state == JobState::Cancelled || state == JobState::Completed;
     }
 
     Store &m_store;
