Serving: Describe an attempt once for both ends

AttemptRequest of the entry process and AttemptOrder of the agent had the same fields; the latter now serves both.

--- a/Libraries/Serving/Serving.h
+++ b/Libraries/Serving/Serving.h
@@ -4,6 +4,7 @@
 
 #include <Serving/AttemptLedger.h>
 #include <Serving/AttemptLine.h>
+#include <Serving/AttemptOrder.h>
 #include <Serving/BatchWindow.h>
 #include <Serving/LinkAllowance.h>
 #include <Serving/Outcome.h>
--- a/Services/radishplankd/Attempt.h
+++ b/Services/radishplankd/Attempt.h
@@ -12,23 +12,6 @@
 
 namespace Radishplank {
 
-/// What an entry process asks an agent to run.
-struct AttemptOrder
-{
-    AttemptId id;
-    std::string pool;
-    EntryKind kind = EntryKind::Model;
-    WorkClass workClass = WorkClass::Online;
-    Suspicion suspicion = Suspicion::None;
-    /// Whether the attempt may be given up and run again elsewhere.
-    bool isRepeatable = true;
-    TimePoint deadline;
-    std::string method;
-    std::string target;
-    std::string contentType;
-    std::string body;
-};
-
 enum class StopReason { None, Preempted, Cancelled, DeadlinePassed };
 
 /// One attempt at an agent: what it is, whether it may run, and the lines of its answer.
