platform: Serve online calls through the platform's adapter

Cause: every call got 401 and every store call failed; the programs spoke only their own interface. Entry processes go to servers directly; agents in the path have not been measured yet.

--- /dev/null
+++ b/Libraries/Gateway/Gateway.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// Public header of the Gateway library: calls that pass through to upstreams unchanged.
+
+#include <Gateway/CallDialect.h>
+#include <Gateway/EventFramer.h>
+#include <Gateway/HeaderRules.h>
+#include <Gateway/PlaceChooser.h>
+#include <Gateway/Relay.h>
+#include <Gateway/RouteTable.h>
+#include <Gateway/UpstreamTable.h>
--- /dev/null
+++ b/Libraries/Gateway/HeaderRules.cpp
@@ -0,0 +1,54 @@
+#include <Gateway/HeaderRules.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <string>
+
+namespace Radishplank {
+
+namespace {
+
+/// RFC 9110, section 7.6.1, and the fields that frame a body, which each connection sets anew.
+constexpr std::array<std::string_view, 10> connectionFields{
+        "Connection", "Keep-Alive",     "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer",
+        "Upgrade",    "Content-Length", "Expect",           "Proxy-Authenticate"};
+
+bool isListed(std::string_view list, std::string_view name)
+{
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        const auto token = boost::algorithm::trim_copy(std::string(list.substr(0, comma)));
+        if (boost::algorithm::iequals(token, name))
+            return true;
+        list.remove_prefix(comma == std::string_view::npos ? list.size() : comma + 1);
+    }
+    return false;
+}
+
+template<typename Names>
+bool contains(const Names &names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(), [&](std::string_view each) {
+        return boost::algorithm::iequals(each, name);
+    });
+}
+
+} // namespace
+
+HttpHeaders endToEndHeaders(const HttpHeaders &headers,
+                            std::initializer_list<std::string_view> leftOut)
+{
+    const auto connection = headers.value("Connection");
+    HttpHeaders result;
+    for (const auto &header : headers.all()) {
+        if (contains(connectionFields, header.name) || contains(leftOut, header.name)
+            || isListed(connection, header.name))
+            continue;
+        result.add(header.name, header.value);
+    }
+    return result;
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/Relay.cpp
@@ -0,0 +1,81 @@
+#include <Gateway/Relay.h>
+
+#include <Gateway/RelayCall.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace Radishplank {
+
+namespace {
+
+/// Where neither the route nor the caller bounds a call.
+constexpr Milliseconds defaultTimeout{30'000};
+/// A process that has just started knows its configuration within about this time.
+constexpr Milliseconds configurationRetryAfter{500};
+constexpr Milliseconds bodyRetryAfter{200};
+
+std::optional<Milliseconds> millisecondsOf(std::string_view text)
+{
+    long long value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (result.ec != std::errc() || value < 0)
+        return {};
+    return Milliseconds(value);
+}
+
+} // namespace
+
+Relay::Relay(const RouteDirectory &routes, UpstreamTable &upstreams, CallDialect dialect)
+    : m_routes(routes)
+    , m_upstreams(upstreams)
+    , m_dialect(std::move(dialect))
+{
+}
+
+void Relay::serve(HttpExchange &exchange, const std::shared_ptr<const Route> &route)
+{
+    const auto arrived = SteadyClock().now();
+    if (!route)
+        return answerWithoutRoute(exchange, m_routes);
+    auto body = exchange.readBody();
+    if (body.isError())
+        return answerUnreadBody(exchange, body.error());
+    auto longest = route->timeout.count() > 0 ? route->timeout : defaultTimeout;
+    if (const auto left = millisecondsOf(exchange.request().headers.value(m_dialect.timeLeft)))
+        longest = std::min(longest, *left);
+    const double draw = std::uniform_real_distribution<double>(0, 1)(threadRandomEngine());
+    RelayCall call(
+            exchange, m_upstreams, m_dialect,
+            {route, chooseService(*route, draw), body.takeValue(), arrived, arrived + longest});
+    call.run();
+}
+
+void answerWithoutRoute(HttpExchange &exchange, const RouteDirectory &routes)
+{
+    if (routes.isConfigured()) {
+        (void)exchange.respond({404, {{"Content-Type", "text/plain"}}, "no route leads there\n"});
+        return;
+    }
+    (void)exchange.respond({503,
+                            {{"Content-Type", "text/plain"},
+                             {"Retry-After", retryAfterText(configurationRetryAfter)}},
+                            "the call has not run: the configuration is not known yet\n"});
+}
+
+void answerUnreadBody(HttpExchange &exchange, const Error &error)
+{
+    unsigned status = 400;
+    HttpHeaders headers{{"Content-Type", "text/plain"}};
+    if (error.kind == ErrorKind::TooLarge) {
+        status = 413;
+    } else if (error.kind == ErrorKind::Unavailable) {
+        status = 503;
+        headers.add("Retry-After", retryAfterText(bodyRetryAfter));
+    } else if (error.kind == ErrorKind::Timeout) {
+        status = 408;
+    }
+    (void)exchange.respond({status, std::move(headers), error.message + "\n"});
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -0,0 +1,278 @@
+#include <Gateway/RelayCall.h>
+
+#include <Gateway/HeaderRules.h>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace Radishplank {
+
+namespace {
+
+/// Upstreams that may turn a call away before its caller is asked to come back.
+constexpr unsigned maxRefusals = 3;
+/// A connection within the deployment takes a round trip of 16 ms at most.
+constexpr Milliseconds connectTimeout{250};
+/// Part of the target that a call may wait for a slot; the rest is for reading its prompt, the
+/// first event and the way back.
+constexpr double waitShareOfTarget = 0.6;
+/// Wait for a slot where the operator names no target.
+constexpr Milliseconds defaultTarget{1'000};
+constexpr Milliseconds shortestRetryAfter{100};
+/// A pause this many times longer than aimed for shows that an upstream is lost.
+constexpr int silencePerGapTarget = 3;
+constexpr Milliseconds shortestSilence{500};
+
+Milliseconds longestWaitFor(const Route &route)
+{
+    const auto target = route.target.count() > 0 ? route.target : defaultTarget;
+    return Milliseconds(
+            static_cast<long long>(static_cast<double>(target.count()) * waitShareOfTarget));
+}
+
+} // namespace
+
+std::string retryAfterText(Milliseconds wait)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", static_cast<double>(wait.count()) / 1'000);
+    return text;
+}
+
+RelayCall::RelayCall(HttpExchange &exchange, UpstreamTable &upstreams, const CallDialect &dialect,
+                     IncomingCall call)
+    : m_exchange(exchange)
+    , m_upstreams(upstreams)
+    , m_dialect(dialect)
+    , m_call(std::move(call))
+    , m_watch(exchange, m_call.deadline)
+{
+}
+
+void RelayCall::run()
+{
+    const auto longestWait = longestWaitFor(*m_call.route);
+    while (!m_watch.isStopped()) {
+        // What has begun goes on wherever it can: its caller cannot come back for the rest.
+        const auto wait = m_runs > 0 ? timeLeft() : longestWait;
+        auto offer = m_upstreams.takeOnline(m_call.service, m_tried, wait);
+        if (!offer.place) {
+            if (m_runs > 0)
+                return giveUp("no upstream is left");
+            return refuse(offer.expectedWait.value_or(longestWait), "no slot in time");
+        }
+        m_tried.insert(offer.place->upstream().id);
+        const auto end = attempt(*offer.place);
+        if (end == AttemptEnd::Answered)
+            return;
+        if (end == AttemptEnd::Interrupted)
+            m_runs += 1;
+        else
+            m_refusals += 1;
+        if (!mayTryAgain())
+            break;
+    }
+    giveUp("no further attempt is allowed");
+}
+
+bool RelayCall::mayTryAgain() const
+{
+    if (m_watch.isStopped())
+        return false;
+    if (m_runs == 0)
+        return m_refusals < maxRefusals;
+    return m_call.route->mayRunAgain() && m_runs < m_call.route->maxUpstreams
+           && m_refusals < maxRefusals;
+}
+
+RelayCall::AttemptEnd RelayCall::attempt(UpstreamTable::Place &place)
+{
+    const auto &upstream = place.upstream();
+    auto opened = HttpClient::open(upstream.endpoint, requestFor(upstream), optionsFor());
+    if (const auto *failure = std::get_if<HttpCallError>(&opened)) {
+        if (!m_watch.isStopped()) {
+            place.conclude(UpstreamVerdict::Failed);
+            logStateChange("attempt-failed",
+                           {{"id", m_exchange.request().headers.value(m_dialect.attemptId)},
+                            {"upstream", upstream.id.text()},
+                            {"reason", failure->error.message}});
+        }
+        return failure->progress == CallProgress::NotSent ? AttemptEnd::NotRun
+                                                          : AttemptEnd::Interrupted;
+    }
+    auto &answer = *std::get<std::unique_ptr<HttpAnswer>>(opened);
+    constexpr unsigned misdirected = 421;
+    if (answer.status() == misdirected || answer.headers().find(m_dialect.notExecuted)) {
+        // An upstream that is another one by now gets nothing more; a full one is asked again.
+        if (answer.status() == misdirected)
+            place.conclude(UpstreamVerdict::Failed);
+        (void)answer.readBody();
+        return AttemptEnd::NotRun;
+    }
+    const auto end = passAnswer(answer);
+    if (end == AttemptEnd::Answered)
+        place.conclude(UpstreamVerdict::Sound);
+    else if (!m_watch.isStopped())
+        place.conclude(UpstreamVerdict::Failed);
+    return end;
+}
+
+RelayCall::AttemptEnd RelayCall::passAnswer(HttpAnswer &answer)
+{
+    const bool isSuccess = answer.status() >= 200 && answer.status() < 300;
+    if (m_hasBegun && !isSuccess) {
+        // The rest of a stream that another upstream began; its caller sees no status.
+        (void)answer.readBody();
+        return AttemptEnd::Interrupted;
+    }
+    if (isSuccess && m_call.route->kind == RouteKind::Stream)
+        return passEvents(answer);
+    auto body = answer.readBody();
+    if (body.isError())
+        return AttemptEnd::Interrupted;
+    auto headers = endToEndHeaders(answer.headers());
+    if (m_exchange.respond({answer.status(), std::move(headers), body.takeValue()}).isError())
+        m_watch.noteCallerLeft();
+    return AttemptEnd::Answered;
+}
+
+RelayCall::AttemptEnd RelayCall::passEvents(HttpAnswer &answer)
+{
+    if (!m_hasBegun) {
+        m_hasBegun = true;
+        const auto begun
+                = m_exchange.beginStream(answer.status(), endToEndHeaders(answer.headers()));
+        if (begun.isError()) {
+            m_watch.noteCallerLeft();
+            return AttemptEnd::Interrupted;
+        }
+    }
+    const bool isResumable = m_call.route->resumption == Resumption::Allowed;
+    EventFramer framer;
+    while (true) {
+        const auto piece = answer.readPiece();
+        if (piece.isError())
+            return AttemptEnd::Interrupted;
+        const bool isEnd = piece.value().empty();
+        Result<void> written;
+        if (!isResumable)
+            written = m_exchange.writeStream(piece.value());
+        else if (isEnd)
+            written = m_exchange.writeStream(framer.partial());
+        else
+            written = writeEvents(framer.feed(piece.value()));
+        if (!written.isError() && isEnd)
+            written = m_exchange.endStream();
+        if (written.isError()) {
+            m_watch.noteCallerLeft();
+            return AttemptEnd::Interrupted;
+        }
+        if (isEnd)
+            return AttemptEnd::Answered;
+    }
+}
+
+Result<void> RelayCall::writeEvents(const std::vector<StreamEvent> &events)
+{
+    std::string bytes;
+    for (const auto &event : events) {
+        const bool isKnown = event.id && m_lastEvent && *event.id <= *m_lastEvent;
+        if (isKnown)
+            continue;
+        if (event.id)
+            m_lastEvent = event.id;
+        bytes += event.raw;
+    }
+    return m_exchange.writeStream(bytes);
+}
+
+HttpRequest RelayCall::requestFor(const UpstreamInfo &upstream) const
+{
+    const auto &incoming = m_exchange.request();
+    HttpRequest request{incoming.method, incoming.target, {}, m_call.body};
+    if (m_lastEvent) {
+        request.headers
+                = endToEndHeaders(incoming.headers, {m_dialect.timeLeft, m_dialect.expectedUpstream,
+                                                     m_dialect.resumeAfter});
+        request.headers.add(m_dialect.resumeAfter, std::to_string(*m_lastEvent));
+    } else {
+        request.headers = endToEndHeaders(incoming.headers,
+                                          {m_dialect.timeLeft, m_dialect.expectedUpstream});
+    }
+    request.headers.add(m_dialect.timeLeft, std::to_string(timeLeft().count()));
+    request.headers.add(m_dialect.expectedUpstream, upstream.id.text());
+    return request;
+}
+
+HttpCallOptions RelayCall::optionsFor() const
+{
+    HttpCallOptions options;
+    options.connectTimeout = std::min(connectTimeout, timeLeft());
+    options.readTimeout = silenceLimit();
+    options.cancellation = const_cast<CallWatch &>(m_watch).cancellation();
+    options.match = {m_dialect.attemptId, m_exchange.request().headers.value(m_dialect.attemptId)};
+    return options;
+}
+
+Milliseconds RelayCall::timeLeft() const
+{
+    const auto left
+            = std::chrono::duration_cast<Milliseconds>(m_call.deadline - SteadyClock().now());
+    return std::max(left, Milliseconds(1));
+}
+
+Milliseconds RelayCall::silenceLimit() const
+{
+    const auto &route = *m_call.route;
+    const bool canGoOn = route.resumption == Resumption::Allowed && m_runs + 1 < route.maxUpstreams;
+    if (!canGoOn || route.kind != RouteKind::Stream)
+        return timeLeft() + Milliseconds(1'000);
+    // Beyond the wait for a slot, an upstream that says nothing for so long is lost.
+    const auto pause
+            = std::max<Milliseconds>(route.gapTarget * silencePerGapTarget, shortestSilence);
+    return pause + longestWaitFor(route);
+}
+
+void RelayCall::giveUp(std::string_view reason)
+{
+    if (m_watch.stopReason() == StopReason::CallerLeft) {
+        logEnd("call-abandoned", "the caller has left");
+        m_exchange.abandon();
+        return;
+    }
+    const bool isTooLate = m_watch.stopReason() == StopReason::DeadlinePassed;
+    if (m_hasBegun) {
+        logEnd("call-cut-off", isTooLate ? "its time is over" : reason);
+        m_exchange.abandon();
+        return;
+    }
+    if (m_runs == 0)
+        return refuse(shortestRetryAfter, isTooLate ? "its time is over" : reason);
+    logEnd("call-failed", isTooLate ? "its time is over" : reason);
+    (void)m_exchange.respond({isTooLate ? 504U : 502U,
+                              {{"Content-Type", "text/plain"}},
+                              "the call may have run, and has no answer\n"});
+}
+
+void RelayCall::refuse(Milliseconds retryAfter, std::string_view reason)
+{
+    logEnd("call-refused", reason);
+    (void)m_exchange.respond(
+            {503,
+             {{"Content-Type", "text/plain"},
+              {"Retry-After", retryAfterText(std::max(retryAfter, shortestRetryAfter))}},
+             "the call has not run: " + std::string(reason) + "\n"});
+}
+
+void RelayCall::logEnd(std::string_view event, std::string_view reason) const
+{
+    const auto age = std::chrono::duration_cast<Milliseconds>(SteadyClock().now() - m_call.arrived);
+    logStateChange(event, {{"id", m_exchange.request().headers.value(m_dialect.attemptId)},
+                           {"route", m_call.route->name},
+                           {"reason", std::string(reason)},
+                           {"attempts", std::to_string(m_tried.size())},
+                           {"runs", std::to_string(m_runs)},
+                           {"ageMs", std::to_string(age.count())}});
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/RelayCall.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <Gateway/CallDialect.h>
+#include <Gateway/CallWatch.h>
+#include <Gateway/EventFramer.h>
+#include <Gateway/Route.h>
+#include <Gateway/UpstreamTable.h>
+#include <Net/Net.h>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace Radishplank {
+
+/// A call as it came from its caller.
+struct IncomingCall
+{
+    std::shared_ptr<const Route> route;
+    std::string service;
+    std::string body;
+    TimePoint arrived;
+    TimePoint deadline;
+};
+
+/// Passes one call through to upstreams until one has answered it or nothing more can be done.
+class RelayCall
+{
+public:
+    RelayCall(HttpExchange &exchange, UpstreamTable &upstreams, const CallDialect &dialect,
+              IncomingCall call);
+
+    void run();
+
+private:
+    enum class AttemptEnd {
+        Answered,    ///< The caller has the whole answer.
+        NotRun,      ///< The upstream has not run the call, and never will.
+        Interrupted, ///< The upstream may have run the call, or a part of it.
+    };
+
+    AttemptEnd attempt(UpstreamTable::Place &place);
+    AttemptEnd passAnswer(HttpAnswer &answer);
+    AttemptEnd passEvents(HttpAnswer &answer);
+    /// Writes the events that the caller lacks; an error means that the caller has left.
+    Result<void> writeEvents(const std::vector<StreamEvent> &events);
+    [[nodiscard]] HttpRequest requestFor(const UpstreamInfo &upstream) const;
+    [[nodiscard]] HttpCallOptions optionsFor() const;
+    [[nodiscard]] Milliseconds timeLeft() const;
+    [[nodiscard]] Milliseconds silenceLimit() const;
+    [[nodiscard]] bool mayTryAgain() const;
+
+    /// Gives the final answer of a call that no upstream has answered.
+    void giveUp(std::string_view reason);
+    void refuse(Milliseconds retryAfter, std::string_view reason);
+    void logEnd(std::string_view event, std::string_view reason) const;
+
+    HttpExchange &m_exchange;
+    UpstreamTable &m_upstreams;
+    const CallDialect &m_dialect;
+    IncomingCall m_call;
+    CallWatch m_watch;
+    std::set<UpstreamId> m_tried;
+    unsigned m_refusals = 0;
+    unsigned m_runs = 0;
+    bool m_hasBegun = false;
+    std::optional<std::uint64_t> m_lastEvent;
+};
+
+/// Retry-After in seconds, as header text.
+[[nodiscard]] std::string retryAfterText(Milliseconds wait);
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/Route.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <Core/Core.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Radishplank {
+
+enum class RouteKind {
+    Call,   ///< One whole answer.
+    Stream, ///< A stream of events.
+    Batch,  ///< Jobs of many items, run later.
+};
+
+/// Whether a call may run more than once.
+enum class Repetition { Forbidden, Allowed };
+
+/// Whether a stream may go on at another upstream after the last event received.
+enum class Resumption { Forbidden, Allowed };
+
+struct WeightedService
+{
+    std::string name;
+    double weight = 1;
+};
+
+/// Where calls for one host and path prefix go, and what may be done with them.
+struct Route
+{
+    std::string name;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string pathPrefix;
+    RouteKind kind = RouteKind::Call;
+    Repetition repetition = Repetition::Forbidden;
+    Resumption resumption = Resumption::Forbidden;
+    /// Longest time from the arrival of a call to its final answer.
+    Milliseconds timeout{0};
+    /// Time to the answer, or to a stream's first event, that operators aim for.
+    Milliseconds target{0};
+    /// Longest pause between two events that operators aim for.
+    Milliseconds gapTarget{0};
+    /// 0 is the most urgent.
+    unsigned priority = 0;
+    /// Upstreams on which one call may run.
+    unsigned maxUpstreams = 1;
+    std::vector<WeightedService> services;
+    /// Time from the submission of a job within which its results are due.
+    Milliseconds jobTarget{0};
+    /// Time from the submission of a job after which its items may be given up.
+    Milliseconds jobPatience{0};
+
+    /// Tells whether a call that may have run can be sent to another upstream.
+    [[nodiscard]] bool mayRunAgain() const
+    {
+        return repetition == Repetition::Allowed || resumption == Resumption::Allowed;
+    }
+};
+
+/// What a caller may send and how long it may take.
+struct CallerLimits
+{
+    std::size_t headerBytes = std::size_t{16} * 1024;
+    std::size_t bodyBytes = std::size_t{4} * 1024 * 1024;
+    Milliseconds headerTimeout{10'000};
+    Milliseconds idleTimeout{120'000};
+};
+
+/// Chooses one of a route's services by weight; `draw` is in [0, 1).
+[[nodiscard]] const std::string &chooseService(const Route &route, double draw);
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/RouteTable.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <Gateway/Route.h>
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Radishplank {
+
+/// The routes of one version of the configuration; never changes once built.
+class RouteTable
+{
+public:
+    RouteTable(std::uint64_t version, std::vector<Route> routes, CallerLimits limits);
+
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
+    [[nodiscard]] const CallerLimits &limits() const { return m_limits; }
+    [[nodiscard]] std::size_t size() const { return m_routes.size(); }
+    /// Returns the route of the host with the longest prefix of the path, or null; a host's port
+    /// and a path's query are ignored.
+    [[nodiscard]] std::shared_ptr<const Route> find(std::string_view host,
+                                                    std::string_view path) const;
+    /// Returns the route with this name, or null.
+    [[nodiscard]] std::shared_ptr<const Route> findByName(std::string_view name) const;
+
+private:
+    std::uint64_t m_version;
+    CallerLimits m_limits;
+    /// By host and prefix, joined.
+    std::unordered_map<std::string, std::shared_ptr<const Route>> m_routes;
+};
+
+/// Holds the newest route table; read on each request, replaced by one writer.
+class RouteDirectory
+{
+public:
+    /// Takes a newer table; an older or equal version is ignored and tells so by false.
+    bool publish(std::unique_ptr<const RouteTable> table);
+
+    /// Returns whether any configuration is known yet.
+    [[nodiscard]] bool isConfigured() const { return version() != 0; }
+    [[nodiscard]] std::uint64_t version() const;
+    [[nodiscard]] CallerLimits limits() const;
+    [[nodiscard]] std::shared_ptr<const Route> find(std::string_view host,
+                                                    std::string_view path) const;
+    [[nodiscard]] std::shared_ptr<const Route> findByName(std::string_view name) const;
+
+private:
+    RcuPointer<RouteTable> m_table{
+            std::make_unique<const RouteTable>(0, std::vector<Route>{}, CallerLimits{})};
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -0,0 +1,266 @@
+#include <Gateway/UpstreamTable.h>
+
+#include <algorithm>
+
+namespace Radishplank {
+
+namespace {
+
+/// Reports come several times a second; one that is older says nothing of the present.
+constexpr Milliseconds peerLoadLifetime{1'500};
+/// Time without calls after the first failure; doubles with each further one.
+constexpr Milliseconds firstDistrust{250};
+constexpr Milliseconds longestDistrust{2'000};
+
+} // namespace
+
+Distance Position::distanceTo(const ZoneName &other) const
+{
+    if (other == zone)
+        return Distance::SameZone;
+    const auto found = regions.find(other);
+    const bool isSameRegion = found != regions.end() && found->second == region;
+    return isSameRegion ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+UpstreamTable::Place::Place(UpstreamTable &table, UpstreamInfo upstream, WorkClass workClass,
+                            std::uint64_t number)
+    : m_table(table)
+    , m_upstream(std::move(upstream))
+    , m_workClass(workClass)
+    , m_number(number)
+{
+}
+
+UpstreamTable::Place::~Place()
+{
+    m_table.release(*this);
+}
+
+void UpstreamTable::Place::onPreempt(std::function<void()> stop)
+{
+    const std::scoped_lock lock(m_table.m_mutex);
+    const auto found = m_table.m_states.find(m_upstream.id);
+    if (found != m_table.m_states.end())
+        found->second.batchHolders.push_back({m_number, std::move(stop)});
+}
+
+UpstreamTable::UpstreamTable(Position position)
+    : m_position(std::move(position))
+{
+}
+
+bool UpstreamTable::put(const UpstreamInfo &upstream)
+{
+    const std::scoped_lock lock(m_mutex);
+    auto &state = m_states[upstream.id];
+    // A report of an earlier start can arrive late.
+    if (state.info == upstream || upstream.startedAt < state.info.startedAt)
+        return false;
+    const bool isNewStart = state.info.startedAt != upstream.startedAt;
+    state.info = upstream;
+    if (isNewStart) {
+        state.failures = 0;
+        state.distrustedUntil = {};
+    }
+    return true;
+}
+
+void UpstreamTable::remove(const UpstreamId &id)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_states.erase(id);
+}
+
+std::set<UpstreamId> UpstreamTable::ids() const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::set<UpstreamId> result;
+    for (const auto &[id, state] : m_states)
+        result.insert(id);
+    return result;
+}
+
+UpstreamLoad UpstreamTable::peerLoad(const UpstreamId &id, TimePoint now) const
+{
+    UpstreamLoad sum;
+    for (const auto &[peer, report] : m_peers) {
+        if (now - report.at > peerLoadLifetime)
+            continue;
+        const auto found = report.loads.find(id);
+        if (found == report.loads.end())
+            continue;
+        sum.online += found->second.online;
+        sum.batch += found->second.batch;
+    }
+    return sum;
+}
+
+UpstreamTable::Candidates UpstreamTable::candidates(const std::string &service,
+                                                    const std::set<UpstreamId> &excluded,
+                                                    TimePoint now)
+{
+    Candidates result;
+    for (auto &[id, state] : m_states) {
+        if (state.info.service != service || state.info.isDraining || excluded.contains(id))
+            continue;
+        const auto peers = peerLoad(id, now);
+        PlaceView view;
+        view.distance = m_position.distanceTo(state.info.zone);
+        view.slots = std::max(1U, state.info.slots);
+        view.online = state.own.online + peers.online;
+        view.batch = state.own.batch + peers.batch;
+        view.ownBatch = state.own.batch;
+        view.isTrusted = now >= state.distrustedUntil;
+        result.views.push_back(view);
+        result.states.push_back(&state);
+    }
+    return result;
+}
+
+std::function<void()> UpstreamTable::takeNewestStop(State &state) const
+{
+    if (state.batchHolders.empty())
+        return {};
+    // The newest has the least to read again elsewhere.
+    auto stop = std::move(state.batchHolders.back().stop);
+    state.batchHolders.pop_back();
+    return stop;
+}
+
+UpstreamTable::OnlineOffer UpstreamTable::takeOnline(const std::string &service,
+                                                     const std::set<UpstreamId> &excluded,
+                                                     Milliseconds longestWait)
+{
+    OnlineOffer offer;
+    std::function<void()> stop;
+    {
+        const std::scoped_lock lock(m_mutex);
+        auto found = candidates(service, excluded, SteadyClock().now());
+        const auto choice = chooseOnlinePlace(found.views, threadRandomEngine());
+        if (!choice)
+            return offer;
+        if (choice->wait > longestWait) {
+            offer.expectedWait = choice->wait;
+            return offer;
+        }
+        auto &state = *found.states[choice->index];
+        state.own.online += 1;
+        if (choice->mustPreempt)
+            stop = takeNewestStop(state);
+        offer.place = std::make_unique<Place>(*this, state.info, WorkClass::Online, m_nextNumber++);
+    }
+    if (stop)
+        stop();
+    if (onLoadChange)
+        onLoadChange();
+    return offer;
+}
+
+UpstreamTable::PlacePointer UpstreamTable::takeBatch(const std::string &service,
+                                                     unsigned reservedSlots)
+{
+    PlacePointer place;
+    {
+        const std::scoped_lock lock(m_mutex);
+        auto found = candidates(service, {}, SteadyClock().now());
+        const auto index = chooseBatchPlace(found.views, reservedSlots, threadRandomEngine());
+        if (!index)
+            return {};
+        auto &state = *found.states[*index];
+        state.own.batch += 1;
+        place = std::make_unique<Place>(*this, state.info, WorkClass::Batch, m_nextNumber++);
+    }
+    if (onLoadChange)
+        onLoadChange();
+    return place;
+}
+
+void UpstreamTable::release(const Place &place)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto found = m_states.find(place.m_upstream.id);
+        if (found == m_states.end())
+            return;
+        auto &state = found->second;
+        auto &count = place.m_workClass == WorkClass::Online ? state.own.online : state.own.batch;
+        if (count > 0)
+            count -= 1;
+        std::erase_if(state.batchHolders,
+                      [&](const BatchHolder &each) { return each.number == place.m_number; });
+        if (place.m_verdict == UpstreamVerdict::Sound) {
+            state.failures = 0;
+            state.distrustedUntil = {};
+        } else if (place.m_verdict == UpstreamVerdict::Failed) {
+            const auto factor = 1U << std::min(state.failures, 4U);
+            state.failures += 1;
+            state.distrustedUntil
+                    = SteadyClock().now()
+                      + std::min<Milliseconds>(firstDistrust * factor, longestDistrust);
+        }
+    }
+    if (onLoadChange)
+        onLoadChange();
+}
+
+void UpstreamTable::notePeerLoads(const NodeId &peer, std::map<UpstreamId, UpstreamLoad> loads,
+                                  TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_peers[peer] = {now, std::move(loads)};
+}
+
+std::map<UpstreamId, UpstreamLoad> UpstreamTable::ownLoads() const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::map<UpstreamId, UpstreamLoad> loads;
+    for (const auto &[id, state] : m_states) {
+        if (state.own.online > 0 || state.own.batch > 0)
+            loads[id] = state.own;
+    }
+    return loads;
+}
+
+void UpstreamTable::yieldOverfull()
+{
+    std::vector<std::function<void()>> stops;
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto now = SteadyClock().now();
+        for (auto &[id, state] : m_states) {
+            const auto peers = peerLoad(id, now);
+            const unsigned total = state.own.online + state.own.batch + peers.online + peers.batch;
+            if (total <= state.info.slots || state.own.batch < peers.batch)
+                continue;
+            // Whoever has more batch items there gives way, so that not all do at once.
+            const unsigned excess = total - state.info.slots;
+            for (unsigned i = 0; i < excess; ++i) {
+                auto stop = takeNewestStop(state);
+                if (!stop)
+                    break;
+                stops.push_back(std::move(stop));
+            }
+        }
+    }
+    for (const auto &stop : stops)
+        stop();
+}
+
+UpstreamTable::Usage UpstreamTable::usage(const std::string &service) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto now = SteadyClock().now();
+    Usage usage;
+    for (const auto &[id, state] : m_states) {
+        if (state.info.service != service || state.info.isDraining)
+            continue;
+        const auto peers = peerLoad(id, now);
+        usage.slots += state.info.slots;
+        usage.taken += std::min(state.info.slots,
+                                state.own.online + state.own.batch + peers.online + peers.batch);
+    }
+    return usage;
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <Catalogue/Catalogue.h>
+#include <Gateway/PlaceChooser.h>
+#include <Gateway/UpstreamInfo.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Radishplank {
+
+/// Streams of one process at one upstream.
+struct UpstreamLoad
+{
+    unsigned online = 0;
+    unsigned batch = 0;
+
+    bool operator==(const UpstreamLoad &) const = default;
+};
+
+/// Where this process stands; distances are counted from here.
+struct Position
+{
+    ZoneName zone;
+    RegionName region;
+    std::map<ZoneName, RegionName> regions;
+
+    [[nodiscard]] Distance distanceTo(const ZoneName &other) const;
+};
+
+/// How an attempt at an upstream ended, as far as it says something about the upstream.
+enum class UpstreamVerdict {
+    Sound,   ///< It has answered.
+    Failed,  ///< It could not be reached, or broke off.
+    Nothing, ///< The attempt was ended by us or by the caller.
+};
+
+/// The upstreams, what this process has sent to each, and what its peers say that they have.
+/// Thread-safe; nothing in it waits.
+class UpstreamTable
+{
+public:
+    /// A place taken at an upstream; gives it back when it is destroyed.
+    class Place
+    {
+    public:
+        Place(UpstreamTable &table, UpstreamInfo upstream, WorkClass workClass,
+              std::uint64_t number);
+        ~Place();
+        Place(const Place &) = delete;
+        Place &operator=(const Place &) = delete;
+
+        [[nodiscard]] const UpstreamInfo &upstream() const { return m_upstream; }
+        /// Notes how the attempt has ended.
+        void conclude(UpstreamVerdict verdict) { m_verdict = verdict; }
+        /// Sets what stops the batch item that holds this place.
+        void onPreempt(std::function<void()> stop);
+
+    private:
+        friend class UpstreamTable;
+
+        UpstreamTable &m_table;
+        UpstreamInfo m_upstream;
+        WorkClass m_workClass;
+        std::uint64_t m_number;
+        UpstreamVerdict m_verdict = UpstreamVerdict::Nothing;
+    };
+    using PlacePointer = std::unique_ptr<Place>;
+
+    explicit UpstreamTable(Position position);
+
+    /// Adds an upstream or replaces what is known of it; returns whether that is news.
+    bool put(const UpstreamInfo &upstream);
+    void remove(const UpstreamId &id);
+    [[nodiscard]] std::set<UpstreamId> ids() const;
+
+    /// Takes a place for an online call, and makes batch work of this process give way to it.
+    /// Returns nothing if the wait for a slot would be longer than allowed.
+    struct OnlineOffer
+    {
+        PlacePointer place;
+        /// Time until a slot is expected somewhere; set if there is no place.
+        std::optional<Milliseconds> expectedWait;
+    };
+    OnlineOffer takeOnline(const std::string &service, const std::set<UpstreamId> &excluded,
+                           Milliseconds longestWait);
+    /// Takes a place for a batch item if a slot is free beyond the reserve.
+    PlacePointer takeBatch(const std::string &service, unsigned reservedSlots);
+
+    /// Notes what a peer has at the upstreams; it counts until it is replaced or has grown old.
+    void notePeerLoads(const NodeId &peer, std::map<UpstreamId, UpstreamLoad> loads, TimePoint now);
+    [[nodiscard]] std::map<UpstreamId, UpstreamLoad> ownLoads() const;
+    /// Stops batch items of this process at upstreams that hold more than their slots.
+    void yieldOverfull();
+    /// Slots of all upstreams, and how many of them are taken, as far as known.
+    struct Usage
+    {
+        unsigned slots = 0;
+        unsigned taken = 0;
+    };
+    [[nodiscard]] Usage usage(const std::string &service) const;
+    /// Called, outside the lock, when the loads of this process have changed.
+    std::function<void()> onLoadChange;
+
+private:
+    struct BatchHolder
+    {
+        std::uint64_t number = 0;
+        std::function<void()> stop;
+    };
+    struct State
+    {
+        UpstreamInfo info;
+        UpstreamLoad own;
+        std::vector<BatchHolder> batchHolders;
+        unsigned failures = 0;
+        TimePoint distrustedUntil{};
+    };
+    struct PeerLoads
+    {
+        TimePoint at;
+        std::map<UpstreamId, UpstreamLoad> loads;
+    };
+
+    struct Candidates
+    {
+        std::vector<PlaceView> views;
+        std::vector<State *> states;
+    };
+
+    [[nodiscard]] UpstreamLoad peerLoad(const UpstreamId &id, TimePoint now) const;
+    [[nodiscard]] Candidates candidates(const std::string &service,
+                                        const std::set<UpstreamId> &excluded, TimePoint now);
+    void release(const Place &place);
+    [[nodiscard]] std::function<void()> takeNewestStop(State &state) const;
+
+    const Position m_position;
+    mutable std::mutex m_mutex;
+    std::map<UpstreamId, State> m_states;
+    std::map<NodeId, PeerLoads> m_peers;
+    std::uint64_t m_nextNumber = 1;
+};
+
+} // namespace Radishplank
--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -6,8 +6,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <map>
+#include <netinet/tcp.h>
 #include <optional>
+#include <sys/socket.h>
 #include <vector>
 
 namespace Radishplank {
@@ -20,6 +23,8 @@
 
 constexpr std::size_t idleConnectionsPerEndpoint = 64;
 constexpr auto idleConnectionLifetime = std::chrono::seconds(20);
+/// Kept back from the lifetime that a peer names, since its clock started before ours.
+constexpr auto idleLifetimeMargin = std::chrono::seconds(1);
 /// Held by each stream that waits for its next token, so it is not larger than it need be.
 constexpr std::size_t bodyPieceBytes = std::size_t{4} * 1024;
 constexpr std::uint32_t answerHeaderBytes = 32 * 1024;
@@ -34,7 +39,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     TimePoint idleSince;
-    bool isReused = false;
+    Duration idleLifetime = idleConnectionLifetime;
 };
 
 using ConnectionPointer = std::unique_ptr<PooledConnection>;
@@ -57,7 +62,7 @@
         while (!idle.empty()) {
             auto connection = std::move(idle.back());
             idle.pop_back();
-            if (now - connection->idleSince < idleConnectionLifetime && isQuiet(*connection))
+            if (now - connection->idleSince < connection->idleLifetime && isQuiet(*connection))
                 return connection;
         }
         return {};
@@ -69,7 +74,6 @@
         if (idle.size() >= idleConnectionsPerEndpoint)
             return;
         connection->idleSince = SteadyClock().now();
-        connection->isReused = true;
         idle.push_back(std::move(connection));
     }
 
@@ -77,6 +81,8 @@
     /// Tells whether the peer has neither closed the connection nor sent stray bytes.
     static bool isQuiet(PooledConnection &connection)
     {
+        if (connection.buffer.size() > 0)
+            return false;
         auto &socket = connection.stream.socket();
         boost::system::error_code code;
         socket.non_blocking(true, code);
@@ -96,30 +102,73 @@
             std::string(action) + " " + endpoint.text() + ": " + code.message()};
 }
 
+/// Returns how long a peer keeps an idle connection, by its `Keep-Alive: timeout=SECONDS`.
+Duration idleLifetimeOf(const HttpHeaders &headers)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto field = headers.find("Keep-Alive").value_or("");
+    const auto position = field.find(parameter);
+    if (position == std::string_view::npos)
+        return idleConnectionLifetime;
+    const auto digits = field.substr(position + parameter.size());
+    unsigned seconds = 0;
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc())
+        return idleConnectionLifetime;
+    const Duration named = std::chrono::seconds(seconds) - idleLifetimeMargin;
+    return std::min<Duration>(named, idleConnectionLifetime);
+}
+
+bool isCancelled(const HttpCallOptions &options)
+{
+    return options.cancellation != nullptr && options.cancellation->isCancelled();
+}
+
+/// Lets the cancellation of a call close its connection as long as this object lives.
+class InterruptGuard
+{
+public:
+    InterruptGuard(CallCancellation *cancellation, std::function<void()> interrupt)
+        : m_cancellation(cancellation)
+    {
+        if (m_cancellation != nullptr)
+            m_cancellation->setInterrupt(std::move(interrupt));
+    }
+    ~InterruptGuard()
+    {
+        if (m_cancellation != nullptr)
+            m_cancellation->setInterrupt({});
+    }
+    InterruptGuard(const InterruptGuard &) = delete;
+    InterruptGuard &operator=(const InterruptGuard &) = delete;
+
+private:
+    CallCancellation *m_cancellation;
+};
+
 class PooledAnswer : public HttpAnswer
 {
 public:
-    PooledAnswer(ConnectionPointer connection, Endpoint endpoint, HttpCallOptions options)
+    PooledAnswer(ConnectionPointer connection, Endpoint endpoint, const HttpCallOptions &options)
         : m_connection(std::move(connection))
         , m_endpoint(std::move(endpoint))
         , m_options(options)
+        , m_interruptGuard(options.cancellation, [this] { abort(); })
     {
-        m_parser.header_limit(answerHeaderBytes);
-        m_parser.body_limit(boost::none);
+        resetParser();
     }
 
     boost::system::error_code readHead()
     {
-        m_connection->stream.expires_after(m_options.readTimeout);
-        const auto outcome = awaitIo([&](auto handler) {
-            http::async_read_header(m_connection->stream, m_connection->buffer, m_parser,
-                                    std::move(handler));
-        });
-        if (outcome.code)
-            return outcome.code;
-        for (const auto &field : m_parser.get())
-            m_headers.add(std::string(field.name_string()), std::string(field.value()));
-        m_status = m_parser.get().result_int();
+        while (true) {
+            if (const auto code = readNextHead())
+                return code;
+            if (isMatch())
+                break;
+            // A late answer to an earlier call; the next one on this connection is ours.
+            if (const auto code = skipBody())
+                return code;
+            resetParser();
+        }
         releaseIfDone();
         return {};
     }
@@ -129,23 +178,25 @@
 
     Result<std::string> readPiece() override
     {
-        if (m_parser.is_done())
+        if (m_parser->is_done())
             return std::string();
+        if (isCancelled(m_options))
+            return callError("reading from", m_endpoint, boost::asio::error::operation_aborted);
         std::string piece(bodyPieceBytes, '\0');
-        auto &body = m_parser.get().body();
+        auto &body = m_parser->get().body();
         body.data = piece.data();
         body.size = piece.size();
         body.more = true;
         m_connection->stream.expires_after(m_options.readTimeout);
         // One read at a time, so that a token is passed on as soon as it has come.
         const auto outcome = awaitIo([&](auto handler) {
-            http::async_read_some(m_connection->stream, m_connection->buffer, m_parser,
+            http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
                                   std::move(handler));
         });
         if (outcome.code && outcome.code != http::error::need_buffer)
             return callError("reading from", m_endpoint, outcome.code);
         piece.resize(piece.size() - body.size);
-        const bool isDone = m_parser.is_done();
+        const bool isDone = m_parser->is_done();
         releaseIfDone();
         if (piece.empty() && !isDone)
             return readPiece();
@@ -174,12 +225,67 @@
     }
 
 private:
+    void resetParser()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(answerHeaderBytes);
+        m_parser->body_limit(boost::none);
+        m_headers = {};
+    }
+
+    boost::system::error_code readNextHead()
+    {
+        m_connection->stream.expires_after(m_options.readTimeout);
+        const auto outcome = awaitIo([&](auto handler) {
+            http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser,
+                                    std::move(handler));
+        });
+        if (outcome.code)
+            return outcome.code;
+        for (const auto &field : m_parser->get())
+            m_headers.add(std::string(field.name_string()), std::string(field.value()));
+        m_status = m_parser->get().result_int();
+        return {};
+    }
+
+    [[nodiscard]] bool isMatch() const
+    {
+        const auto &match = m_options.match;
+        return match.header.empty()
+               || m_headers.find(match.header).value_or(match.value) == match.value;
+    }
+
+    boost::system::error_code skipBody()
+    {
+        std::size_t skipped = 0;
+        while (!m_parser->is_done()) {
+            std::string piece(bodyPieceBytes, '\0');
+            auto &body = m_parser->get().body();
+            body.data = piece.data();
+            body.size = piece.size();
+            body.more = true;
+            const auto outcome = awaitIo([&](auto handler) {
+                http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
+                                      std::move(handler));
+            });
+            if (outcome.code && outcome.code != http::error::need_buffer)
+                return outcome.code;
+            skipped += piece.size() - body.size;
+            if (skipped > m_options.bodyBytes)
+                return http::error::body_limit;
+        }
+        if (!m_parser->get().keep_alive())
+            return http::error::end_of_stream;
+        return {};
+    }
+
     void releaseIfDone()
     {
-        if (!m_parser.is_done() || !m_connection)
+        if (!m_parser->is_done() || !m_connection)
             return;
         m_connection->stream.expires_never();
-        if (m_parser.get().keep_alive())
+        m_connection->idleLifetime = idleLifetimeOf(m_headers);
+        if (m_parser->get().keep_alive())
             ConnectionPool::ofThread().give(m_endpoint, std::move(m_connection));
         m_connection.reset();
     }
@@ -187,11 +293,27 @@
     ConnectionPointer m_connection;
     Endpoint m_endpoint;
     HttpCallOptions m_options;
-    http::response_parser<http::buffer_body> m_parser;
+    InterruptGuard m_interruptGuard;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
     HttpHeaders m_headers;
     unsigned m_status = 0;
 };
 
+/// Makes the kernel find peers that have gone silent without a reset.
+void watchForDeadPeer(tcp::socket &socket, Milliseconds timeout)
+{
+    const int handle = socket.native_handle();
+    const int isOn = 1;
+    const int probeSeconds = 1;
+    const int probes = std::max(1, static_cast<int>(timeout.count() / 1'000) - 1);
+    const auto userTimeout = static_cast<unsigned>(timeout.count());
+    ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &isOn, sizeof isOn);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &probeSeconds, sizeof probeSeconds);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &probeSeconds, sizeof probeSeconds);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof userTimeout);
+}
+
 std::variant<ConnectionPointer, HttpCallError> connect(const Endpoint &endpoint,
                                                        const HttpCallOptions &options)
 {
@@ -200,6 +322,8 @@
     const auto address = boost::asio::ip::make_address(endpoint.address, code);
     if (code)
         return HttpCallError{callError("connecting to", endpoint, code), CallProgress::NotSent};
+    const InterruptGuard guard(options.cancellation,
+                               [stream = &connection->stream] { stream->cancel(); });
     connection->stream.expires_after(options.connectTimeout);
     const auto outcome = awaitIo([&](auto handler) {
         connection->stream.async_connect(
@@ -211,6 +335,7 @@
                              CallProgress::NotSent};
     }
     connection->stream.socket().set_option(tcp::no_delay(true), code);
+    watchForDeadPeer(connection->stream.socket(), options.unacknowledgedTimeout);
     return connection;
 }
 
@@ -220,7 +345,8 @@
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(http::field::host, endpoint.text());
+    if (!request.headers.find("Host"))
+        message.set(http::field::host, endpoint.text());
     for (const auto &header : request.headers.all())
         message.insert(header.name, header.value);
     message.body() = request.body;
@@ -232,12 +358,28 @@
                               const http::request<http::string_body> &message,
                               const HttpCallOptions &options)
 {
-    connection->stream.expires_after(options.readTimeout);
-    const auto written = awaitIo([&](auto handler) {
-        http::async_write(connection->stream, message, std::move(handler));
-    });
-    if (written.code)
-        return HttpCallError{callError("sending to", endpoint, written.code), CallProgress::Sent};
+    if (isCancelled(options)) {
+        return HttpCallError{
+                callError("sending to", endpoint, boost::asio::error::operation_aborted),
+                CallProgress::NotSent};
+    }
+    {
+        const InterruptGuard guard(options.cancellation,
+                                   [stream = &connection->stream] { stream->cancel(); });
+        connection->stream.expires_after(options.readTimeout);
+        const auto written = awaitIo([&](auto handler) {
+            http::async_write(connection->stream, message, std::move(handler));
+        });
+        if (written.code) {
+            return HttpCallError{callError("sending to", endpoint, written.code),
+                                 CallProgress::Sent};
+        }
+    }
+    if (isCancelled(options)) {
+        return HttpCallError{
+                callError("reading from", endpoint, boost::asio::error::operation_aborted),
+                CallProgress::Sent};
+    }
     auto answer = std::make_unique<PooledAnswer>(std::move(connection), endpoint, options);
     if (const auto code = answer->readHead())
         return HttpCallError{callError("reading from", endpoint, code), CallProgress::Sent};
--- a/Libraries/Net/HttpClient.h
+++ b/Libraries/Net/HttpClient.h
@@ -3,6 +3,7 @@
 #include <Core/Clock.h>
 #include <Core/Endpoint.h>
 #include <Core/Result.h>
+#include <Net/CallCancellation.h>
 #include <Net/HttpMessage.h>
 
 #include <cstddef>
@@ -14,6 +15,14 @@
 /// Whether a call may go out on a kept-alive connection, which the peer may just have closed.
 enum class ConnectionReuse { Allowed, Forbidden };
 
+/// Tells the answer to a call from late answers to earlier calls on the same connection.
+struct AnswerMatch
+{
+    /// Header field that a peer repeats from the request; empty: every answer is taken.
+    std::string header;
+    std::string value;
+};
+
 struct HttpCallOptions
 {
     Milliseconds connectTimeout{1'000};
@@ -21,6 +30,11 @@
     Milliseconds readTimeout{5'000};
     std::size_t bodyBytes = std::size_t{8} * 1024 * 1024;
     ConnectionReuse reuse = ConnectionReuse::Allowed;
+    /// How long sent bytes may stay unacknowledged before the connection counts as lost.
+    Milliseconds unacknowledgedTimeout{3'000};
+    AnswerMatch match;
+    /// Lets other fibers of the thread end the call; outlives the call and its answer.
+    CallCancellation *cancellation = nullptr;
 };
 
 /// How far a call got before it failed.
--- a/Libraries/Net/HttpConnection.cpp
+++ b/Libraries/Net/HttpConnection.cpp
@@ -57,6 +57,9 @@
 
 bool HttpConnection::finishExchange()
 {
+    if (m_callerGoneNotice)
+        *m_callerGoneNotice = {};
+    m_callerGoneNotice.reset();
     releaseBodyBytes();
     if (!m_hasResponded)
         (void)respond({500, {}, ""});
@@ -166,6 +169,19 @@
     return !isOpen;
 }
 
+void HttpConnection::notifyWhenCallerGone(std::function<void()> notify)
+{
+    auto notice = std::make_shared<std::function<void()>>(std::move(notify));
+    m_callerGoneNotice = notice;
+    m_stream.socket().async_wait(tcp::socket::wait_read,
+                                 [this, notice](const boost::system::error_code &code) {
+                                     // The exchange takes its notice back when it ends, before this
+                                     // object goes.
+                                     if (!code && *notice && isCallerGone())
+                                         (*notice)();
+                                 });
+}
+
 Result<std::string> HttpConnection::readPieceUntil(TimePoint until)
 {
     TRY(sendContinue());
--- a/Libraries/Net/HttpConnection.h
+++ b/Libraries/Net/HttpConnection.h
@@ -39,6 +39,7 @@
     Result<void> endStream() override;
     void abandon() override { m_mustClose = true; }
     bool isCallerGone() override;
+    void notifyWhenCallerGone(std::function<void()> notify) override;
 
 private:
     Result<std::string> readPieceUntil(TimePoint until);
@@ -71,6 +72,8 @@
     bool m_mustClose = false;
     bool m_mustContinue = false;
     bool m_isIdle = false;
+    /// Shared with the wait for the caller's close, which can end after the exchange.
+    std::shared_ptr<std::function<void()>> m_callerGoneNotice;
 };
 
 } // namespace Radishplank
--- a/Libraries/Net/Net.h
+++ b/Libraries/Net/Net.h
@@ -2,6 +2,7 @@
 
 /// Public header of the Net library: threads of fibers, and HTTP/1.1 for them.
 
+#include <Net/CallCancellation.h>
 #include <Net/FiberThreads.h>
 #include <Net/HttpClient.h>
 #include <Net/HttpMessage.h>
--- a/Libraries/Net/Process.cpp
+++ b/Libraries/Net/Process.cpp
@@ -19,11 +19,18 @@
     return signals;
 }
 
+sigset_t processSignals()
+{
+    auto signals = stopSignals();
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
 } // namespace
 
 void blockStopSignals()
 {
-    const auto signals = stopSignals();
+    const auto signals = processSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
@@ -34,6 +41,14 @@
     sigwait(&signals, &received);
 }
 
+ProcessSignal waitForProcessSignal()
+{
+    const auto signals = processSignals();
+    int received = 0;
+    sigwait(&signals, &received);
+    return received == SIGHUP ? ProcessSignal::Reload : ProcessSignal::Stop;
+}
+
 Result<void> writeReadyFile(const std::string &path, const boost::json::object &content)
 {
     if (path.empty())
--- a/Libraries/Store/Store.h
+++ b/Libraries/Store/Store.h
@@ -5,5 +5,6 @@
 #include <Store/DecidedWrite.h>
 #include <Store/HttpObjectStore.h>
 #include <Store/MemoryObjectStore.h>
+#include <Store/ObjectMirror.h>
 #include <Store/ObjectStore.h>
 #include <Store/VmList.h>
