--- a/Libraries/Batch/Batch.h
+++ b/Libraries/Batch/Batch.h
@@ -4,9 +4,12 @@
 
 #include <Batch/ItemSet.h>
 #include <Batch/ItemSplitter.h>
+#include <Batch/JobLog.h>
 #include <Batch/JobObjects.h>
+#include <Batch/JobQueue.h>
 #include <Batch/JobStore.h>
 #include <Batch/LeaseObserver.h>
 #include <Batch/ShardLease.h>
+#include <Batch/SmallJob.h>
 #include <Batch/Upload.h>
 #include <Batch/UploadStore.h>
--- /dev/null
+++ b/Libraries/Batch/JobLog.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include <Batch/SmallJob.h>
+#include <Store/Store.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Radishplank {
+
+/// A small job as the store has it.
+struct LoadedJob
+{
+    SmallJob job;
+    /// Version of the object that names the job's owner.
+    Version version = noVersion;
+    std::vector<ItemResult> results;
+    std::size_t segments = 0;
+    bool isEnded = false;
+};
+
+/// Names of the kinds of objects that a JobLog writes.
+struct JobLogKinds
+{
+    std::string jobs = "radishplank-jobs/";
+    std::string results = "radishplank-results/";
+    std::string ends = "radishplank-job-ends/";
+};
+
+/// Small jobs in the store.
+///
+/// A job is one object. Its results are segments that are only ever created, numbered without a
+/// gap: whoever else writes the next number first is found out by the conflict, so a result keeps
+/// its position whoever believes to own the job. The end of a job is an object of its own.
+/// A failure of kind Refused had no effect; one that is Unavailable or Timeout is in doubt.
+template<ObjectStore Store, typename Pause>
+class JobLog
+{
+public:
+    JobLog(Store &store, Pause pause, Duration patience)
+        : m_store(store)
+        , m_pause(std::move(pause))
+        , m_patience(patience)
+    {
+    }
+
+    /// Makes the job exist; returns it as it is stored, which may be by an earlier submission.
+    /// Conflict if the name belongs to a job with other items.
+    Result<SmallJob> accept(const SmallJob &job)
+    {
+        auto written = decide(jobKey(job.id), serialize(job));
+        if (!written.isError())
+            return job;
+        if (written.error().kind != ErrorKind::Conflict)
+            return written.takeError();
+        const auto object = TRY(m_store.get(jobKey(job.id)));
+        auto existing = TRY(parseSmallJob(object.value));
+        if (!existing.hasSameItems(job)) {
+            return Error{ErrorKind::Conflict, "the job " + job.id + " exists with other items"};
+        }
+        return existing;
+    }
+
+    Result<LoadedJob> load(const std::string &id)
+    {
+        const auto object = TRY(m_store.get(jobKey(id)));
+        LoadedJob loaded;
+        loaded.job = TRY(parseSmallJob(object.value));
+        loaded.version = object.version;
+        while (true) {
+            auto segment = m_store.get(segmentKey(id, loaded.segments));
+            if (segment.isError()) {
+                if (segment.error().kind == ErrorKind::NotFound)
+                    break;
+                return segment.takeError();
+            }
+            auto parsed = TRY(parseResultSegment(segment.value().value));
+            for (auto &result : parsed.results)
+                loaded.results.push_back(std::move(result));
+            loaded.segments += 1;
+        }
+        const auto end = m_store.get(m_kinds.ends + id);
+        if (end.isError() && end.error().kind != ErrorKind::NotFound)
+            return end.error();
+        loaded.isEnded = !end.isError();
+        return loaded;
+    }
+
+    /// Returns all jobs of the store with their versions, without results.
+    Result<std::vector<LoadedJob>> listJobs()
+    {
+        const auto page = TRY(listAll(m_store, m_kinds.jobs, ListContent::KeysAndValues));
+        std::vector<LoadedJob> jobs;
+        for (const auto &object : page.objects) {
+            auto job = parseSmallJob(object.value);
+            if (job.isError()) {
+                logStateChange("job-unreadable",
+                               {{"key", object.key}, {"reason", job.error().message}});
+                continue;
+            }
+            LoadedJob loaded;
+            loaded.job = job.takeValue();
+            loaded.version = object.version;
+            jobs.push_back(std::move(loaded));
+        }
+        return jobs;
+    }
+
+    /// Makes results durable behind the given number of segments. Conflict means that another
+    /// process has gone on with the job.
+    Result<void> append(const std::string &id, std::size_t segments, const ResultSegment &segment)
+    {
+        const auto key = segmentKey(id, segments);
+        const auto value = serialize(segment);
+        const auto written = decide(key, value);
+        if (!written.isError())
+            return {};
+        if (written.error().kind != ErrorKind::Conflict)
+            return written.error();
+        // An earlier call for this segment may have been given up before its write took effect.
+        const auto current = TRY(m_store.get(key));
+        if (current.value == value)
+            return {};
+        return written.error();
+    }
+
+    /// Ends the job, also if it has been ended before.
+    Result<void> end(const std::string &id)
+    {
+        const auto written = decide(m_kinds.ends + id, "ended");
+        if (written.isError() && written.error().kind != ErrorKind::Conflict)
+            return written.error();
+        return {};
+    }
+
+    /// Makes another process the owner; Conflict if the job has changed since it was read.
+    Result<Version> takeOver(LoadedJob &loaded, const NodeId &owner)
+    {
+        loaded.job.owner = owner;
+        const auto patience = SteadyClock().now() + m_patience;
+        loaded.version = TRY(putDecided(m_store, jobKey(loaded.job.id), serialize(loaded.job),
+                                        loaded.version, m_pause,
+                                        [patience] { return SteadyClock().now() < patience; }));
+        return loaded.version;
+    }
+
+    /// Removes all that the store has of a job.
+    Result<void> remove(const std::string &id, std::size_t segments)
+    {
+        TRY(m_store.remove(jobKey(id), noVersion));
+        for (std::size_t segment = 0; segment < segments; ++segment)
+            TRY(m_store.remove(segmentKey(id, segment), noVersion));
+        const auto removed = m_store.remove(m_kinds.ends + id, noVersion);
+        if (removed.isError() && removed.error().kind != ErrorKind::NotFound)
+            return removed.error();
+        return {};
+    }
+
+private:
+    [[nodiscard]] std::string jobKey(const std::string &id) const { return m_kinds.jobs + id; }
+
+    [[nodiscard]] std::string segmentKey(const std::string &id, std::size_t segment) const
+    {
+        return m_kinds.results + id + "." + std::to_string(segment);
+    }
+
+    Result<Version> decide(const std::string &key, const std::string &value)
+    {
+        const auto patience = SteadyClock().now() + m_patience;
+        return putDecided(m_store, key, value, noVersion, m_pause,
+                          [patience] { return SteadyClock().now() < patience; });
+    }
+
+    Store &m_store;
+    Pause m_pause;
+    const Duration m_patience;
+    const JobLogKinds m_kinds;
+};
+
+} // namespace Radishplank
--- a/Libraries/Core/Core.h
+++ b/Libraries/Core/Core.h
@@ -2,6 +2,7 @@
 
 /// Public header of the Core library: results, identifiers, time, settings, logs and metrics.
 
+#include <Core/Base64.h>
 #include <Core/Clock.h>
 #include <Core/Endpoint.h>
 #include <Core/Findings.h>
--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -3,8 +3,12 @@
 /// Public header of the Gateway library: calls that pass through to upstreams unchanged.
 
 #include <Gateway/CallDialect.h>
+#include <Gateway/CallForwarder.h>
 #include <Gateway/EventFramer.h>
 #include <Gateway/HeaderRules.h>
+#include <Gateway/JobService.h>
+#include <Gateway/MemberRegistry.h>
+#include <Gateway/PeerLink.h>
 #include <Gateway/PlaceChooser.h>
 #include <Gateway/Relay.h>
 #include <Gateway/RouteTable.h>
--- /dev/null
+++ b/Libraries/Gateway/JobService.h
@@ -0,0 +1,643 @@
+#pragma once
+
+#include <Batch/Batch.h>
+#include <Gateway/ItemRun.h>
+#include <Gateway/PeerLink.h>
+#include <Gateway/RouteTable.h>
+
+#include <algorithm>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <boost/fiber/operations.hpp>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace Radishplank {
+
+/// What a JobService works with.
+struct JobServiceContext
+{
+    FiberThreads &threads;
+    const RouteDirectory &routes;
+    UpstreamTable &upstreams;
+    PeerTable &peers;
+    PeerLink &link;
+    CallDialect dialect;
+    NodeId self;
+    /// How long a job can be read after its submission.
+    Milliseconds retention{600'000};
+};
+
+/// Results of a job from a position on.
+struct JobPage
+{
+    std::size_t total = 0;
+    std::vector<ItemResult> results;
+};
+
+/// Runs the small jobs that this process owns, and takes over those of processes that are gone.
+///
+/// All of it runs on thread 0; its methods suspend the calling fiber. Results are told only once
+/// they are durable.
+template<ObjectStore Store, typename Pause>
+class JobService
+{
+public:
+    JobService(JobServiceContext context, JobLog<Store, Pause> log)
+        : m_context(std::move(context))
+        , m_log(std::move(log))
+    {
+    }
+
+    void start()
+    {
+        m_context.link.describeJobs = [this](PeerReport &report) { describeJobs(report); };
+        m_context.link.onReport
+                = [this](const PeerReport &report, bool isNews) { takeReport(report, isNews); };
+        m_context.threads.spawnOn(0, [this] { dispatchLoop(); });
+        m_context.threads.spawnOn(0, [this] { recoveryLoop(); });
+    }
+
+    /// No further item is started; those that run go on.
+    void beginDrain() { m_isDraining = true; }
+    [[nodiscard]] std::size_t runningItems() const { return m_runningItems; }
+
+    /// Makes a job durable. Conflict: the name belongs to another job. Refused: it does not run.
+    /// Unavailable or Timeout: it may have been accepted.
+    Result<void> submit(SmallJob job)
+    {
+        if (const auto active = find(job.id)) {
+            if (active->stored.job.hasSameItems(job))
+                return {};
+            return Error{ErrorKind::Conflict, "the job " + job.id + " exists with other items"};
+        }
+        if (m_queue.waiting() + job.items.size() > maxWaitingItems)
+            return Error{ErrorKind::Refused, "too many items are waiting"};
+        job.owner = m_context.self;
+        auto accepted = TRY(m_log.accept(job));
+        if (accepted.owner != m_context.self)
+            return {};
+        const bool isNew = accepted.submittedAt == job.submittedAt;
+        if (!isNew) {
+            // A submission from before this process started.
+            adopt(TRY(m_log.load(job.id)));
+            return {};
+        }
+        LoadedJob loaded;
+        loaded.job = std::move(accepted);
+        adopt(std::move(loaded));
+        return {};
+    }
+
+    [[nodiscard]] bool owns(const std::string &id) const { return m_jobs.contains(id); }
+
+    /// Returns results of a job that this process owns; waits for one at most so long.
+    Result<JobPage> read(const std::string &id, std::size_t after, Milliseconds wait)
+    {
+        const auto job = find(id);
+        if (!job)
+            return notOwned(id);
+        std::unique_lock lock(job->mutex);
+        job->changed.wait_for(lock, wait, [&] {
+            return job->stored.results.size() > after || job->stored.isEnded || job->isGone;
+        });
+        if (job->isGone)
+            return notOwned(id);
+        return pageOf(job->stored, after);
+    }
+
+    /// Returns an item's body, of a job that this process owns.
+    Result<std::string> itemBody(const std::string &id, const std::string &item)
+    {
+        const auto job = find(id);
+        if (!job)
+            return notOwned(id);
+        return bodyOf(job->stored.job, item);
+    }
+
+    /// Ends a job, whoever owns it: the owner hears of it from this process, or from the store.
+    Result<void> end(const std::string &id)
+    {
+        stopEnded(id);
+        TRY(m_log.end(id));
+        m_ended.push_back({id, SteadyClock().now()});
+        m_context.link.announceJobs();
+        return {};
+    }
+
+    /// Reads a job from the store.
+    Result<LoadedJob> load(const std::string &id) { return m_log.load(id); }
+
+    static JobPage pageOf(const LoadedJob &job, std::size_t after)
+    {
+        JobPage page;
+        page.total = job.job.items.size();
+        std::size_t bytes = 0;
+        for (std::size_t i = after; i < job.results.size() && bytes < maxPageBytes; ++i) {
+            page.results.push_back(job.results[i]);
+            bytes += job.results[i].output.size();
+        }
+        return page;
+    }
+
+    static Result<std::string> bodyOf(const SmallJob &job, const std::string &item)
+    {
+        for (const auto &each : job.items) {
+            if (each.id == item)
+                return each.body;
+        }
+        return Error{ErrorKind::NotFound, "the job " + job.id + " has no item " + item};
+    }
+
+private:
+    /// Bounds the memory of waiting items; each takes a few KB with its output.
+    static constexpr std::size_t maxWaitingItems = 4'000;
+    /// A page of results stays well under 1 MB in its encoded form.
+    static constexpr std::size_t maxPageBytes = 600'000;
+    /// Results that come within this time are made durable together.
+    static constexpr Milliseconds gatherTime{300};
+    static constexpr Milliseconds storeRetryPause{200};
+    static constexpr Milliseconds busyDispatchInterval{20};
+    static constexpr Milliseconds idleDispatchInterval{200};
+    static constexpr Milliseconds recoveryCheckInterval{500};
+    /// By then, the peers that live have been heard.
+    static constexpr Milliseconds firstOrphanCheck{4'000};
+    /// Ends of jobs are told to peers for so long.
+    static constexpr Milliseconds endedToldTime{6'000};
+    /// Items of services without room that are passed over in one turn.
+    static constexpr std::size_t maxPassedOver = 64;
+
+    struct ActiveJob
+    {
+        LoadedJob stored;
+        std::vector<ItemProgress> progress;
+        std::vector<ItemResult> pending;
+        std::set<std::shared_ptr<ItemStop>> running;
+        std::size_t settled = 0;
+        bool isWriting = false;
+        /// Another process owns the job by now.
+        bool isGone = false;
+        boost::fibers::mutex mutex;
+        boost::fibers::condition_variable changed;
+    };
+    using JobPointer = std::shared_ptr<ActiveJob>;
+
+    struct EndedJob
+    {
+        std::string id;
+        TimePoint at;
+    };
+
+    [[nodiscard]] JobPointer find(const std::string &id) const
+    {
+        const auto found = m_jobs.find(id);
+        return found == m_jobs.end() ? JobPointer() : found->second;
+    }
+
+    static Error notOwned(const std::string &id)
+    {
+        return {ErrorKind::NotFound, "this process does not run the job " + id};
+    }
+
+    void adopt(LoadedJob loaded)
+    {
+        const std::string id = loaded.job.id;
+        if (owns(id))
+            return;
+        auto job = std::make_shared<ActiveJob>();
+        job->stored = std::move(loaded);
+        job->progress.resize(job->stored.job.items.size());
+        m_jobs[id] = job;
+        if (!job->stored.isEnded) {
+            m_queue.add(id, job->stored.job.items.size(), limitsOf(job->stored.job));
+            for (std::size_t i = 0; i < job->stored.job.items.size(); ++i) {
+                if (hasResult(*job, job->stored.job.items[i].id))
+                    settle(*job, {id, i});
+            }
+        }
+        logStateChange("job-adopted", {{"job", id},
+                                       {"items", std::to_string(job->progress.size())},
+                                       {"results", std::to_string(job->stored.results.size())},
+                                       {"ended", job->stored.isEnded ? "yes" : "no"}});
+        m_context.link.announceJobs();
+        wakeDispatcher();
+    }
+
+    [[nodiscard]] static bool hasResult(const ActiveJob &job, const std::string &item)
+    {
+        const auto isOf = [&](const ItemResult &result) { return result.item == item; };
+        return std::any_of(job.stored.results.begin(), job.stored.results.end(), isOf)
+               || std::any_of(job.pending.begin(), job.pending.end(), isOf);
+    }
+
+    [[nodiscard]] ItemLimits limitsOf(const SmallJob &job) const
+    {
+        ItemLimits limits;
+        const auto now = SteadyClock().now();
+        const auto route = m_context.routes.find(job.host, job.path);
+        const Milliseconds age(std::max<long long>(0, unixMilliseconds() - job.submittedAt));
+        limits.due = now - age + (route ? route->jobTarget : Milliseconds(0));
+        limits.patienceEnd = now - age + patienceOf(route);
+        limits.maxFailures = route ? route->maxUpstreams : ItemLimits().maxFailures;
+        return limits;
+    }
+
+    static Milliseconds patienceOf(const std::shared_ptr<const Route> &route)
+    {
+        constexpr Milliseconds defaultPatience{600'000};
+        // The clocks of the process that took the job and of this one may differ a little.
+        constexpr Milliseconds clockMargin{2'000};
+        if (!route || route->jobPatience.count() == 0)
+            return defaultPatience;
+        return route->jobPatience + clockMargin;
+    }
+
+    void settle(ActiveJob &job, const ItemKey &item)
+    {
+        m_queue.settle(item);
+        job.settled += 1;
+    }
+
+    void wakeDispatcher() { m_work.notify_all(); }
+
+    void dispatchLoop()
+    {
+        while (true) {
+            {
+                std::unique_lock lock(m_workMutex);
+                m_work.wait_for(lock, m_queue.waiting() > 0 ? busyDispatchInterval
+                                                            : idleDispatchInterval);
+            }
+            if (m_runningItems > 0)
+                m_context.upstreams.yieldOverfull();
+            for (const auto &item : m_queue.takeExpired(SteadyClock().now()))
+                giveUp(item, "its time is over");
+            if (!m_isDraining)
+                startItems();
+            forgetOldJobs();
+        }
+    }
+
+    void startItems()
+    {
+        std::vector<ItemKey> passedOver;
+        std::set<std::string> servicesWithoutRoom;
+        while (passedOver.size() < maxPassedOver) {
+            const auto item = m_queue.takeNext(SteadyClock().now());
+            if (!item)
+                break;
+            const auto job = find(item->job);
+            const auto route = m_context.routes.find(job->stored.job.host, job->stored.job.path);
+            if (!route) {
+                if (m_context.routes.isConfigured())
+                    giveUp(*item, "its route is gone");
+                else
+                    passedOver.push_back(*item);
+                continue;
+            }
+            const double draw = std::uniform_real_distribution<double>(0, 1)(threadRandomEngine());
+            const auto &service = chooseService(*route, draw);
+            auto place = servicesWithoutRoom.contains(service)
+                                 ? UpstreamTable::PlacePointer()
+                                 : m_context.upstreams.takeBatch(service, reservedSlots);
+            if (!place) {
+                passedOver.push_back(*item);
+                if (servicesWithoutRoom.insert(service).second && route->services.size() == 1
+                    && m_jobs.size() == 1)
+                    break;
+                continue;
+            }
+            startItem(job, *item, std::move(place));
+        }
+        for (const auto &item : passedOver)
+            m_queue.putBack(item);
+    }
+
+    void startItem(const JobPointer &job, const ItemKey &item, UpstreamTable::PlacePointer place)
+    {
+        auto stop = std::make_shared<ItemStop>();
+        place->onPreempt([stop] {
+            stop->isPreempted = true;
+            stop->cancellation.cancel();
+        });
+        job->running.insert(stop);
+        m_runningItems += 1;
+        m_context.threads.spawnOn(
+                0, [this, job, item, stop,
+                    held = std::make_shared<UpstreamTable::PlacePointer>(std::move(place))] {
+                    auto &progress = job->progress[item.index];
+                    const auto before = progress.lastEvent;
+                    const auto end = runItem(**held, m_context.dialect, job->stored.job.host,
+                                             job->stored.job.items[item.index], progress, *stop);
+                    const auto upstream = (*held)->upstream().id;
+                    held->reset();
+                    job->running.erase(stop);
+                    m_runningItems -= 1;
+                    finishRun(job, item, end, progress.lastEvent != before, upstream);
+                });
+    }
+
+    void finishRun(const JobPointer &job, const ItemKey &item, ItemRunEnd end, bool hasProgressed,
+                   const UpstreamId &upstream)
+    {
+        wakeDispatcher();
+        if (job->isGone || job->stored.isEnded)
+            return;
+        const auto verdict = m_queue.noteRun(item, end, hasProgressed, SteadyClock().now());
+        if (verdict == JobQueue::Verdict::Completed)
+            return addResult(job, item, ItemState::Completed,
+                             std::move(job->progress[item.index].output));
+        const bool isOrdinary = end == ItemRunEnd::Preempted || end == ItemRunEnd::NotRun;
+        if (!isOrdinary) {
+            logStateChange("item-run-ended", {{"job", item.job},
+                                              {"item", job->stored.job.items[item.index].id},
+                                              {"end", itemRunEndName(end)},
+                                              {"upstream", upstream.text()}});
+        }
+        if (verdict == JobQueue::Verdict::GivenUp)
+            giveUp(item, itemRunEndName(end));
+    }
+
+    static std::string itemRunEndName(ItemRunEnd end)
+    {
+        switch (end) {
+        case ItemRunEnd::Completed:
+            return "completed";
+        case ItemRunEnd::NotRun:
+            return "not run";
+        case ItemRunEnd::Preempted:
+            return "preempted";
+        case ItemRunEnd::Interrupted:
+            return "interrupted";
+        case ItemRunEnd::Failed:
+            return "failed";
+        case ItemRunEnd::Impossible:
+            return "impossible";
+        }
+        return "unknown";
+    }
+
+    void giveUp(const ItemKey &item, const std::string &reason)
+    {
+        const auto job = find(item.job);
+        if (!job)
+            return;
+        logStateChange("item-given-up", {{"job", item.job},
+                                         {"item", job->stored.job.items[item.index].id},
+                                         {"reason", reason}});
+        addResult(job, item, ItemState::DeadLetter, "");
+    }
+
+    void addResult(const JobPointer &job, const ItemKey &item, ItemState state, std::string output)
+    {
+        const auto &id = job->stored.job.items[item.index].id;
+        if (hasResult(*job, id))
+            return;
+        settle(*job, item);
+        job->pending.push_back({id, state, std::move(output)});
+        if (job->isWriting)
+            return;
+        job->isWriting = true;
+        m_context.threads.spawnOn(0, [this, job] {
+            writeResults(job);
+            job->isWriting = false;
+        });
+    }
+
+    /// Makes pending results durable until there are none.
+    void writeResults(const JobPointer &job)
+    {
+        while (!job->pending.empty() && !job->isGone) {
+            if (job->settled < job->stored.job.items.size())
+                boost::this_fiber::sleep_for(gatherTime);
+            const ResultSegment segment{makeUniqueId(m_context.self.text()),
+                                        std::move(job->pending)};
+            job->pending.clear();
+            if (!writeSegment(job, segment))
+                continue;
+            {
+                const std::scoped_lock lock(job->mutex);
+                for (const auto &result : segment.results)
+                    job->stored.results.push_back(result);
+                job->stored.segments += 1;
+            }
+            job->changed.notify_all();
+        }
+    }
+
+    /// Returns false if another process has written the segment; what is pending then is what that
+    /// process lacks.
+    bool writeSegment(const JobPointer &job, const ResultSegment &segment)
+    {
+        while (true) {
+            const auto written = m_log.append(job->stored.job.id, job->stored.segments, segment);
+            if (!written.isError())
+                return true;
+            if (written.error().kind == ErrorKind::Conflict) {
+                reload(job, segment.results);
+                return false;
+            }
+            logStateChange("results-not-written",
+                           {{"job", job->stored.job.id}, {"reason", written.error().message}});
+            boost::this_fiber::sleep_for(storeRetryPause);
+        }
+    }
+
+    /// Reads a job again that another process has gone on with.
+    void reload(const JobPointer &job, const std::vector<ItemResult> &unwritten)
+    {
+        const auto id = job->stored.job.id;
+        auto loaded = m_log.load(id);
+        while (loaded.isError() && loaded.error().kind != ErrorKind::NotFound) {
+            boost::this_fiber::sleep_for(storeRetryPause);
+            loaded = m_log.load(id);
+        }
+        if (loaded.isError() || loaded.value().job.owner != m_context.self) {
+            drop(job, "another process owns it");
+            return;
+        }
+        {
+            const std::scoped_lock lock(job->mutex);
+            job->stored = loaded.takeValue();
+        }
+        for (const auto &result : unwritten) {
+            if (!hasResult(*job, result.item))
+                job->pending.push_back(result);
+        }
+        job->settled = 0;
+        for (std::size_t i = 0; i < job->stored.job.items.size(); ++i) {
+            if (hasResult(*job, job->stored.job.items[i].id))
+                settle(*job, {id, i});
+        }
+    }
+
+    void drop(const JobPointer &job, const std::string &reason)
+    {
+        const auto id = job->stored.job.id;
+        logStateChange("job-dropped", {{"job", id}, {"reason", reason}});
+        job->isGone = true;
+        m_queue.removeJob(id);
+        stopRunning(*job);
+        m_jobs.erase(id);
+        job->changed.notify_all();
+    }
+
+    static void stopRunning(ActiveJob &job)
+    {
+        const auto running = job.running;
+        for (const auto &stop : running)
+            stop->cancellation.cancel();
+    }
+
+    void stopEnded(const std::string &id)
+    {
+        const auto job = find(id);
+        if (!job || job->stored.isEnded)
+            return;
+        logStateChange("job-ended", {{"job", id}});
+        job->stored.isEnded = true;
+        m_queue.removeJob(id);
+        stopRunning(*job);
+        job->changed.notify_all();
+    }
+
+    void forgetOldJobs()
+    {
+        const auto oldest = unixMilliseconds() - m_context.retention.count();
+        std::vector<JobPointer> old;
+        for (const auto &[id, job] : m_jobs) {
+            const bool isDone = job->stored.isEnded || job->settled == job->progress.size();
+            if (job->stored.job.submittedAt < oldest && isDone && !job->isWriting)
+                old.push_back(job);
+        }
+        for (const auto &job : old) {
+            const auto id = job->stored.job.id;
+            m_queue.removeJob(id);
+            m_jobs.erase(id);
+            m_context.threads.spawnOn(0, [this, id, segments = job->stored.segments] {
+                const auto removed = m_log.remove(id, segments);
+                if (removed.isError()) {
+                    logStateChange("job-not-removed",
+                                   {{"job", id}, {"reason", removed.error().message}});
+                }
+            });
+        }
+    }
+
+    void describeJobs(PeerReport &report)
+    {
+        for (const auto &[id, job] : m_jobs)
+            report.ownedJobs.push_back(jobHash(id));
+        const auto oldest = SteadyClock().now() - endedToldTime;
+        while (!m_ended.empty() && m_ended.front().at < oldest)
+            m_ended.pop_front();
+        for (const auto &ended : m_ended)
+            report.endedJobs.push_back(ended.id);
+    }
+
+    void takeReport(const PeerReport &report, bool isNews)
+    {
+        for (const auto &id : report.endedJobs)
+            stopEnded(id);
+        for (const auto hash : report.ownedJobs) {
+            for (const auto &[id, job] : m_jobs) {
+                if (jobHash(id) == hash)
+                    m_disputed.insert(id);
+            }
+        }
+        if (isNews)
+            logStateChange("peer-heard", {{"peer", report.node.text()}});
+        wakeDispatcher();
+    }
+
+    void recoveryLoop()
+    {
+        recover();
+        boost::this_fiber::sleep_for(firstOrphanCheck);
+        recover();
+        while (true) {
+            boost::this_fiber::sleep_for(recoveryCheckInterval);
+            settleDisputes();
+            const auto silent = m_context.peers.takeSilent(SteadyClock().now());
+            for (const auto &node : silent)
+                logStateChange("peer-silent", {{"peer", node.text()}});
+            if (!silent.empty())
+                recover();
+        }
+    }
+
+    /// Finds out who owns the jobs that a peer believes to own as well.
+    void settleDisputes()
+    {
+        const auto disputed = std::exchange(m_disputed, {});
+        for (const auto &id : disputed) {
+            const auto job = find(id);
+            if (job && !job->isWriting)
+                reload(job, {});
+        }
+    }
+
+    /// Takes up the jobs of this process from before its start, and those of processes that are
+    /// gone and that fall to this one.
+    void recover()
+    {
+        auto jobs = m_log.listJobs();
+        while (jobs.isError()) {
+            boost::this_fiber::sleep_for(storeRetryPause);
+            jobs = m_log.listJobs();
+        }
+        for (auto &listed : jobs.value()) {
+            if (owns(listed.job.id))
+                continue;
+            const auto now = SteadyClock().now();
+            const bool isOwn = listed.job.owner == m_context.self;
+            const bool isOrphan = !isOwn && m_hasListenedOnce
+                                  && !m_context.peers.isHeard(listed.job.owner, now)
+                                  && m_context.peers.isSuccessor(listed.job.id, now);
+            if (isOwn || isOrphan)
+                takeUp(listed.job.id);
+        }
+        m_hasListenedOnce = true;
+    }
+
+    void takeUp(const std::string &id)
+    {
+        auto loaded = m_log.load(id);
+        if (loaded.isError()) {
+            logStateChange("job-not-taken-up", {{"job", id}, {"reason", loaded.error().message}});
+            return;
+        }
+        if (loaded.value().job.owner != m_context.self) {
+            const auto from = loaded.value().job.owner;
+            const auto taken = m_log.takeOver(loaded.value(), m_context.self);
+            if (taken.isError()) {
+                logStateChange("job-not-taken-up",
+                               {{"job", id}, {"reason", taken.error().message}});
+                return;
+            }
+            logStateChange("job-taken-over", {{"job", id}, {"from", from.text()}});
+        }
+        adopt(loaded.takeValue());
+    }
+
+    static constexpr unsigned reservedSlots = 0;
+
+    const JobServiceContext m_context;
+    JobLog<Store, Pause> m_log;
+    JobQueue m_queue;
+    std::unordered_map<std::string, JobPointer> m_jobs;
+    std::deque<EndedJob> m_ended;
+    std::set<std::string> m_disputed;
+    std::size_t m_runningItems = 0;
+    bool m_isDraining = false;
+    bool m_hasListenedOnce = false;
+    boost::fibers::mutex m_workMutex;
+    boost::fibers::condition_variable m_work;
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -0,0 +1,179 @@
+#include <Gateway/PeerLink.h>
+
+#include <Net/Await.h>
+
+#include <boost/fiber/operations.hpp>
+
+namespace Radishplank {
+
+using boost::asio::ip::udp;
+
+namespace {
+
+/// A slot can be held for a few hundred milliseconds, so loads must be known much sooner than that.
+constexpr Milliseconds sendInterval{20};
+constexpr Milliseconds sameZoneInterval{20};
+constexpr Milliseconds sameRegionInterval{60};
+/// Few calls cross regions, and bytes between them are dear.
+constexpr Milliseconds otherRegionInterval{250};
+/// Full reports go to everyone, as the sign of life.
+constexpr Milliseconds fullReportInterval{500};
+constexpr std::size_t maxDatagramBytes = 65'000;
+constexpr std::size_t maxJobsTold = 2'000;
+
+} // namespace
+
+PeerLink::PeerLink(FiberThreads &threads, PeerTable &peers, UpstreamTable &upstreams,
+                   PeerLinkSettings settings)
+    : m_threads(threads)
+    , m_peers(peers)
+    , m_upstreams(upstreams)
+    , m_settings(std::move(settings))
+    , m_socket(threads.context(0))
+{
+}
+
+Result<void> PeerLink::start()
+{
+    boost::system::error_code code;
+    const auto address = boost::asio::ip::make_address(m_settings.listen.address, code);
+    if (!code)
+        m_socket.open(udp::v4(), code);
+    if (!code)
+        m_socket.bind({address, m_settings.listen.port}, code);
+    if (!code)
+        m_socket.non_blocking(true, code);
+    if (code) {
+        return Error{ErrorKind::Unavailable, "cannot take datagrams on " + m_settings.listen.text()
+                                                     + ": " + code.message()};
+    }
+    m_threads.spawnOn(0, [this] { receive(); });
+    m_threads.spawnOn(0, [this] { sendLoop(); });
+    return {};
+}
+
+void PeerLink::receive()
+{
+    std::string buffer(maxDatagramBytes, '\0');
+    udp::endpoint sender;
+    while (true) {
+        const auto outcome = awaitIo([&](auto handler) {
+            m_socket.async_receive_from(boost::asio::buffer(buffer), sender, std::move(handler));
+        });
+        // A refused datagram of ours comes back as an error here; it says nothing of the next one.
+        if (!outcome.code)
+            take(std::string_view(buffer).substr(0, outcome.byteCount), sender);
+    }
+}
+
+void PeerLink::take(std::string_view bytes, const udp::endpoint &sender)
+{
+    const auto decoded = decodePeerReport(bytes);
+    if (decoded.isError()) {
+        logStateChange("peer-report-unreadable", {{"from", sender.address().to_string()}});
+        return;
+    }
+    const auto &report = decoded.value();
+    const auto now = SteadyClock().now();
+    const bool isNews
+            = m_peers.noteReport(report, {sender.address().to_string(), sender.port()}, now);
+    std::map<std::uint64_t, UpstreamLoad> loads;
+    for (const auto &load : report.loads)
+        loads[load.upstream] = {load.online, load.batch};
+    m_upstreams.notePeerLoads(report.node, std::move(loads), now);
+    if (onReport)
+        onReport(report, isNews);
+}
+
+void PeerLink::sendLoop()
+{
+    m_upstreams.onLoadChange = [this] { m_hasLoadChanged = true; };
+    while (true) {
+        const auto now = SteadyClock().now();
+        if (m_hasLoadChanged || m_mustSendJobs || now - m_jobsSentAt >= fullReportInterval)
+            sendReports(now);
+        boost::this_fiber::sleep_for(sendInterval);
+    }
+}
+
+Milliseconds PeerLink::intervalTo(const ZoneName &zone) const
+{
+    switch (m_settings.position.distanceTo(zone)) {
+    case Distance::SameZone:
+        return sameZoneInterval;
+    case Distance::SameRegion:
+        return sameRegionInterval;
+    case Distance::OtherRegion:
+        return otherRegionInterval;
+    }
+    return otherRegionInterval;
+}
+
+void PeerLink::sendReports(TimePoint now)
+{
+    m_hasLoadChanged = false;
+    const bool isFull = m_mustSendJobs || now - m_jobsSentAt >= fullReportInterval;
+    auto report = loadReport();
+    if (isFull) {
+        m_mustSendJobs = false;
+        m_jobsSentAt = now;
+        report.hasJobs = true;
+        if (describeJobs)
+            describeJobs(report);
+        if (report.ownedJobs.size() > maxJobsTold)
+            report.ownedJobs.resize(maxJobsTold);
+    }
+    const auto bytes = encodePeerReport(report);
+    const auto destinations = m_peers.destinations();
+    for (const auto &destination : destinations) {
+        auto &sentAt = m_sentAt[destination.datagrams];
+        if (!isFull && now - sentAt < intervalTo(destination.zone)) {
+            // It is told with the next report.
+            m_hasLoadChanged = true;
+            continue;
+        }
+        sentAt = now;
+        sendTo(destination.datagrams, bytes);
+    }
+    if (!isFull)
+        return;
+    for (const auto &seed : m_settings.seeds) {
+        const Endpoint datagrams{seed.address, m_settings.listen.port};
+        if (seed.address != m_settings.listen.address && !m_sentAt.contains(datagrams))
+            sendTo(datagrams, bytes);
+    }
+}
+
+PeerReport PeerLink::loadReport() const
+{
+    PeerReport report;
+    report.node = m_settings.node;
+    report.zone = m_settings.position.zone;
+    report.control = m_settings.control;
+    for (const auto &[id, load] : m_upstreams.ownLoads())
+        report.loads.push_back({upstreamHash(id), load.online, load.batch});
+    return report;
+}
+
+void PeerLink::announceLeaving()
+{
+    m_threads.spawnOn(0, [this] {
+        auto report = loadReport();
+        report.hasJobs = true;
+        report.isLeaving = true;
+        const auto bytes = encodePeerReport(report);
+        for (const auto &destination : m_peers.destinations())
+            sendTo(destination.datagrams, bytes);
+    });
+}
+
+void PeerLink::sendTo(const Endpoint &destination, const std::string &bytes)
+{
+    boost::system::error_code code;
+    const auto address = boost::asio::ip::make_address(destination.address, code);
+    // A datagram that cannot be sent now is made up for by the next report.
+    if (!code)
+        m_socket.send_to(boost::asio::buffer(bytes), {address, destination.port}, 0, code);
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/PeerLink.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <Gateway/PeerTable.h>
+#include <Gateway/UpstreamTable.h>
+#include <Net/Net.h>
+
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace Radishplank {
+
+/// How this process presents itself to its peers.
+struct PeerLinkSettings
+{
+    NodeId node;
+    Position position;
+    /// Where datagrams of peers arrive; the port is the same on all machines.
+    Endpoint listen;
+    Endpoint control;
+    /// Peers to report to before the list of members is known.
+    std::vector<Endpoint> seeds;
+};
+
+/// Exchanges reports with the other entry processes by datagrams; all of it on one thread.
+class PeerLink
+{
+public:
+    PeerLink(FiberThreads &threads, PeerTable &peers, UpstreamTable &upstreams,
+             PeerLinkSettings settings);
+
+    /// Fills in the jobs of a full report.
+    std::function<void(PeerReport &)> describeJobs;
+    /// Called for each report that arrives; `isNews` tells that the peer was not heard lately.
+    std::function<void(const PeerReport &, bool isNews)> onReport;
+
+    Result<void> start();
+    /// Sends a full report soon.
+    void announceJobs() { m_mustSendJobs = true; }
+    /// Tells the peers that this process is about to end.
+    void announceLeaving();
+
+private:
+    void receive();
+    void take(std::string_view bytes, const boost::asio::ip::udp::endpoint &sender);
+    void sendLoop();
+    void sendReports(TimePoint now);
+    [[nodiscard]] PeerReport loadReport() const;
+    void sendTo(const Endpoint &destination, const std::string &bytes);
+    [[nodiscard]] Milliseconds intervalTo(const ZoneName &zone) const;
+
+    FiberThreads &m_threads;
+    PeerTable &m_peers;
+    UpstreamTable &m_upstreams;
+    const PeerLinkSettings m_settings;
+    boost::asio::ip::udp::socket m_socket;
+    std::map<Endpoint, TimePoint> m_sentAt;
+    TimePoint m_jobsSentAt{};
+    bool m_mustSendJobs = true;
+    std::atomic<bool> m_hasLoadChanged{true};
+};
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -0,0 +1,24 @@
+@0xb1b7c1d3a4f0e7d2;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Radishplank::Rpc");
+
+# Streams of one entry process at one upstream.
+struct UpstreamStreams {
+  upstream @0 :UInt64;   # Hash of the upstream's name.
+  online @1 :UInt16;
+  batch @2 :UInt16;
+}
+
+# What an entry process tells its peers, in one datagram. Each report stands for itself.
+struct PeerReport {
+  node @0 :Text;
+  zone @1 :Text;
+  controlAddress @2 :Text;
+  controlPort @3 :UInt16;
+  loads @4 :List(UpstreamStreams);
+  hasJobs @5 :Bool;                  # Whether the lists of jobs are part of this report.
+  ownedJobs @6 :List(UInt64);        # Hashes of the names of jobs that the sender runs.
+  endedJobs @7 :List(Text);          # Jobs that the sender has ended a short time ago.
+  isLeaving @8 :Bool;
+}
--- /dev/null
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -0,0 +1,82 @@
+#include <Gateway/PeerReport.h>
+
+#include <Gateway/PeerReport.capnp.h>
+
+#include <capnp/serialize.h>
+#include <cstring>
+#include <kj/array.h>
+#include <kj/exception.h>
+
+namespace Radishplank {
+
+namespace {
+
+std::string textOf(capnp::Text::Reader text)
+{
+    return {text.cStr(), text.size()};
+}
+
+PeerReport decodeReader(Rpc::PeerReport::Reader reader)
+{
+    PeerReport report;
+    report.node = NodeId(textOf(reader.getNode()));
+    report.zone = ZoneName(textOf(reader.getZone()));
+    report.control = {textOf(reader.getControlAddress()), reader.getControlPort()};
+    for (const auto load : reader.getLoads())
+        report.loads.push_back({load.getUpstream(), load.getOnline(), load.getBatch()});
+    report.hasJobs = reader.getHasJobs();
+    for (const auto job : reader.getOwnedJobs())
+        report.ownedJobs.push_back(job);
+    for (const auto job : reader.getEndedJobs())
+        report.endedJobs.push_back(textOf(job));
+    report.isLeaving = reader.getIsLeaving();
+    return report;
+}
+
+} // namespace
+
+std::string encodePeerReport(const PeerReport &report)
+{
+    capnp::MallocMessageBuilder message;
+    auto builder = message.initRoot<Rpc::PeerReport>();
+    builder.setNode(report.node.text());
+    builder.setZone(report.zone.text());
+    builder.setControlAddress(report.control.address);
+    builder.setControlPort(report.control.port);
+    auto loads = builder.initLoads(static_cast<unsigned>(report.loads.size()));
+    for (unsigned i = 0; i < report.loads.size(); ++i) {
+        loads[i].setUpstream(report.loads[i].upstream);
+        loads[i].setOnline(static_cast<std::uint16_t>(report.loads[i].online));
+        loads[i].setBatch(static_cast<std::uint16_t>(report.loads[i].batch));
+    }
+    builder.setHasJobs(report.hasJobs);
+    auto owned = builder.initOwnedJobs(static_cast<unsigned>(report.ownedJobs.size()));
+    for (unsigned i = 0; i < report.ownedJobs.size(); ++i)
+        owned.set(i, report.ownedJobs[i]);
+    auto ended = builder.initEndedJobs(static_cast<unsigned>(report.endedJobs.size()));
+    for (unsigned i = 0; i < report.endedJobs.size(); ++i)
+        ended.set(i, report.endedJobs[i].c_str());
+    builder.setIsLeaving(report.isLeaving);
+    const auto words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+Result<PeerReport> decodePeerReport(std::string_view bytes)
+{
+    const Error invalid{ErrorKind::InvalidInput, "the datagram is no report of a peer"};
+    if (bytes.size() % sizeof(capnp::word) != 0)
+        return invalid;
+    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    std::memcpy(words.begin(), bytes.data(), bytes.size());
+    PeerReport report;
+    const auto exception = kj::runCatchingExceptions([&] {
+        capnp::FlatArrayMessageReader reader(words);
+        report = decodeReader(reader.getRoot<Rpc::PeerReport>());
+    });
+    if (exception != nullptr || report.node.isEmpty())
+        return invalid;
+    return report;
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/PeerReport.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <Core/Core.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Radishplank {
+
+/// Streams of one entry process at one upstream.
+struct UpstreamStreams
+{
+    /// Hash of the upstream's name, as upstreamHash() gives it.
+    std::uint64_t upstream = 0;
+    unsigned online = 0;
+    unsigned batch = 0;
+};
+
+/// What an entry process tells its peers.
+struct PeerReport
+{
+    NodeId node;
+    ZoneName zone;
+    /// Where the sender takes calls that other entry processes pass on.
+    Endpoint control;
+    std::vector<UpstreamStreams> loads;
+    /// The jobs that the sender runs, as hashes of their names; nothing is said if `hasJobs` is
+    /// false.
+    bool hasJobs = false;
+    std::vector<std::uint64_t> ownedJobs;
+    std::vector<std::string> endedJobs;
+    bool isLeaving = false;
+};
+
+/// Encodes a report for one datagram.
+[[nodiscard]] std::string encodePeerReport(const PeerReport &report);
+/// InvalidInput if the bytes are no report.
+[[nodiscard]] Result<PeerReport> decodePeerReport(std::string_view bytes);
+
+[[nodiscard]] inline std::uint64_t upstreamHash(const UpstreamId &id)
+{
+    return stableHash(id.text());
+}
+[[nodiscard]] inline std::uint64_t jobHash(const std::string &job)
+{
+    return stableHash(job);
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/PeerTable.cpp
@@ -0,0 +1,109 @@
+#include <Gateway/PeerTable.h>
+
+namespace Radishplank {
+
+namespace {
+
+/// Reports come twice a second at least; so many in a row are hardly lost on a sound link.
+constexpr Milliseconds silenceLimit{2'500};
+
+} // namespace
+
+PeerTable::PeerTable(NodeId self)
+    : m_self(std::move(self))
+{
+}
+
+void PeerTable::noteMember(const NodeId &node, const ZoneName &zone, const Endpoint &datagrams)
+{
+    if (node == m_self)
+        return;
+    auto &peer = m_peers[node];
+    peer.zone = zone;
+    peer.datagrams = datagrams;
+}
+
+void PeerTable::removeMember(const NodeId &node)
+{
+    m_peers.erase(node);
+}
+
+bool PeerTable::noteReport(const PeerReport &report, const Endpoint &sender, TimePoint now)
+{
+    if (report.node == m_self)
+        return false;
+    auto &peer = m_peers[report.node];
+    const bool isNews = !peer.heardAt || now - *peer.heardAt > silenceLimit;
+    peer.zone = report.zone;
+    peer.datagrams = sender;
+    peer.control = report.control;
+    peer.heardAt = now;
+    peer.isSilenceTold = false;
+    if (report.hasJobs)
+        peer.jobs = {report.ownedJobs.begin(), report.ownedJobs.end()};
+    if (report.isLeaving) {
+        // It is silent from now on, which need not be waited for.
+        peer.heardAt = now - silenceLimit - Milliseconds(1);
+    }
+    return isNews;
+}
+
+std::vector<PeerTable::Destination> PeerTable::destinations() const
+{
+    std::vector<Destination> result;
+    for (const auto &[node, peer] : m_peers)
+        result.push_back({peer.datagrams, peer.zone});
+    return result;
+}
+
+bool PeerTable::isHeard(const NodeId &node, TimePoint now) const
+{
+    if (node == m_self)
+        return true;
+    const auto found = m_peers.find(node);
+    return found != m_peers.end() && found->second.heardAt
+           && now - *found->second.heardAt <= silenceLimit;
+}
+
+std::vector<NodeId> PeerTable::takeSilent(TimePoint now)
+{
+    std::vector<NodeId> silent;
+    for (auto &[node, peer] : m_peers) {
+        if (!peer.heardAt || peer.isSilenceTold || isHeard(node, now))
+            continue;
+        peer.isSilenceTold = true;
+        silent.push_back(node);
+    }
+    return silent;
+}
+
+std::optional<Endpoint> PeerTable::ownerOf(const std::string &job, TimePoint now) const
+{
+    const auto hash = jobHash(job);
+    for (const auto &[node, peer] : m_peers) {
+        if (peer.jobs.contains(hash) && isHeard(node, now))
+            return peer.control;
+    }
+    return {};
+}
+
+std::optional<Endpoint> PeerTable::controlOf(const NodeId &node, TimePoint now) const
+{
+    const auto found = m_peers.find(node);
+    if (found == m_peers.end() || !isHeard(node, now))
+        return {};
+    return found->second.control;
+}
+
+bool PeerTable::isSuccessor(const std::string &job, TimePoint now) const
+{
+    const auto weight = [&](const NodeId &node) { return stableHash(node.text(), jobHash(job)); };
+    const auto own = weight(m_self);
+    for (const auto &[node, peer] : m_peers) {
+        if (isHeard(node, now) && weight(node) > own)
+            return false;
+    }
+    return true;
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/PeerTable.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <Gateway/PeerReport.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Radishplank {
+
+/// Which entry processes there are, which of them are heard, and which jobs they run. Pure; used
+/// on one thread.
+class PeerTable
+{
+public:
+    explicit PeerTable(NodeId self);
+
+    /// Notes where a peer's datagrams go, as the store's list of members has it.
+    void noteMember(const NodeId &node, const ZoneName &zone, const Endpoint &datagrams);
+    void removeMember(const NodeId &node);
+    /// Takes in a report; returns whether the peer was not heard before, or not for a while.
+    bool noteReport(const PeerReport &report, const Endpoint &sender, TimePoint now);
+
+    struct Destination
+    {
+        Endpoint datagrams;
+        ZoneName zone;
+    };
+    /// Where reports of this process go.
+    [[nodiscard]] std::vector<Destination> destinations() const;
+    [[nodiscard]] bool isHeard(const NodeId &node, TimePoint now) const;
+    /// Returns peers that were heard once and are not any more, each once for each silence.
+    std::vector<NodeId> takeSilent(TimePoint now);
+    /// Returns where the owner of a job takes calls, if a peer that is heard says that it is that.
+    [[nodiscard]] std::optional<Endpoint> ownerOf(const std::string &job, TimePoint now) const;
+    /// Returns where a peer that is heard takes calls.
+    [[nodiscard]] std::optional<Endpoint> controlOf(const NodeId &node, TimePoint now) const;
+    /// Tells whether this process is the one, of all that are heard, that takes over a job.
+    [[nodiscard]] bool isSuccessor(const std::string &job, TimePoint now) const;
+
+private:
+    struct Peer
+    {
+        ZoneName zone;
+        Endpoint datagrams;
+        Endpoint control;
+        std::optional<TimePoint> heardAt;
+        bool isSilenceTold = false;
+        std::set<std::uint64_t> jobs;
+    };
+
+    const NodeId m_self;
+    std::map<NodeId, Peer> m_peers;
+};
+
+} // namespace Radishplank
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -45,8 +45,9 @@
         found->second.batchHolders.push_back({m_number, std::move(stop)});
 }
 
-UpstreamTable::UpstreamTable(Position position)
-    : m_position(std::move(position))
+UpstreamTable::UpstreamTable(NodeId self, Position position)
+    : m_self(std::move(self))
+    , m_position(std::move(position))
 {
 }
 
@@ -59,6 +60,7 @@
         return false;
     const bool isNewStart = state.info.startedAt != upstream.startedAt;
     state.info = upstream;
+    state.hash = upstreamHash(upstream.id);
     if (isNewStart) {
         state.failures = 0;
         state.distrustedUntil = {};
@@ -81,13 +83,13 @@
     return result;
 }
 
-UpstreamLoad UpstreamTable::peerLoad(const UpstreamId &id, TimePoint now) const
+UpstreamLoad UpstreamTable::peerLoad(std::uint64_t hash, TimePoint now) const
 {
     UpstreamLoad sum;
     for (const auto &[peer, report] : m_peers) {
         if (now - report.at > peerLoadLifetime)
             continue;
-        const auto found = report.loads.find(id);
+        const auto found = report.loads.find(hash);
         if (found == report.loads.end())
             continue;
         sum.online += found->second.online;
@@ -104,7 +106,7 @@
     for (auto &[id, state] : m_states) {
         if (state.info.service != service || state.info.isDraining || excluded.contains(id))
             continue;
-        const auto peers = peerLoad(id, now);
+        const auto peers = peerLoad(state.hash, now);
         PlaceView view;
         view.distance = m_position.distanceTo(state.info.zone);
         view.slots = std::max(1U, state.info.slots);
@@ -204,7 +206,7 @@
         onLoadChange();
 }
 
-void UpstreamTable::notePeerLoads(const NodeId &peer, std::map<UpstreamId, UpstreamLoad> loads,
+void UpstreamTable::notePeerLoads(const NodeId &peer, std::map<std::uint64_t, UpstreamLoad> loads,
                                   TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
@@ -222,18 +224,34 @@
     return loads;
 }
 
+bool UpstreamTable::isOutweighed(const State &state, TimePoint now) const
+{
+    // Whoever has most batch items there gives way, so that not all do at once.
+    for (const auto &[peer, report] : m_peers) {
+        if (now - report.at > peerLoadLifetime)
+            continue;
+        const auto found = report.loads.find(state.hash);
+        if (found == report.loads.end())
+            continue;
+        const auto batch = found->second.batch;
+        if (batch > state.own.batch || (batch == state.own.batch && batch > 0 && peer > m_self))
+            return true;
+    }
+    return false;
+}
+
 void UpstreamTable::yieldOverfull()
 {
     std::vector<std::function<void()>> stops;
     {
         const std::scoped_lock lock(m_mutex);
         const auto now = SteadyClock().now();
-        for (auto &[id, state] : m_states) {
-            const auto peers = peerLoad(id, now);
+        for (auto &entry : m_states) {
+            auto &state = entry.second;
+            const auto peers = peerLoad(state.hash, now);
             const unsigned total = state.own.online + state.own.batch + peers.online + peers.batch;
-            if (total <= state.info.slots || state.own.batch < peers.batch)
+            if (total <= state.info.slots || isOutweighed(state, now))
                 continue;
-            // Whoever has more batch items there gives way, so that not all do at once.
             const unsigned excess = total - state.info.slots;
             for (unsigned i = 0; i < excess; ++i) {
                 auto stop = takeNewestStop(state);
@@ -252,10 +270,11 @@
     const std::scoped_lock lock(m_mutex);
     const auto now = SteadyClock().now();
     Usage usage;
-    for (const auto &[id, state] : m_states) {
+    for (const auto &entry : m_states) {
+        const auto &state = entry.second;
         if (state.info.service != service || state.info.isDraining)
             continue;
-        const auto peers = peerLoad(id, now);
+        const auto peers = peerLoad(state.hash, now);
         usage.slots += state.info.slots;
         usage.taken += std::min(state.info.slots,
                                 state.own.online + state.own.batch + peers.online + peers.batch);
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Catalogue/Catalogue.h>
+#include <Gateway/PeerReport.h>
 #include <Gateway/PlaceChooser.h>
 #include <Gateway/UpstreamInfo.h>
 
@@ -73,7 +74,7 @@
     };
     using PlacePointer = std::unique_ptr<Place>;
 
-    explicit UpstreamTable(Position position);
+    UpstreamTable(NodeId self, Position position);
 
     /// Adds an upstream or replaces what is known of it; returns whether that is news.
     bool put(const UpstreamInfo &upstream);
@@ -94,7 +95,9 @@
     PlacePointer takeBatch(const std::string &service, unsigned reservedSlots);
 
     /// Notes what a peer has at the upstreams; it counts until it is replaced or has grown old.
-    void notePeerLoads(const NodeId &peer, std::map<UpstreamId, UpstreamLoad> loads, TimePoint now);
+    /// The loads are by the hashes of the upstreams' names.
+    void notePeerLoads(const NodeId &peer, std::map<std::uint64_t, UpstreamLoad> loads,
+                       TimePoint now);
     [[nodiscard]] std::map<UpstreamId, UpstreamLoad> ownLoads() const;
     /// Stops batch items of this process at upstreams that hold more than their slots.
     void yieldOverfull();
@@ -117,6 +120,7 @@
     struct State
     {
         UpstreamInfo info;
+        std::uint64_t hash = 0;
         UpstreamLoad own;
         std::vector<BatchHolder> batchHolders;
         unsigned failures = 0;
@@ -125,7 +129,7 @@
     struct PeerLoads
     {
         TimePoint at;
-        std::map<UpstreamId, UpstreamLoad> loads;
+        std::map<std::uint64_t, UpstreamLoad> loads;
     };
 
     struct Candidates
@@ -134,12 +138,15 @@
         std::vector<State *> states;
     };
 
-    [[nodiscard]] UpstreamLoad peerLoad(const UpstreamId &id, TimePoint now) const;
+    [[nodiscard]] UpstreamLoad peerLoad(std::uint64_t hash, TimePoint now) const;
+    /// Tells whether a peer has to give way at an upstream before this process does.
+    [[nodiscard]] bool isOutweighed(const State &state, TimePoint now) const;
     [[nodiscard]] Candidates candidates(const std::string &service,
                                         const std::set<UpstreamId> &excluded, TimePoint now);
     void release(const Place &place);
     [[nodiscard]] std::function<void()> takeNewestStop(State &state) const;
 
+    const NodeId m_self;
     const Position m_position;
     mutable std::mutex m_mutex;
     std::map<UpstreamId, State> m_states;
--- a/Libraries/Serving/AttemptLine.cpp
+++ b/Libraries/Serving/AttemptLine.cpp
@@ -1,7 +1,6 @@
 #include <Serving/AttemptLine.h>
 
 #include <array>
-#include <openssl/evp.h>
 #include <utility>
 
 namespace Radishplank {
@@ -18,31 +17,6 @@
         {AttemptEnd::DeadlinePassed, "deadline-passed"},
 }};
 
-std::string encodeBase64(std::string_view text)
-{
-    std::string encoded((text.size() + 2) / 3 * 4 + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(encoded.data()),
-                                       reinterpret_cast<const unsigned char *>(text.data()),
-                                       static_cast<int>(text.size()));
-    encoded.resize(static_cast<std::size_t>(length));
-    return encoded;
-}
-
-std::optional<std::string> decodeBase64(std::string_view text)
-{
-    std::string decoded(text.size() / 4 * 3 + 3, '\0');
-    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(decoded.data()),
-                                       reinterpret_cast<const unsigned char *>(text.data()),
-                                       static_cast<int>(text.size()));
-    if (length < 0)
-        return {};
-    std::size_t padding = 0;
-    while (padding < 2 && padding < text.size() && text[text.size() - 1 - padding] == '=')
-        padding += 1;
-    decoded.resize(static_cast<std::size_t>(length) - padding);
-    return decoded;
-}
-
 struct ToJson
 {
     boost::json::object operator()(const TokenLine &line) const { return {{"t", line.text}}; }
@@ -112,10 +86,10 @@
     if (object.contains("end"))
         return parseEnd(object);
     const auto body = decodeBase64(textField(object, "body").value_or(""));
-    if (!object.contains("status") || !body)
+    if (!object.contains("status") || body.isError())
         return Error{ErrorKind::InvalidInput, "unknown line of an attempt"};
     return AttemptLine(AnswerLine{static_cast<unsigned>(integerField(object, "status", 500)),
-                                  textField(object, "type").value_or(""), *body});
+                                  textField(object, "type").value_or(""), body.value()});
 }
 
 } // namespace Radishplank
--- a/Libraries/Store/DecidedWrite.h
+++ b/Libraries/Store/DecidedWrite.h
@@ -28,6 +28,9 @@
         auto failure = written.takeError();
         if (isDoubtful(failure)) {
             isInDoubt = true;
+        } else if (isInDoubt && failure.kind == ErrorKind::Refused) {
+            // The store has done nothing this time, which says nothing of the earlier try.
+            failure.kind = ErrorKind::Unavailable;
         } else if (!isInDoubt || failure.kind != ErrorKind::Conflict) {
             return failure;
         } else {
