JobService: Take up a job whose submission was in doubt

Ruled out: the pause of items that break upstreams (none in the log of the lost job). Now the process looks for such jobs until they exist or can no longer come to exist.

--- a/Libraries/Batch/JobLog.h
+++ b/Libraries/Batch/JobLog.h
@@ -148,13 +148,11 @@
     /// Removes all that the store has of a job.
     Result<void> remove(const std::string &id, std::size_t segments)
     {
-        TRY(m_store.remove(jobKey(id), noVersion));
         for (std::size_t segment = 0; segment < segments; ++segment)
-            TRY(m_store.remove(segmentKey(id, segment), noVersion));
-        const auto removed = m_store.remove(m_kinds.ends + id, noVersion);
-        if (removed.isError() && removed.error().kind != ErrorKind::NotFound)
-            return removed.error();
-        return {};
+            TRY(removeIfThere(segmentKey(id, segment)));
+        TRY(removeIfThere(m_kinds.ends + id));
+        // Last, so that a removal that breaks off can be found and finished.
+        return removeIfThere(jobKey(id));
     }
 
 private:
@@ -165,6 +163,16 @@
         return m_kinds.results + id + "." + std::to_string(segment);
     }
 
+    Result<void> removeIfThere(const std::string &key)
+    {
+        const auto object = m_store.get(key);
+        if (object.isError() && object.error().kind == ErrorKind::NotFound)
+            return {};
+        if (object.isError())
+            return object.error();
+        return m_store.remove(key, object.value().version);
+    }
+
     Result<Version> decide(const std::string &key, const std::string &value)
     {
         const auto patience = SteadyClock().now() + m_patience;
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -31,6 +31,8 @@
     NodeId self;
     /// How long a job can be read after its submission.
     Milliseconds retention{600'000};
+    /// When the peers that live have been heard, counted from the start.
+    Milliseconds listenTime{4'000};
 };
 
 /// Results of a job from a position on.
@@ -79,7 +81,14 @@
         if (m_queue.waiting() + job.items.size() > maxWaitingItems)
             return Error{ErrorKind::Refused, "too many items are waiting"};
         job.owner = m_context.self;
-        auto accepted = TRY(m_log.accept(job));
+        auto written = m_log.accept(job);
+        if (written.isError()) {
+            // The job may exist by now, or soon, with this process as its owner.
+            if (isDoubtful(written.error()))
+                m_unsettled[job.id] = SteadyClock().now() + settleTime;
+            return written.takeError();
+        }
+        auto accepted = written.takeValue();
         if (accepted.owner != m_context.self)
             return {};
         const bool isNew = accepted.submittedAt == job.submittedAt;
@@ -165,8 +174,8 @@
     static constexpr Milliseconds busyDispatchInterval{20};
     static constexpr Milliseconds idleDispatchInterval{200};
     static constexpr Milliseconds recoveryCheckInterval{500};
-    /// By then, the peers that live have been heard.
-    static constexpr Milliseconds firstOrphanCheck{4'000};
+    /// A write without an answer may still take effect some seconds later.
+    static constexpr Milliseconds settleTime{12'000};
     /// Ends of jobs are told to peers for so long.
     static constexpr Milliseconds endedToldTime{6'000};
     /// Items of services without room that are passed over in one turn.
@@ -558,15 +567,16 @@
     void recoveryLoop()
     {
         recover();
-        boost::this_fiber::sleep_for(firstOrphanCheck);
+        boost::this_fiber::sleep_for(m_context.listenTime);
         recover();
         while (true) {
             boost::this_fiber::sleep_for(recoveryCheckInterval);
             settleDisputes();
+            takeUpUnsettled();
             const auto silent = m_context.peers.takeSilent(SteadyClock().now());
             for (const auto &node : silent)
                 logStateChange("peer-silent", {{"peer", node.text()}});
-            if (!silent.empty())
+            if (!silent.empty() || std::exchange(m_mustRecover, false))
                 recover();
         }
     }
@@ -605,19 +615,41 @@
         m_hasListenedOnce = true;
     }
 
+    /// Takes up jobs that this process owns if they exist.
+    void takeUpUnsettled()
+    {
+        const auto unsettled = m_unsettled;
+        for (const auto &[id, until] : unsettled) {
+            auto loaded = m_log.load(id);
+            const bool isUnknown = loaded.isError();
+            if (isUnknown && SteadyClock().now() < until)
+                continue;
+            m_unsettled.erase(id);
+            if (isUnknown && loaded.error().kind != ErrorKind::NotFound)
+                m_unsettled[id] = SteadyClock().now() + settleTime;
+            if (!isUnknown && loaded.value().job.owner == m_context.self)
+                adopt(loaded.takeValue());
+        }
+    }
+
+    static bool isDoubtful(const Error &error)
+    {
+        return error.kind == ErrorKind::Unavailable || error.kind == ErrorKind::Timeout;
+    }
+
+    /// Makes this process the owner of a job that it does not run yet.
     void takeUp(const std::string &id)
     {
         auto loaded = m_log.load(id);
         if (loaded.isError()) {
-            logStateChange("job-not-taken-up", {{"job", id}, {"reason", loaded.error().message}});
+            noteNotTakenUp(id, loaded.error());
             return;
         }
         if (loaded.value().job.owner != m_context.self) {
             const auto from = loaded.value().job.owner;
             const auto taken = m_log.takeOver(loaded.value(), m_context.self);
             if (taken.isError()) {
-                logStateChange("job-not-taken-up",
-                               {{"job", id}, {"reason", taken.error().message}});
+                noteNotTakenUp(id, taken.error());
                 return;
             }
             logStateChange("job-taken-over", {{"job", id}, {"from", from.text()}});
@@ -625,6 +657,13 @@
         adopt(loaded.takeValue());
     }
 
+    void noteNotTakenUp(const std::string &id, const Error &error)
+    {
+        logStateChange("job-not-taken-up", {{"job", id}, {"reason", error.message}});
+        if (error.kind == ErrorKind::Refused || isDoubtful(error))
+            m_mustRecover = true;
+    }
+
     static constexpr unsigned reservedSlots = 0;
 
     const JobServiceContext m_context;
@@ -633,6 +672,9 @@
     std::unordered_map<std::string, JobPointer> m_jobs;
     std::deque<EndedJob> m_ended;
     std::set<std::string> m_disputed;
+    /// Jobs whose submission was in doubt, and until when it stays so.
+    std::map<std::string, TimePoint> m_unsettled;
+    bool m_mustRecover = false;
     std::size_t m_runningItems = 0;
     bool m_isDraining = false;
     bool m_hasListenedOnce = false;
--- /dev/null
+++ b/Tests/Batch/TestJobLog.cpp
@@ -0,0 +1,188 @@
+#include <Batch/Batch.h>
+
+#include "../Store/FaultyStore.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Radishplank;
+
+namespace {
+
+struct NoPause
+{
+    void operator()(Milliseconds) const {}
+};
+
+using Log = JobLog<FaultyStore, NoPause>;
+
+SmallJob job(const std::string &owner = "entry1")
+{
+    SmallJob result;
+    result.id = "job1";
+    result.host = "example";
+    result.path = "/jobs/job1";
+    result.owner = NodeId(owner);
+    result.submittedAt = 1'700'000'000'000;
+    result.items.push_back({"item1", "/x", {{"Name", "value"}}, std::string("\0\xff body", 7)});
+    result.items.push_back({"item2", "/y", {}, ""});
+    return result;
+}
+
+ResultSegment segmentOf(const std::string &writer, const std::string &item)
+{
+    return {writer, {{item, ItemState::Completed, "output of " + item}}};
+}
+
+} // namespace
+
+TEST_CASE("A small job survives its object", "[SmallJob]")
+{
+    const auto parsed = parseSmallJob(serialize(job()));
+    REQUIRE_FALSE(parsed.isError());
+    CHECK(parsed.value().hasSameItems(job()));
+    CHECK(parsed.value().owner == NodeId("entry1"));
+    CHECK(parsed.value().submittedAt == job().submittedAt);
+    CHECK(parseSmallJob("{}").isError());
+    CHECK(parseSmallJob("[").isError());
+}
+
+TEST_CASE("Base64 is decoded only where it is sound", "[Base64]")
+{
+    for (std::size_t length = 0; length < 20; ++length) {
+        const std::string bytes(length, '\xf0');
+        const auto decoded = decodeBase64(encodeBase64(bytes));
+        REQUIRE_FALSE(decoded.isError());
+        CHECK(decoded.value() == bytes);
+    }
+    CHECK(decodeBase64("abc").isError());
+    CHECK(decodeBase64("ab!=").isError());
+}
+
+TEST_CASE("A job exists once in the store", "[JobLog]")
+{
+    MemoryObjectStore memory;
+    FaultyStore store(memory);
+    Log log(store, NoPause(), Milliseconds(50));
+
+    SECTION("under the owner that came first")
+    {
+        REQUIRE_FALSE(log.accept(job("entry1")).isError());
+        const auto again = log.accept(job("entry2"));
+        REQUIRE_FALSE(again.isError());
+        CHECK(again.value().owner == NodeId("entry1"));
+    }
+    SECTION("and not with other items")
+    {
+        REQUIRE_FALSE(log.accept(job()).isError());
+        auto other = job();
+        other.items[1].body = "changed";
+        CHECK(log.accept(other).error().kind == ErrorKind::Conflict);
+    }
+    SECTION("also if the answer of the store is lost")
+    {
+        int calls = 0;
+        store.nextFault = [&] {
+            return calls++ == 0 ? FaultyStore::Fault::LostAnswer : FaultyStore::Fault::None;
+        };
+        REQUIRE_FALSE(log.accept(job()).isError());
+        CHECK(log.load("job1").value().job.hasSameItems(job()));
+    }
+    SECTION("An outage leaves it in doubt")
+    {
+        store.nextFault = [] { return FaultyStore::Fault::Outage; };
+        CHECK(log.accept(job()).error().kind == ErrorKind::Unavailable);
+    }
+}
+
+TEST_CASE("Results keep their positions", "[JobLog]")
+{
+    MemoryObjectStore memory;
+    FaultyStore store(memory);
+    Log log(store, NoPause(), Milliseconds(50));
+    REQUIRE_FALSE(log.accept(job()).isError());
+    REQUIRE_FALSE(log.append("job1", 0, segmentOf("writer1", "item2")).isError());
+
+    SECTION("whoever believes to own the job")
+    {
+        CHECK(log.append("job1", 0, segmentOf("writer2", "item1")).error().kind
+              == ErrorKind::Conflict);
+        const auto loaded = log.load("job1");
+        REQUIRE(loaded.value().results.size() == 1);
+        CHECK(loaded.value().results[0].item == "item2");
+        CHECK(loaded.value().segments == 1);
+    }
+    SECTION("A write that is repeated after a lost answer is the same write")
+    {
+        CHECK_FALSE(log.append("job1", 0, segmentOf("writer1", "item2")).isError());
+        CHECK(log.load("job1").value().results.size() == 1);
+    }
+    SECTION("The next owner goes on behind them")
+    {
+        auto loaded = log.load("job1").takeValue();
+        REQUIRE_FALSE(log.takeOver(loaded, NodeId("entry2")).isError());
+        REQUIRE_FALSE(log.append("job1", loaded.segments, segmentOf("w", "item1")).isError());
+        const auto results = log.load("job1").value().results;
+        REQUIRE(results.size() == 2);
+        CHECK(results[0].item == "item2");
+        CHECK(results[1].item == "item1");
+    }
+    SECTION("Of two that take the job over, one does")
+    {
+        auto first = log.load("job1").takeValue();
+        auto second = first;
+        CHECK_FALSE(log.takeOver(first, NodeId("entry2")).isError());
+        CHECK(log.takeOver(second, NodeId("entry3")).error().kind == ErrorKind::Conflict);
+        CHECK(log.load("job1").value().job.owner == NodeId("entry2"));
+    }
+    SECTION("An end is final and may be repeated")
+    {
+        CHECK_FALSE(log.load("job1").value().isEnded);
+        CHECK_FALSE(log.end("job1").isError());
+        CHECK_FALSE(log.end("job1").isError());
+        CHECK(log.load("job1").value().isEnded);
+    }
+    SECTION("A job that is removed leaves nothing")
+    {
+        CHECK_FALSE(log.remove("job1", 1).isError());
+        CHECK(log.load("job1").error().kind == ErrorKind::NotFound);
+        CHECK(memory.list("", "", ListContent::KeysOnly).value().objects.empty());
+    }
+}
+
+TEST_CASE("A refusal after a doubtful write settles nothing", "[DecidedWrite]")
+{
+    // The store loses the answer of a write, and then promises for the next call that it has done
+    // nothing; the first write has taken effect all the same.
+    struct RefusingStore
+    {
+        MemoryObjectStore memory;
+        int calls = 0;
+        Result<StoredObject> get(std::string_view key) { return memory.get(key); }
+        Result<Version> put(std::string_view key, std::string value, Version expected)
+        {
+            if (calls++ > 0)
+                return Error{ErrorKind::Refused, "nothing was done"};
+            (void)memory.put(key, std::move(value), expected);
+            return Error{ErrorKind::Timeout, "no answer"};
+        }
+        Result<void> remove(std::string_view key, Version expected)
+        {
+            return memory.remove(key, expected);
+        }
+        Result<ObjectPage> list(std::string_view prefix, std::string_view after,
+                                ListContent content)
+        {
+            return memory.list(prefix, after, content);
+        }
+        Result<WatchBatch> watch(std::string_view prefix, Version since, Milliseconds wait)
+        {
+            return memory.watch(prefix, since, wait);
+        }
+    };
+    RefusingStore store;
+    int tries = 0;
+    const auto written = putDecided(
+            store, "key", "value", noVersion, [](Milliseconds) {}, [&] { return ++tries < 3; });
+    REQUIRE(written.isError());
+    CHECK(written.error().kind == ErrorKind::Unavailable);
+}
--- /dev/null
+++ b/Tests/Gateway/TestJobService.cpp
@@ -0,0 +1,178 @@
+#include <Gateway/Gateway.h>
+
+#include "../Store/FaultyStore.h"
+
+#include <boost/fiber/operations.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace Radishplank;
+
+namespace {
+
+struct FiberSleep
+{
+    void operator()(Milliseconds time) const { boost::this_fiber::sleep_for(time); }
+};
+
+using Service = JobService<FaultyStore, FiberSleep>;
+
+/// An entry process without upstreams; its jobs wait.
+struct EntryProcess
+{
+    explicit EntryProcess(MemoryObjectStore &memory, const std::string &name = "entry1")
+        : store(memory)
+        , node(name)
+        , upstreams(node, {})
+        , peers(node)
+        , link(threads, peers, upstreams, {})
+        , service({threads,
+                   routes,
+                   upstreams,
+                   peers,
+                   link,
+                   {},
+                   node,
+                   Milliseconds(600'000),
+                   Milliseconds(100)},
+                  {store, FiberSleep(), Milliseconds(150)})
+    {
+        Route route;
+        route.name = "batch";
+        route.host = "example";
+        route.pathPrefix = "/jobs/";
+        route.kind = RouteKind::Batch;
+        route.services = {{"service", 1}};
+        route.jobPatience = Milliseconds(60'000);
+        routes.publish(
+                std::make_unique<const RouteTable>(1, std::vector<Route>{route}, CallerLimits()));
+    }
+
+    /// Runs a function on the process's thread and returns its result.
+    template<typename Function>
+    auto on(Function function)
+    {
+        std::promise<decltype(function())> result;
+        threads.spawnOn(0, [&] { result.set_value(function()); });
+        return result.get_future().get();
+    }
+
+    /// Waits until the condition holds, for some seconds at most.
+    template<typename Condition>
+    bool eventually(Condition condition)
+    {
+        return on([&] {
+            for (int i = 0; i < 500 && !condition(); ++i)
+                boost::this_fiber::sleep_for(Milliseconds(20));
+            return condition();
+        });
+    }
+
+    FaultyStore store;
+    NodeId node;
+    // Never destroyed: its fibers run until the test program ends.
+    FiberThreads &threads = *new FiberThreads(1);
+    RouteDirectory &routes = *new RouteDirectory;
+    UpstreamTable upstreams;
+    PeerTable peers;
+    PeerLink link;
+    Service service;
+};
+
+SmallJob jobWith(std::size_t items)
+{
+    SmallJob job;
+    job.id = "job1";
+    job.host = "example";
+    job.path = "/jobs/job1";
+    job.submittedAt = unixMilliseconds();
+    for (std::size_t i = 0; i < items; ++i)
+        job.items.push_back({"item" + std::to_string(i), "/jobs/x", {}, "body"});
+    return job;
+}
+
+} // namespace
+
+TEST_CASE("A job belongs to the process that took it", "[JobService]")
+{
+    auto &memory = *new MemoryObjectStore;
+    auto &entry = *new EntryProcess(memory);
+    entry.service.start();
+
+    SECTION("It is accepted once, however often it comes")
+    {
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(2)); }).isError());
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(2)); }).isError());
+        CHECK(entry.on([&] { return entry.service.owns("job1"); }));
+        const auto page = entry.on([&] { return entry.service.read("job1", 0, Milliseconds(0)); });
+        REQUIRE_FALSE(page.isError());
+        CHECK(page.value().total == 2);
+
+        SECTION("but not with other items")
+        {
+            const auto other = entry.on([&] { return entry.service.submit(jobWith(3)); });
+            REQUIRE(other.isError());
+            CHECK(other.error().kind == ErrorKind::Conflict);
+        }
+        SECTION("and its items' bodies can be read back")
+        {
+            const auto body = entry.on([&] { return entry.service.itemBody("job1", "item1"); });
+            REQUIRE_FALSE(body.isError());
+            CHECK(body.value() == "body");
+        }
+    }
+    SECTION("The store takes it, but its answers are lost until the caller has given up")
+    {
+        entry.on([&] {
+            entry.store.nextFault = [] { return FaultyStore::Fault::LostAnswer; };
+            return true;
+        });
+        // The process has looked for its jobs from before its start by then.
+        entry.on([] {
+            boost::this_fiber::sleep_for(Milliseconds(300));
+            return true;
+        });
+        const auto submitted = entry.on([&] { return entry.service.submit(jobWith(2)); });
+        REQUIRE(submitted.isError());
+        CHECK(submitted.error().kind == ErrorKind::Unavailable);
+        entry.on([&] {
+            entry.store.nextFault = [] { return FaultyStore::Fault::None; };
+            return true;
+        });
+
+        SECTION("The process finds it, since other processes take it for its owner")
+        {
+            CHECK(entry.eventually([&] { return entry.service.owns("job1"); }));
+        }
+    }
+    SECTION("Another process finds the job accepted, and leaves it to its owner")
+    {
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(2)); }).isError());
+        auto &second = *new EntryProcess(memory, "entry2");
+        REQUIRE_FALSE(second.on([&] { return second.service.submit(jobWith(2)); }).isError());
+        CHECK_FALSE(second.on([&] { return second.service.owns("job1"); }));
+    }
+    SECTION("Its owner is gone")
+    {
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(2)); }).isError());
+        auto &second = *new EntryProcess(memory, "entry2");
+        second.service.start();
+
+        SECTION("A process that hears nobody else takes the job over")
+        {
+            CHECK(second.eventually([&] { return second.service.owns("job1"); }));
+            const auto loaded = second.on([&] { return second.service.load("job1"); });
+            REQUIRE_FALSE(loaded.isError());
+            CHECK(loaded.value().job.owner == NodeId("entry2"));
+        }
+    }
+    SECTION("It is ended at another process")
+    {
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(2)); }).isError());
+        auto &second = *new EntryProcess(memory, "entry2");
+        REQUIRE_FALSE(second.on([&] { return second.service.end("job1"); }).isError());
+        const auto loaded = second.on([&] { return second.service.load("job1"); });
+        REQUIRE_FALSE(loaded.isError());
+        CHECK(loaded.value().isEnded);
+    }
+}
--- /dev/null
+++ b/Tests/Gateway/TestUpstreamTable.cpp
@@ -0,0 +1,160 @@
+#include <Gateway/Gateway.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Radishplank;
+
+namespace {
+
+constexpr Milliseconds anyWait{10'000};
+
+UpstreamInfo upstreamNamed(const std::string &id, std::int64_t startedAt = 1)
+{
+    UpstreamInfo upstream;
+    upstream.id = UpstreamId(id);
+    upstream.service = "service";
+    upstream.endpoint = {"127.0.0.1", 1};
+    upstream.zone = ZoneName("zone1");
+    upstream.slots = 2;
+    upstream.startedAt = startedAt;
+    return upstream;
+}
+
+Position positionInZone1()
+{
+    Position position;
+    position.zone = ZoneName("zone1");
+    position.region = RegionName("north");
+    position.regions = {{ZoneName("zone1"), RegionName("north")},
+                        {ZoneName("zone2"), RegionName("north")},
+                        {ZoneName("zone3"), RegionName("south")}};
+    return position;
+}
+
+std::map<std::uint64_t, UpstreamLoad> loadAt(const std::string &id, UpstreamLoad load)
+{
+    return {{upstreamHash(UpstreamId(id)), load}};
+}
+
+} // namespace
+
+TEST_CASE("Distances follow zones and regions", "[UpstreamTable]")
+{
+    const auto position = positionInZone1();
+    CHECK(position.distanceTo(ZoneName("zone1")) == Distance::SameZone);
+    CHECK(position.distanceTo(ZoneName("zone2")) == Distance::SameRegion);
+    CHECK(position.distanceTo(ZoneName("zone3")) == Distance::OtherRegion);
+    CHECK(position.distanceTo(ZoneName("unknown")) == Distance::OtherRegion);
+}
+
+TEST_CASE("Upstreams come and go", "[UpstreamTable]")
+{
+    UpstreamTable table(NodeId("entry1"), positionInZone1());
+    CHECK_FALSE(table.takeOnline("service", {}, anyWait).place);
+    CHECK(table.put(upstreamNamed("a", 10)));
+    CHECK_FALSE(table.put(upstreamNamed("a", 10)));
+    CHECK(table.takeOnline("service", {}, anyWait).place);
+    CHECK_FALSE(table.takeOnline("other", {}, anyWait).place);
+    CHECK_FALSE(table.takeOnline("service", {UpstreamId("a")}, anyWait).place);
+
+    SECTION("A draining one gets nothing more")
+    {
+        auto draining = upstreamNamed("a", 10);
+        draining.isDraining = true;
+        CHECK(table.put(draining));
+        CHECK_FALSE(table.takeOnline("service", {}, anyWait).place);
+        CHECK_FALSE(table.takeBatch("service", 0));
+    }
+    SECTION("A late report of an earlier start changes nothing")
+    {
+        auto earlier = upstreamNamed("a", 9);
+        earlier.isDraining = true;
+        CHECK_FALSE(table.put(earlier));
+        CHECK(table.takeOnline("service", {}, anyWait).place);
+    }
+    SECTION("A place outlives the upstream's removal")
+    {
+        const auto offer = table.takeOnline("service", {}, anyWait);
+        table.remove(UpstreamId("a"));
+        CHECK(offer.place->upstream().id == UpstreamId("a"));
+        CHECK(table.ids().empty());
+    }
+}
+
+TEST_CASE("Online calls come before batch", "[UpstreamTable]")
+{
+    UpstreamTable table(NodeId("entry1"), positionInZone1());
+    table.put(upstreamNamed("a"));
+    int stops = 0;
+    auto first = table.takeBatch("service", 0);
+    auto second = table.takeBatch("service", 0);
+    REQUIRE(first);
+    REQUIRE(second);
+    CHECK_FALSE(table.takeBatch("service", 0));
+    first->onPreempt([&] { stops += 1; });
+    second->onPreempt([&] { stops += 10; });
+
+    SECTION("The newest item gives way first")
+    {
+        const auto offer = table.takeOnline("service", {}, anyWait);
+        CHECK(offer.place);
+        CHECK(stops == 10);
+    }
+    SECTION("An item that has ended is not stopped")
+    {
+        second.reset();
+        const auto filled = table.takeOnline("service", {}, anyWait);
+        const auto preempting = table.takeOnline("service", {}, anyWait);
+        CHECK(stops == 1);
+    }
+    SECTION("Batch gives way as well to the calls of a peer")
+    {
+        table.notePeerLoads(NodeId("entry2"), loadAt("a", {1, 0}), SteadyClock().now());
+        table.yieldOverfull();
+        CHECK(stops == 10);
+    }
+    SECTION("Of two that hold batch, the one with more gives way")
+    {
+        table.notePeerLoads(NodeId("entry2"), loadAt("a", {1, 3}), SteadyClock().now());
+        table.yieldOverfull();
+        CHECK(stops == 0);
+    }
+}
+
+TEST_CASE("A call that would wait too long is not taken", "[UpstreamTable]")
+{
+    UpstreamTable table(NodeId("entry1"), positionInZone1());
+    table.put(upstreamNamed("a"));
+    table.notePeerLoads(NodeId("entry2"), loadAt("a", {9, 0}), SteadyClock().now());
+    const auto offer = table.takeOnline("service", {}, Milliseconds(100));
+    CHECK_FALSE(offer.place);
+    REQUIRE(offer.expectedWait);
+    CHECK(*offer.expectedWait > Milliseconds(100));
+
+    SECTION("An old report of a peer counts no more")
+    {
+        table.notePeerLoads(NodeId("entry2"), loadAt("a", {9, 0}),
+                            SteadyClock().now() - std::chrono::seconds(5));
+        CHECK(table.takeOnline("service", {}, Milliseconds(100)).place);
+    }
+}
+
+TEST_CASE("An upstream that fails is left alone for a while", "[UpstreamTable]")
+{
+    UpstreamTable table(NodeId("entry1"), positionInZone1());
+    table.put(upstreamNamed("a"));
+    table.put(upstreamNamed("b"));
+    auto offer = table.takeOnline("service", {UpstreamId("b")}, anyWait);
+    offer.place->conclude(UpstreamVerdict::Failed);
+    offer.place.reset();
+    for (int i = 0; i < 10; ++i)
+        CHECK(table.takeOnline("service", {}, anyWait).place->upstream().id == UpstreamId("b"));
+
+    SECTION("but not after it has started again")
+    {
+        table.put(upstreamNamed("a", 2));
+        const auto busy = table.takeOnline("service", {UpstreamId("a")}, anyWait);
+        const auto busier = table.takeOnline("service", {UpstreamId("a")}, anyWait);
+        CHECK(table.takeOnline("service", {}, anyWait).place->upstream().id == UpstreamId("a"));
+    }
+}
