--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -123,15 +123,15 @@
     }
     SECTION("The store takes it, but its answers are lost until the caller has given up")
     {
-        entry.on([&] {
-            entry.store.nextFault = [] { return FaultyStore::Fault::LostAnswer; };
-            return true;
-        });
         // The process has looked for its jobs from before its start by then.
         entry.on([] {
             boost::this_fiber::sleep_for(Milliseconds(300));
             return true;
         });
+        entry.on([&] {
+            entry.store.nextFault = [] { return FaultyStore::Fault::LostAnswer; };
+            return true;
+        });
         const auto submitted = entry.on([&] { return entry.service.submit(jobWith(2)); });
         REQUIRE(submitted.isError());
         CHECK(submitted.error().kind == ErrorKind::Unavailable);
