platform: Take limits for callers from the configuration; test with stand-ins of store and servers

Cause: bodies over the configured limit were read and answered with 400; a resumable stream whose servers had each broken off once ended although one of them could have gone on. Now the limits hold from the next request of each connection on, and a stream goes back to a server that it has left if there is no other.

--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -56,6 +56,9 @@
         // What has begun goes on wherever it can: its caller cannot come back for the rest.
         const auto wait = m_runs > 0 ? timeLeft() : longestWait;
         auto offer = m_upstreams.takeOnline(m_call.service, m_tried, wait);
+        // Where no other upstream is left, one that has broken off may take the rest.
+        if (!offer.place && m_runs > 0)
+            offer = m_upstreams.takeOnline(m_call.service, {}, wait);
         if (!offer.place) {
             if (m_runs > 0)
                 return giveUp("no upstream is left");
--- a/Libraries/Net/HttpConnection.cpp
+++ b/Libraries/Net/HttpConnection.cpp
@@ -22,12 +22,13 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(tcp::socket socket, const HttpServerLimits &limits,
+HttpConnection::HttpConnection(tcp::socket socket, const HttpServerLimitsHolder &limits,
                                const std::atomic<bool> &isDraining,
                                const std::atomic<bool> &isClosing,
                                std::atomic<std::size_t> &bodyBytesHeld)
     : m_stream(std::move(socket))
-    , m_limits(limits)
+    , m_limitsHolder(limits)
+    , m_limits(limits.load())
     , m_isDraining(isDraining)
     , m_isClosing(isClosing)
     , m_allBodyBytes(bodyBytesHeld)
@@ -38,12 +39,13 @@
 
 bool HttpConnection::readHead(bool isFirst)
 {
+    m_limits = m_limitsHolder.load();
     m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits->headerBytes));
     m_parser->body_limit(boost::none);
     if (!isFirst && m_buffer.size() == 0 && !waitReadable())
         return false;
-    m_stream.expires_after(m_limits.headerTimeout);
+    m_stream.expires_after(m_limits->headerTimeout);
     const auto outcome = awaitIo([&](auto handler) {
         http::async_read_header(m_stream, m_buffer, *m_parser, std::move(handler));
     });
@@ -72,7 +74,7 @@
         if (piece.isError())
             return false;
         skipped += piece.value().size();
-        if (skipped > m_limits.bodyBytes)
+        if (skipped > m_limits->bodyBytes)
             return false;
     }
     return true;
@@ -94,7 +96,7 @@
 Result<std::string> HttpConnection::readBody()
 {
     // For the whole of it, so that a sender who is slow enough cannot hold it for ever.
-    const auto until = SteadyClock().now() + m_limits.bodyTimeout;
+    const auto until = SteadyClock().now() + m_limits->bodyTimeout;
     std::string body;
     while (true) {
         auto piece = TRY(readPieceUntil(until));
@@ -107,7 +109,7 @@
 
 Result<std::string> HttpConnection::readBodyPiece()
 {
-    return readPieceUntil(SteadyClock().now() + m_limits.bodyTimeout);
+    return readPieceUntil(SteadyClock().now() + m_limits->bodyTimeout);
 }
 
 Result<void> HttpConnection::respond(HttpResponse response)
@@ -117,7 +119,7 @@
     fillHead(message, response.headers);
     message.body() = std::move(response.body);
     message.prepare_payload();
-    m_stream.expires_after(m_limits.writeTimeout);
+    m_stream.expires_after(m_limits->writeTimeout);
     const auto outcome = awaitIo(
             [&](auto handler) { http::async_write(m_stream, message, std::move(handler)); });
     return afterWrite(outcome.code);
@@ -130,7 +132,7 @@
     fillHead(message, headers);
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
-    m_stream.expires_after(m_limits.writeTimeout);
+    m_stream.expires_after(m_limits->writeTimeout);
     const auto outcome = awaitIo([&](auto handler) {
         http::async_write_header(m_stream, serializer, std::move(handler));
     });
@@ -141,7 +143,7 @@
 {
     if (piece.empty())
         return {};
-    m_stream.expires_after(m_limits.writeTimeout);
+    m_stream.expires_after(m_limits->writeTimeout);
     const auto outcome = awaitIo([&](auto handler) {
         boost::asio::async_write(
                 m_stream, http::make_chunk(boost::asio::const_buffer(piece.data(), piece.size())),
@@ -152,7 +154,7 @@
 
 Result<void> HttpConnection::endStream()
 {
-    m_stream.expires_after(m_limits.writeTimeout);
+    m_stream.expires_after(m_limits->writeTimeout);
     const auto outcome = awaitIo([&](auto handler) {
         boost::asio::async_write(m_stream, http::make_chunk_last(), std::move(handler));
     });
@@ -206,13 +208,13 @@
 
 Result<void> HttpConnection::holdBodyBytes(std::size_t bytes)
 {
-    if (m_bodyBytesHeld + bytes > m_limits.bodyBytes) {
+    if (m_bodyBytesHeld + bytes > m_limits->bodyBytes) {
         m_mustClose = true;
         return Error{ErrorKind::TooLarge,
-                     "the body is larger than " + std::to_string(m_limits.bodyBytes) + " bytes"};
+                     "the body is larger than " + std::to_string(m_limits->bodyBytes) + " bytes"};
     }
     m_bodyBytesHeld += bytes;
-    if (m_allBodyBytes.fetch_add(bytes) + bytes <= m_limits.totalBodyBytes)
+    if (m_allBodyBytes.fetch_add(bytes) + bytes <= m_limits->totalBodyBytes)
         return {};
     m_mustClose = true;
     return Error{ErrorKind::Unavailable, "too many bytes of bodies are being read now"};
@@ -242,7 +244,7 @@
     if (m_isClosing && !hasArrived())
         return false;
     m_isIdle = true;
-    m_stream.expires_after(m_limits.idleTimeout);
+    m_stream.expires_after(m_limits->idleTimeout);
     char first = 0;
     auto outcome = readByte(first);
     // The server stops, but the next request had already arrived.
--- a/Libraries/Net/HttpConnection.h
+++ b/Libraries/Net/HttpConnection.h
@@ -14,7 +14,7 @@
 class HttpConnection : public HttpExchange
 {
 public:
-    HttpConnection(boost::asio::ip::tcp::socket socket, const HttpServerLimits &limits,
+    HttpConnection(boost::asio::ip::tcp::socket socket, const HttpServerLimitsHolder &limits,
                    const std::atomic<bool> &isDraining, const std::atomic<bool> &isClosing,
                    std::atomic<std::size_t> &bodyBytesHeld);
 
@@ -60,7 +60,9 @@
     Result<void> afterWrite(const boost::system::error_code &code);
 
     boost::beast::tcp_stream m_stream;
-    const HttpServerLimits &m_limits;
+    const HttpServerLimitsHolder &m_limitsHolder;
+    /// As they were when the present request began.
+    std::shared_ptr<const HttpServerLimits> m_limits;
     const std::atomic<bool> &m_isDraining;
     const std::atomic<bool> &m_isClosing;
     std::atomic<std::size_t> &m_allBodyBytes;
--- a/Libraries/Net/HttpServer.cpp
+++ b/Libraries/Net/HttpServer.cpp
@@ -22,14 +22,14 @@
     Implementation(FiberThreads &fiberThreads, HttpServerLimits serverLimits,
                    Handler requestHandler)
         : threads(fiberThreads)
-        , limits(serverLimits)
+        , limits(std::make_shared<const HttpServerLimits>(serverLimits))
         , handler(std::move(requestHandler))
         , acceptor(fiberThreads.context(0))
     {
     }
 
     FiberThreads &threads;
-    HttpServerLimits limits;
+    HttpServerLimitsHolder limits;
     Handler handler;
     tcp::acceptor acceptor;
     std::atomic<bool> isDraining{false};
@@ -93,7 +93,7 @@
             });
             continue;
         }
-        if (state->openConnections >= state->limits.connections)
+        if (state->openConnections >= state->limits.load()->connections)
             continue;
         state->openConnections += 1;
         state->threads.spawnOn(threadIndex,
@@ -140,6 +140,11 @@
     return {local.address().to_string(), local.port()};
 }
 
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    m_implementation->limits.store(std::make_shared<const HttpServerLimits>(limits));
+}
+
 void HttpServer::beginDrain()
 {
     m_implementation->isDraining = true;
--- a/Libraries/Net/HttpServer.h
+++ b/Libraries/Net/HttpServer.h
@@ -30,6 +30,9 @@
     Milliseconds writeTimeout{30'000};
 };
 
+/// The limits of a server, which may be replaced while it runs.
+using HttpServerLimitsHolder = std::atomic<std::shared_ptr<const HttpServerLimits>>;
+
 /// One request on a connection and the means to answer it; used by one fiber.
 class HttpExchange
 {
@@ -75,6 +78,8 @@
     HttpServer &operator=(const HttpServer &) = delete;
 
     [[nodiscard]] Endpoint endpoint() const;
+    /// Replaces the limits; they hold from each connection's next request on.
+    void setLimits(const HttpServerLimits &limits);
     /// Asks callers to close their connections: every further answer says `Connection: close`.
     void beginDrain();
     /// Stops accepting and closes idle connections; running exchanges go on.
--- /dev/null
+++ b/Tests/Platform/PlatformDeployment.cpp
@@ -0,0 +1,190 @@
+#include "PlatformDeployment.h"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <unistd.h>
+
+namespace Radishplank::Test {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Ports of every entry process; each has an address of its own.
+constexpr std::uint16_t callerPort = 21'361;
+constexpr std::uint16_t readyPort = 21'362;
+constexpr std::uint16_t controlPort = 21'363;
+constexpr std::uint16_t peerPort = 21'364;
+
+/// Loopback addresses that no other test program uses at the same time.
+std::string addressBase()
+{
+    const auto id = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(20 + id % 200) + "." + std::to_string(id / 200 % 250) + ".";
+}
+
+std::string makeDirectory()
+{
+    std::string pattern = std::filesystem::temp_directory_path() / "radishplank-XXXXXX";
+    return mkdtemp(pattern.data());
+}
+
+json::object route(const std::string &name, const std::string &prefix, const std::string &type)
+{
+    return {{"name", name},
+            {"host", PlatformDeployment::host},
+            {"path_prefix", prefix},
+            {"route_type", type},
+            {"service", "assist"},
+            {"timeout_ms", 10'000},
+            {"target_latency_ms", 5'000},
+            {"gap_aim_ms", 200},
+            {"priority", 0}};
+}
+
+} // namespace
+
+PlatformDeployment::PlatformDeployment()
+    : store({addressBase() + "250", 0})
+    , m_directory(makeDirectory())
+{
+}
+
+PlatformDeployment::~PlatformDeployment()
+{
+    m_processes.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(m_directory, ignored);
+}
+
+ServerStandin &PlatformDeployment::addServer(const std::string &id)
+{
+    const auto address = addressBase() + std::to_string(100 + m_servers.size());
+    m_servers.push_back(std::make_unique<ServerStandin>(Endpoint{address, 0}, id));
+    registerServer(*m_servers.back(), "ready");
+    return *m_servers.back();
+}
+
+void PlatformDeployment::registerServer(ServerStandin &server, const std::string &state)
+{
+    store.write("servers", server.id(),
+                json::object{{"service", "assist"},
+                             {"address", server.endpoint().text()},
+                             {"zone", "north-a"},
+                             {"version", "v1"},
+                             {"slots", 4},
+                             {"state", state},
+                             {"cold_left_ms", 0},
+                             {"seq_no", 1},
+                             {"born", 1'700'000'000'000}});
+}
+
+void PlatformDeployment::writeConfiguration(unsigned version)
+{
+    auto plain = route("plain", "/plain/", "streaming");
+    plain["max_attempts"] = 1;
+    auto resumable = route("resumable", "/resume/", "streaming");
+    resumable["max_attempts"] = 3;
+    resumable["resumable"] = true;
+    auto batch = route("batch", "/batch/", "batch");
+    batch["max_attempts"] = 2;
+    batch["completion_target_ms"] = 18'000;
+    batch["max_wait_s"] = 60;
+    store.write("config", "main",
+                json::object{{"version", version},
+                             {"routes", json::array{plain, resumable, batch}},
+                             {"services", json::array{}},
+                             {"limits", json::object{{"max_header_bytes", 16'384},
+                                                     {"max_body_bytes", 100'000},
+                                                     {"header_timeout_ms", 3'000},
+                                                     {"idle_timeout_ms", 15'000}}}});
+}
+
+std::string PlatformDeployment::addressOf(const std::string &name) const
+{
+    // Names end with the number of the process.
+    return addressBase() + name.substr(name.size() - 1);
+}
+
+Endpoint PlatformDeployment::callers(const std::string &name) const
+{
+    return {addressOf(name), callerPort};
+}
+
+Process &PlatformDeployment::startEntry(const std::string &name)
+{
+    const auto address = addressOf(name);
+    const auto at = [&](std::uint16_t port) { return Endpoint{address, port}.text(); };
+    const std::vector<std::string> arguments{
+            "entry",
+            "--node=" + name,
+            "--zone=north-a",
+            "--zones=north-a=north,south-a=south",
+            "--caller-listen=" + at(callerPort),
+            "--ready-listen=" + at(readyPort),
+            "--control-listen=" + at(controlPort),
+            "--peer-listen=" + at(peerPort),
+            "--seeds=" + Endpoint{addressBase() + "1", controlPort}.text(),
+            "--store=" + store.endpoint().text()};
+    m_processes.push_back(std::make_unique<Process>(PLATFORM_PATH, arguments, m_directory, name));
+    m_processes.back()->waitUntilReady();
+    return *m_processes.back();
+}
+
+bool PlatformDeployment::isReady(const std::string &name)
+{
+    return client.call({addressOf(name), readyPort}, {"GET", "/-/readyz", {}, ""}).status == 200;
+}
+
+void PlatformDeployment::waitUntilReady(const std::string &name)
+{
+    REQUIRE(eventually([&] { return isReady(name); }));
+}
+
+HttpResponse PlatformDeployment::post(const std::string &entry, const std::string &path,
+                                      const std::string &body, const std::string &id)
+{
+    return client.call(
+            callers(entry),
+            {"POST",
+             path,
+             {{"Host", host}, {"X-Attempt-Id", id}, {"X-Model", "m"}, {"X-Deadline-Ms", "9000"}},
+             body});
+}
+
+HttpResponse PlatformDeployment::get(const std::string &entry, const std::string &path)
+{
+    return client.call(callers(entry), {"GET", path, {{"Host", host}}, ""});
+}
+
+HttpResponse PlatformDeployment::submit(const std::string &entry, const std::string &job,
+                                        const std::vector<std::string> &bodies)
+{
+    json::array items;
+    for (const auto &body : bodies) {
+        items.push_back(json::object{{"id", body},
+                                     {"path", "/batch/" + body},
+                                     {"headers", json::object{{"X-Model", "m"}}},
+                                     {"body", encodeBase64(body)},
+                                     {"token_count", 10}});
+    }
+    const auto text = json::serialize(json::object{{"items", std::move(items)}});
+    return post(entry, "/batch/" + job, text, job);
+}
+
+json::array PlatformDeployment::waitForResults(const std::string &entry, const std::string &job,
+                                               std::size_t count)
+{
+    json::array results;
+    const bool hasAll = eventually([&] {
+        const auto response = get(entry, "/-/lots/" + job + "?after=0");
+        if (response.status != 200)
+            return false;
+        results = json::parse(response.body).as_object().at("results").as_array();
+        return results.size() >= count;
+    });
+    REQUIRE(hasAll);
+    return results;
+}
+
+} // namespace Radishplank::Test
--- /dev/null
+++ b/Tests/Platform/PlatformDeployment.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "../Integration/Process.h"
+#include "../Integration/TestClient.h"
+#include "ServerStandin.h"
+#include "StoreStandin.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Radishplank::Test {
+
+/// Real entry processes in front of stand-ins of the platform's store and servers.
+class PlatformDeployment
+{
+public:
+    PlatformDeployment();
+    ~PlatformDeployment();
+
+    StoreStandin store;
+    TestClient client;
+
+    /// Starts a server and registers it.
+    ServerStandin &addServer(const std::string &id);
+    /// Writes a server's entry again, for instance as draining.
+    void registerServer(ServerStandin &server, const std::string &state);
+    /// Writes a configuration with a resumable, a plain and a batch route.
+    void writeConfiguration(unsigned version);
+    /// Starts an entry process and waits until it listens.
+    Process &startEntry(const std::string &name);
+    [[nodiscard]] Endpoint callers(const std::string &name) const;
+    [[nodiscard]] bool isReady(const std::string &name);
+    /// Waits until the process takes callers.
+    void waitUntilReady(const std::string &name);
+
+    HttpResponse post(const std::string &entry, const std::string &path, const std::string &body,
+                      const std::string &id);
+    HttpResponse get(const std::string &entry, const std::string &path);
+    /// Submits a job whose items have the given bodies; each item is named after its body.
+    HttpResponse submit(const std::string &entry, const std::string &job,
+                        const std::vector<std::string> &bodies);
+    /// Reads the results of a job from the start once it has as many; fails if it never has.
+    boost::json::array waitForResults(const std::string &entry, const std::string &job,
+                                      std::size_t count);
+
+    static constexpr const char *host = "shop.example";
+
+private:
+    [[nodiscard]] std::string addressOf(const std::string &name) const;
+
+    std::string m_directory;
+    std::vector<std::unique_ptr<ServerStandin>> m_servers;
+    std::vector<std::unique_ptr<Process>> m_processes;
+};
+
+} // namespace Radishplank::Test
--- /dev/null
+++ b/Tests/Platform/TestDecoders.cpp
@@ -0,0 +1,126 @@
+#include <ConfigurationDecoder.h>
+#include <JobCodec.h>
+#include <UpstreamDecoder.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Radishplank;
+using namespace Radishplank::Platform;
+
+namespace {
+
+constexpr std::string_view configuration = R"({"version":7,"routes":[
+{"name":"r1","host":"a.example","path_prefix":"/one/","route_type":"streaming","timeout_ms":5000,
+ "target_latency_ms":300,"priority":0,"traffic_split":[{"service":"s1","weight":90},
+ {"service":"s1","weight":10}],"max_attempts":1,"sticky":true,"resumable":false,"gap_aim_ms":200},
+{"name":"r2","host":"a.example","path_prefix":"/two/","route_type":"streaming","timeout_ms":5000,
+ "target_latency_ms":300,"service":"s2","max_attempts":2,"resumable":true},
+{"name":"r3","host":"a.example","path_prefix":"/three/","route_type":"batch","service":"s1",
+ "target_latency_ms":400,"completion_target_ms":18000,"max_attempts":3,"max_wait_s":60},
+{"name":"r4","host":"a.example","path_prefix":"/four/","route_type":"idempotent","service":"s1"},
+{"name":"r5","host":"a.example","path_prefix":"/five/","route_type":"unheard-of","service":"s1"},
+7],"services":[],"limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_ms":3000,
+"idle_timeout_ms":15000}})";
+
+StoredObject server(std::string value)
+{
+    return {"servers/i-1", std::move(value), 5};
+}
+
+constexpr std::string_view soundServer
+        = R"({"service":"s1","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,)"
+          R"("state":"ready","cold_left_ms":0,"seq_no":4,"born":1700000000000})";
+
+std::string changed(std::string_view from, std::string_view to)
+{
+    std::string text(soundServer);
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("The operator's configuration becomes routes", "[Decoders]")
+{
+    Findings findings;
+    const auto decoded = decodeConfiguration(configuration, findings);
+    REQUIRE_FALSE(decoded.isError());
+    const auto &table = *decoded.value();
+    CHECK(table.version() == 7);
+    CHECK(table.size() == 4);
+    CHECK(table.limits().bodyBytes == 2'000);
+    CHECK(table.limits().idleTimeout == Milliseconds(15'000));
+
+    SECTION("with what may be done with their calls")
+    {
+        const auto plain = table.find("a.example", "/one/x");
+        REQUIRE(plain);
+        CHECK(plain->kind == RouteKind::Stream);
+        CHECK_FALSE(plain->mayRunAgain());
+        CHECK(plain->services.size() == 2);
+        const auto resumable = table.find("a.example", "/two/x");
+        CHECK(resumable->mayRunAgain());
+        CHECK(resumable->maxUpstreams == 2);
+        const auto batch = table.find("a.example", "/three/x");
+        CHECK(batch->kind == RouteKind::Batch);
+        CHECK(batch->jobTarget == Milliseconds(18'000));
+        CHECK(batch->jobPatience == Milliseconds(60'000));
+        CHECK(table.find("a.example", "/four/x")->repetition == Repetition::Allowed);
+    }
+    SECTION("What cannot be used is reported and left out")
+    {
+        CHECK_FALSE(table.find("a.example", "/five/x"));
+        CHECK(findings.all().size() == 2);
+    }
+    SECTION("What is no configuration is none")
+    {
+        CHECK(decodeConfiguration("{}", findings).isError());
+        CHECK(decodeConfiguration("[]", findings).isError());
+        CHECK(decodeConfiguration("{\"version\":1}", findings).isError());
+    }
+}
+
+TEST_CASE("A server's entry becomes an upstream", "[Decoders]")
+{
+    const auto decoded = decodeUpstream(server(std::string(soundServer)));
+    REQUIRE_FALSE(decoded.isError());
+    CHECK(decoded.value().id == UpstreamId("i-1"));
+    CHECK(decoded.value().endpoint.text() == "10.0.0.9:80");
+    CHECK(decoded.value().slots == 8);
+    CHECK_FALSE(decoded.value().isDraining);
+    CHECK(decoded.value().startedAt == 1'700'000'000'000);
+    CHECK(decodeUpstream(server(changed("ready", "draining"))).value().isDraining);
+
+    SECTION("unless it was spoilt")
+    {
+        CHECK(decodeUpstream(server("")).isError());
+        CHECK(decodeUpstream(server("null")).isError());
+        CHECK(decodeUpstream(server("{}")).isError());
+        CHECK(decodeUpstream(server(changed("\"ready\"", "\"sleeping\""))).isError());
+        CHECK(decodeUpstream(server(changed("\"ready\"", "1"))).isError());
+        CHECK(decodeUpstream(server(changed("\"slots\":8", "\"slots\":\"8\""))).isError());
+        CHECK(decodeUpstream(server(changed("\"slots\":8,", ""))).isError());
+        CHECK(decodeUpstream(server(changed("\"seq_no\":4", "\"seq_no\":\"x\""))).isError());
+        CHECK(decodeUpstream(server(changed("10.0.0.9:80", "here"))).isError());
+        CHECK(decodeUpstream(server(changed("\"s1\"", "[]"))).isError());
+    }
+}
+
+TEST_CASE("A submission becomes items, and results a page", "[Decoders]")
+{
+    const auto items = decodeItems(R"({"items":[{"id":"x","path":"/p","headers":{"X-Model":"m"},)"
+                                   R"("body":"q83vEjRWeJA=","token_count":940}]})");
+    REQUIRE_FALSE(items.isError());
+    REQUIRE(items.value().size() == 1);
+    CHECK(items.value()[0].body == "\xab\xcd\xef\x12\x34\x56\x78\x90");
+    CHECK(items.value()[0].headers.value("X-Model") == "m");
+    CHECK(decodeItems(R"({"items":[{"id":"x","path":"/p","body":"!"}]})").isError());
+    CHECK(decodeItems(R"({"items":[{"path":"/p","body":""}]})").isError());
+    CHECK(decodeItems(R"({"items":[{"id":"x","path":"/p","headers":{"a":1}}]})").isError());
+    CHECK(decodeItems(R"({"items":{}})").isError());
+
+    JobPage page{3, {{"x", ItemState::Completed, "one\ntwo"}, {"y", ItemState::DeadLetter, ""}}};
+    CHECK(encodePage(page, 1)
+          == R"({"total":3,"next":3,"results":[{"id":"x","state":"completed","output":"one\ntwo"},)"
+             R"({"id":"y","state":"dead_letter","output":""}]})");
+}
--- /dev/null
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -0,0 +1,278 @@
+#include "PlatformDeployment.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <set>
+
+using namespace Radishplank;
+using namespace Radishplank::Test;
+
+namespace {
+
+std::set<std::string> itemsOf(const boost::json::array &results)
+{
+    std::set<std::string> items;
+    for (const auto &result : results)
+        items.insert(std::string(result.as_object().at("id").as_string()));
+    return items;
+}
+
+} // namespace
+
+TEST_CASE("Streams pass through an entry process", "[Platform]")
+{
+    PlatformDeployment deployment;
+    auto &server = deployment.addServer("i-1");
+    deployment.writeConfiguration(3);
+    deployment.startEntry("entry1");
+    deployment.waitUntilReady("entry1");
+
+    SECTION("unchanged")
+    {
+        const auto answer = deployment.post("entry1", "/plain/x?y=z", "hello", "a1");
+        CHECK(answer.status == 200);
+        CHECK(answer.body == ServerStandin::answerBytes("hello"));
+        CHECK(answer.headers.value("X-Response-Seal") == "seal-of-i-1");
+        CHECK(answer.headers.value("X-Attempt-Id") == "a1");
+        const auto served = server.served();
+        REQUIRE(served.size() == 1);
+        const auto &request = served[0].request;
+        CHECK(request.method == "POST");
+        CHECK(request.target == "/plain/x?y=z");
+        CHECK(request.body == "hello");
+        CHECK(request.headers.value("Host") == PlatformDeployment::host);
+        CHECK(request.headers.value("X-Attempt-Id") == "a1");
+        CHECK(request.headers.value("X-Model") == "m");
+        CHECK(request.headers.value("X-Expect-Instance") == "i-1");
+        const auto left = std::stoi(request.headers.value("X-Deadline-Ms"));
+        CHECK(left > 5'000);
+        CHECK(left <= 9'000);
+    }
+    SECTION("and a server's own failure as well")
+    {
+        server.plan({ServerDeed::Fail});
+        const auto answer = deployment.post("entry1", "/plain/x", "hello", "a1");
+        CHECK(answer.status == 500);
+        CHECK(answer.body == "failed");
+        CHECK(answer.headers.value("X-Response-Seal") == "seal-of-i-1");
+    }
+    SECTION("Another server takes what one has not run")
+    {
+        auto &second = deployment.addServer("i-2");
+        server.plan(std::vector<ServerDeed>(50, ServerDeed::Shed));
+        CHECK(eventually([&] {
+            const auto answer = deployment.post("entry1", "/plain/x", "hello", "a1");
+            return answer.status == 200 && !second.served().empty();
+        }));
+    }
+    SECTION("If no server runs it, the caller is told when to come back")
+    {
+        server.plan(std::vector<ServerDeed>(10, ServerDeed::Shed));
+        const auto answer = deployment.post("entry1", "/plain/x", "hello", "a1");
+        CHECK(answer.status == 503);
+        CHECK_FALSE(answer.headers.value("Retry-After").empty());
+        CHECK(answer.headers.value("X-Response-Seal").empty());
+    }
+    SECTION("What may have run is not sent again, and not said not to have run")
+    {
+        auto &second = deployment.addServer("i-2");
+        server.plan({ServerDeed::BreakOff});
+        second.plan({ServerDeed::BreakOff});
+        const auto answer = deployment.post("entry1", "/plain/x", "hello", "a1");
+        CHECK(answer.status == 0); // The connection ended before the answer did.
+        CHECK(server.served().size() + second.served().size() == 1);
+    }
+    SECTION("A stream that may be resumed goes on at another server after a break")
+    {
+        auto &second = deployment.addServer("i-2");
+        server.plan({ServerDeed::BreakOff});
+        second.plan({ServerDeed::BreakOff});
+        REQUIRE(eventually([&] {
+            const auto answer = deployment.post("entry1", "/resume/x", "hello", "a1");
+            CHECK(answer.body == ServerStandin::answerBytes("hello"));
+            return !second.served().empty() && !server.served().empty();
+        }));
+        bool hasResumed = false;
+        for (const auto *each : {&server, &second}) {
+            for (const auto &served : const_cast<ServerStandin *>(each)->served())
+                hasResumed |= served.request.headers.value("Last-Event-Id") == "1";
+        }
+        CHECK(hasResumed);
+    }
+    SECTION("A draining server gets nothing more")
+    {
+        auto &second = deployment.addServer("i-2");
+        deployment.registerServer(server, "draining");
+        REQUIRE(eventually([&] {
+            const auto before = server.served().size();
+            for (int i = 0; i < 6; ++i)
+                (void)deployment.post("entry1", "/plain/x", "hello", "a1");
+            return server.served().size() == before && !second.served().empty();
+        }));
+    }
+    SECTION("An entry that cannot be read names no server, and harms no other")
+    {
+        deployment.store.write("servers", "i-9", boost::json::object{{"service", 7}});
+        deployment.store.write("servers", "i-8", "text");
+        deployment.store.write("servers", "i-7", nullptr);
+        deployment.addServer("i-2");
+        CHECK(deployment.post("entry1", "/plain/x", "hello", "a1").status == 200);
+    }
+    SECTION("What no route leads to is refused")
+    {
+        CHECK(deployment.post("entry1", "/other/x", "hello", "a1").status == 404);
+        CHECK(server.served().empty());
+    }
+}
+
+TEST_CASE("An entry process without a configuration asks its callers to come back", "[Platform]")
+{
+    PlatformDeployment deployment;
+    deployment.startEntry("entry1");
+    CHECK_FALSE(deployment.isReady("entry1"));
+    const auto answer = deployment.post("entry1", "/plain/x", "hello", "a1");
+    CHECK(answer.status == 503);
+    CHECK_FALSE(answer.headers.value("Retry-After").empty());
+
+    SECTION("until the operator has written one")
+    {
+        deployment.addServer("i-1");
+        deployment.writeConfiguration(1);
+        deployment.waitUntilReady("entry1");
+        CHECK(eventually([&] {
+            return deployment.post("entry1", "/plain/x", "hello", "a1").status == 200;
+        }));
+    }
+}
+
+TEST_CASE("A process that is told to stop finishes what it has", "[Platform]")
+{
+    PlatformDeployment deployment;
+    auto &server = deployment.addServer("i-1");
+    deployment.writeConfiguration(1);
+    auto &entry = deployment.startEntry("entry1");
+    deployment.waitUntilReady("entry1");
+    server.setEventInterval(Milliseconds(100));
+    const auto running
+            = deployment.client.start(deployment.callers("entry1"),
+                                      {"POST",
+                                       "/plain/x",
+                                       {{"Host", PlatformDeployment::host}, {"X-Attempt-Id", "a1"}},
+                                       "hello"});
+    REQUIRE(eventually([&] { return !server.served().empty(); }));
+    entry.signal(SIGHUP);
+    entry.signal(SIGTERM);
+    REQUIRE(eventually([&] { return !deployment.isReady("entry1"); }));
+    CHECK(deployment.post("entry1", "/plain/x", "more", "a2").status == 200);
+    CHECK(running.answer.get().body == ServerStandin::answerBytes("hello"));
+    CHECK(entry.waitForEnd() == 0);
+}
+
+TEST_CASE("Batch jobs are run, whichever process is asked", "[Platform]")
+{
+    PlatformDeployment deployment;
+    auto &server = deployment.addServer("i-1");
+    deployment.writeConfiguration(1);
+    auto &first = deployment.startEntry("entry1");
+    deployment.startEntry("entry2");
+    deployment.waitUntilReady("entry1");
+    deployment.waitUntilReady("entry2");
+
+    SECTION("to whole results, at the same positions everywhere")
+    {
+        CHECK(deployment.submit("entry1", "job1", {"a", "b", "c"}).status == 202);
+        CHECK(deployment.submit("entry2", "job1", {"a", "b", "c"}).status == 202);
+        const auto results = deployment.waitForResults("entry1", "job1", 3);
+        CHECK(itemsOf(results) == std::set<std::string>{"a", "b", "c"});
+        for (const auto &result : results) {
+            const std::string item(result.as_object().at("id").as_string());
+            CHECK(result.as_object().at("state").as_string() == "completed");
+            CHECK(result.as_object().at("output").as_string() == ServerStandin::answerData(item));
+        }
+        CHECK(deployment.waitForResults("entry2", "job1", 3) == results);
+        CHECK(deployment.get("entry2", "/-/lots/job1?after=3").body.find("\"next\":3")
+              != std::string::npos);
+
+        SECTION("also once their owner is gone")
+        {
+            first.kill();
+            CHECK(deployment.waitForResults("entry2", "job1", 3) == results);
+        }
+        SECTION("also once the store is out")
+        {
+            deployment.store.setMood(StoreMood::Refusing);
+            CHECK(deployment.waitForResults("entry2", "job1", 3) == results);
+            CHECK(deployment.submit("entry1", "job2", {"a"}).status == 503);
+            CHECK(deployment.post("entry1", "/plain/x", "hello", "a1").status == 200);
+        }
+    }
+    SECTION("A run that breaks off goes on after the last event")
+    {
+        server.plan({ServerDeed::BreakOff, ServerDeed::BreakOff, ServerDeed::Shed});
+        CHECK(deployment.submit("entry1", "job1", {"a"}).status == 202);
+        const auto results = deployment.waitForResults("entry1", "job1", 1);
+        CHECK(results[0].as_object().at("output").as_string() == ServerStandin::answerData("a"));
+    }
+    SECTION("An item that can never be done is given up, and holds up nothing")
+    {
+        server.plan({ServerDeed::Reject});
+        CHECK(deployment.submit("entry1", "job1", {"a", "b"}).status == 202);
+        const auto results = deployment.waitForResults("entry1", "job1", 2);
+        int deadLetters = 0;
+        for (const auto &result : results)
+            deadLetters += result.as_object().at("state").as_string() == "dead_letter" ? 1 : 0;
+        CHECK(deadLetters == 1);
+    }
+    SECTION("An item that fails each time is given up after as many runs as its route allows")
+    {
+        server.plan(std::vector<ServerDeed>(10, ServerDeed::Fail));
+        CHECK(deployment.submit("entry1", "job1", {"a"}).status == 202);
+        const auto results = deployment.waitForResults("entry1", "job1", 1);
+        CHECK(results[0].as_object().at("state").as_string() == "dead_letter");
+        CHECK(server.served().size() == 2);
+    }
+    SECTION("Bodies of items can be read back at any process")
+    {
+        server.setEventInterval(Milliseconds(200));
+        CHECK(deployment.submit("entry1", "job1", {"a"}).status == 202);
+        CHECK(deployment.get("entry1", "/-/items/job1?id=a").body == "a");
+        CHECK(deployment.get("entry2", "/-/items/job1?id=a").body == "a");
+        CHECK(deployment.get("entry2", "/-/items/job1?id=x").status == 404);
+        CHECK(deployment.get("entry2", "/-/items/job9?id=a").status == 404);
+        CHECK(deployment.get("entry2", "/-/lots/job9?after=0").status == 404);
+    }
+    SECTION("Nothing of a job is started once it has been ended")
+    {
+        server.setEventInterval(Milliseconds(100));
+        CHECK(deployment.submit("entry1", "job1", {"a", "b", "c", "d", "e", "f", "g"}).status
+              == 202);
+        REQUIRE(eventually([&] { return !server.served().empty(); }));
+        const auto ended = deployment.client.call(
+                deployment.callers("entry2"),
+                {"DELETE", "/-/lots/job1", {{"Host", PlatformDeployment::host}}, ""});
+        CHECK(ended.status == 200);
+        REQUIRE(eventually([&] {
+            const auto before = server.served().size();
+            std::this_thread::sleep_for(std::chrono::milliseconds(700));
+            return server.served().size() == before;
+        }));
+        CHECK(server.served().size() < 7);
+    }
+    SECTION("A job outlives its owner")
+    {
+        server.setEventInterval(Milliseconds(300));
+        CHECK(deployment.submit("entry1", "job1", {"a", "b"}).status == 202);
+        first.kill();
+        server.setEventInterval(Milliseconds(2));
+        const auto results = deployment.waitForResults("entry2", "job1", 2);
+        CHECK(itemsOf(results) == std::set<std::string>{"a", "b"});
+    }
+    SECTION("What is no job is refused")
+    {
+        CHECK(deployment.post("entry1", "/batch/job1", "{\"items\":[]}", "job1").status == 400);
+        CHECK(deployment.post("entry1", "/batch/job1", "no JSON", "job1").status == 400);
+        CHECK(deployment.post("entry1", "/batch/job1", std::string(200'000, ' '), "job1").status
+              == 413);
+        CHECK(deployment.store.count("radishplank-jobs") == 0);
+    }
+}
