--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -169,7 +169,7 @@
     /// A page of results stays well under 1 MB in its encoded form.
     static constexpr std::size_t maxPageBytes = 600'000;
     /// Results that come within this time are made durable together.
-    static constexpr Milliseconds gatherTime{300};
+    static constexpr Milliseconds gatherTime{1'000};
     static constexpr Milliseconds storeRetryPause{200};
     static constexpr Milliseconds busyDispatchInterval{20};
     static constexpr Milliseconds idleDispatchInterval{200};
--- a/Libraries/Gateway/MemberRegistry.h
+++ b/Libraries/Gateway/MemberRegistry.h
@@ -9,7 +9,8 @@
 
 namespace Radishplank {
 
-/// Writes this process into the list of members in the store, and reads the others from it.
+/// Writes this process into the list of members in the store, and reads the others from it once:
+/// whoever comes later reports to all that the list names.
 template<ObjectStore Store, typename Pause>
 class MemberRegistry
 {
@@ -25,20 +26,10 @@
     {
         const auto value = boost::json::serialize(
                 boost::json::object{{"zone", zone.text()}, {"datagrams", datagrams.text()}});
-        m_threads.spawnOn(0, [this, key = m_prefix + node.text(), value] { write(key, value); });
-        m_threads.spawnOn(0, [this] {
-            MirrorHandler handler;
-            handler.onList = [this](const std::vector<StoredObject> &objects) {
-                for (const auto &object : objects)
-                    take(object);
-            };
-            handler.onChange = [this](const ObjectChange &change) {
-                if (change.isRemoval)
-                    m_peers.removeMember(nodeOf(change.object));
-                else
-                    take(change.object);
-            };
-            ObjectMirror<Store, Pause>(m_store, m_prefix, {}, handler).run();
+        m_threads.spawnOn(0, [this, key = m_prefix + node.text(), value] {
+            // First the own entry: of two that start together, one at least sees the other.
+            write(key, value);
+            readOthers();
         });
     }
 
@@ -64,6 +55,17 @@
         }
     }
 
+    void readOthers()
+    {
+        auto listed = listAll(m_store, m_prefix, ListContent::KeysAndValues);
+        while (listed.isError()) {
+            Pause()(retryPause);
+            listed = listAll(m_store, m_prefix, ListContent::KeysAndValues);
+        }
+        for (const auto &object : listed.value().objects)
+            take(object);
+    }
+
     [[nodiscard]] NodeId nodeOf(const StoredObject &object) const
     {
         return NodeId(object.key.substr(m_prefix.size()));
--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -150,6 +150,8 @@
     report.node = m_settings.node;
     report.zone = m_settings.position.zone;
     report.control = m_settings.control;
+    if (describeFleet)
+        describeFleet(report);
     for (const auto &[id, load] : m_upstreams.ownLoads())
         report.loads.push_back({upstreamHash(id), load.online, load.batch});
     return report;
--- a/Libraries/Gateway/PeerLink.h
+++ b/Libraries/Gateway/PeerLink.h
@@ -32,12 +32,16 @@
 
     /// Fills in the jobs of a full report.
     std::function<void(PeerReport &)> describeJobs;
+    /// Fills in what this process knows of the fleet.
+    std::function<void(PeerReport &)> describeFleet;
     /// Called for each report that arrives; `isNews` tells that the peer was not heard lately.
     std::function<void(const PeerReport &, bool isNews)> onReport;
 
     Result<void> start();
     /// Sends a full report soon.
     void announceJobs() { m_mustSendJobs = true; }
+    /// Sends a full report soon, because this process knows more of the fleet.
+    void announceFleet() { m_mustSendJobs = true; }
     /// Tells the peers that this process is about to end.
     void announceLeaving();
 
--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -21,4 +21,8 @@
   ownedJobs @6 :List(UInt64);        # Hashes of the names of jobs that the sender runs.
   endedJobs @7 :List(Text);          # Jobs that the sender has ended a short time ago.
   isLeaving @8 :Bool;
+  isWatching @9 :Bool;               # Whether the sender keeps up with the store by itself.
+  configuration @10 :UInt64;         # Version of the configuration that the sender has.
+  upstreamRevision @11 :UInt64;      # Store revision of the sender's list of upstreams,
+  upstreamDigest @12 :UInt64;        # and a hash of its content.
 }
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -10,6 +10,7 @@
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -18,689 +19,654 @@
 CAPNP_DECLARE_SCHEMA(833c2538e2f6e422);
 CAPNP_DECLARE_SCHEMA(904a47b5c1f7db18);
 
-} // namespace schemas
-} // namespace capnp
+}  // namespace schemas
+}  // namespace capnp
 
 namespace Radishplank {
 namespace Rpc {
 
-struct UpstreamStreams
-{
-    UpstreamStreams() = delete;
+struct UpstreamStreams {
+  UpstreamStreams() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(833c2538e2f6e422, 2, 0)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(833c2538e2f6e422, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-struct PeerReport
-{
-    PeerReport() = delete;
+struct PeerReport {
+  PeerReport() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate
-    {
-        CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 1, 6)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 4, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 // =======================================================================================
 
-class UpstreamStreams::Reader
-{
+class UpstreamStreams::Reader {
 public:
-    typedef UpstreamStreams Reads;
+  typedef UpstreamStreams Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getUpstream() const;
+  inline  ::uint64_t getUpstream() const;
 
-    inline ::uint16_t getOnline() const;
+  inline  ::uint16_t getOnline() const;
 
-    inline ::uint16_t getBatch() const;
+  inline  ::uint16_t getBatch() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class UpstreamStreams::Builder
-{
+class UpstreamStreams::Builder {
 public:
-    typedef UpstreamStreams Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) {}
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef UpstreamStreams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getUpstream();
-    inline void setUpstream(::uint64_t value);
+  inline  ::uint64_t getUpstream();
+  inline void setUpstream( ::uint64_t value);
 
-    inline ::uint16_t getOnline();
-    inline void setOnline(::uint16_t value);
+  inline  ::uint16_t getOnline();
+  inline void setOnline( ::uint16_t value);
 
-    inline ::uint16_t getBatch();
-    inline void setBatch(::uint16_t value);
+  inline  ::uint16_t getBatch();
+  inline void setBatch( ::uint16_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class UpstreamStreams::Pipeline
-{
+class UpstreamStreams::Pipeline {
 public:
-    typedef UpstreamStreams Pipelines;
+  typedef UpstreamStreams Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class PeerReport::Reader
-{
+class PeerReport::Reader {
 public:
-    typedef PeerReport Reads;
+  typedef PeerReport Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasNode() const;
-    inline ::capnp::Text::Reader getNode() const;
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
 
-    inline bool hasZone() const;
-    inline ::capnp::Text::Reader getZone() const;
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
 
-    inline bool hasControlAddress() const;
-    inline ::capnp::Text::Reader getControlAddress() const;
+  inline bool hasControlAddress() const;
+  inline  ::capnp::Text::Reader getControlAddress() const;
 
-    inline ::uint16_t getControlPort() const;
+  inline  ::uint16_t getControlPort() const;
 
-    inline bool hasLoads() const;
-    inline ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>::Reader
-    getLoads() const;
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
-    inline bool getHasJobs() const;
+  inline bool getHasJobs() const;
 
-    inline bool hasOwnedJobs() const;
-    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getOwnedJobs() const;
+  inline bool hasOwnedJobs() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getOwnedJobs() const;
 
-    inline bool hasEndedJobs() const;
-    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getEndedJobs() const;
+  inline bool hasEndedJobs() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEndedJobs() const;
 
-    inline bool getIsLeaving() const;
+  inline bool getIsLeaving() const;
+
+  inline bool getIsWatching() const;
+
+  inline  ::uint64_t getConfiguration() const;
+
+  inline  ::uint64_t getUpstreamRevision() const;
+
+  inline  ::uint64_t getUpstreamDigest() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class PeerReport::Builder
-{
+class PeerReport::Builder {
 public:
-    typedef PeerReport Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) {}
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef PeerReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline bool hasNode();
-    inline ::capnp::Text::Builder getNode();
-    inline void setNode(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initNode(unsigned int size);
-    inline void adoptNode(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownNode();
-
-    inline bool hasZone();
-    inline ::capnp::Text::Builder getZone();
-    inline void setZone(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initZone(unsigned int size);
-    inline void adoptZone(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownZone();
-
-    inline bool hasControlAddress();
-    inline ::capnp::Text::Builder getControlAddress();
-    inline void setControlAddress(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initControlAddress(unsigned int size);
-    inline void adoptControlAddress(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownControlAddress();
-
-    inline ::uint16_t getControlPort();
-    inline void setControlPort(::uint16_t value);
-
-    inline bool hasLoads();
-    inline ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>::Builder
-    getLoads();
-    inline void setLoads(::capnp::List<::Radishplank::Rpc::UpstreamStreams,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>::Builder
-    initLoads(unsigned int size);
-    inline void
-    adoptLoads(::capnp::Orphan<
-               ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>> &&value);
-    inline ::capnp::Orphan<
-            ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>>
-    disownLoads();
-
-    inline bool getHasJobs();
-    inline void setHasJobs(bool value);
-
-    inline bool hasOwnedJobs();
-    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getOwnedJobs();
-    inline void setOwnedJobs(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
-    inline void setOwnedJobs(::kj::ArrayPtr<const ::uint64_t> value);
-    inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-    initOwnedJobs(unsigned int size);
-    inline void
-    adoptOwnedJobs(::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value);
-    inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> disownOwnedJobs();
-
-    inline bool hasEndedJobs();
-    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getEndedJobs();
-    inline void setEndedJobs(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-    inline void setEndedJobs(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-    initEndedJobs(unsigned int size);
-    inline void
-    adoptEndedJobs(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
-    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownEndedJobs();
-
-    inline bool getIsLeaving();
-    inline void setIsLeaving(bool value);
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool hasControlAddress();
+  inline  ::capnp::Text::Builder getControlAddress();
+  inline void setControlAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initControlAddress(unsigned int size);
+  inline void adoptControlAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownControlAddress();
+
+  inline  ::uint16_t getControlPort();
+  inline void setControlPort( ::uint16_t value);
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>> disownLoads();
+
+  inline bool getHasJobs();
+  inline void setHasJobs(bool value);
+
+  inline bool hasOwnedJobs();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getOwnedJobs();
+  inline void setOwnedJobs( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setOwnedJobs(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initOwnedJobs(unsigned int size);
+  inline void adoptOwnedJobs(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownOwnedJobs();
+
+  inline bool hasEndedJobs();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEndedJobs();
+  inline void setEndedJobs( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEndedJobs(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEndedJobs(unsigned int size);
+  inline void adoptEndedJobs(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEndedJobs();
+
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
+  inline bool getIsWatching();
+  inline void setIsWatching(bool value);
+
+  inline  ::uint64_t getConfiguration();
+  inline void setConfiguration( ::uint64_t value);
+
+  inline  ::uint64_t getUpstreamRevision();
+  inline void setUpstreamRevision( ::uint64_t value);
+
+  inline  ::uint64_t getUpstreamDigest();
+  inline void setUpstreamDigest( ::uint64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PeerReport::Pipeline
-{
+class PeerReport::Pipeline {
 public:
-    typedef PeerReport Pipelines;
+  typedef PeerReport Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 // =======================================================================================
 
-inline ::uint64_t UpstreamStreams::Reader::getUpstream() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t UpstreamStreams::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t UpstreamStreams::Builder::getUpstream()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t UpstreamStreams::Builder::getUpstream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void UpstreamStreams::Builder::setUpstream(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void UpstreamStreams::Builder::setUpstream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t UpstreamStreams::Reader::getOnline() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint16_t UpstreamStreams::Reader::getOnline() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t UpstreamStreams::Builder::getOnline()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint16_t UpstreamStreams::Builder::getOnline() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamStreams::Builder::setOnline( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline void UpstreamStreams::Builder::setOnline(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+
+inline  ::uint16_t UpstreamStreams::Reader::getBatch() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t UpstreamStreams::Reader::getBatch() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint16_t UpstreamStreams::Builder::getBatch() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamStreams::Builder::setBatch( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerReport::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerReport::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerReport::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerReport::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t UpstreamStreams::Builder::getBatch()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool PeerReport::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerReport::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerReport::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerReport::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void UpstreamStreams::Builder::setBatch(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> PeerReport::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool PeerReport::Reader::hasNode() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PeerReport::Reader::hasControlAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool PeerReport::Builder::hasNode()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool PeerReport::Builder::hasControlAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader PeerReport::Reader::getNode() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-            _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader PeerReport::Reader::getControlAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder PeerReport::Builder::getNode()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder PeerReport::Builder::getControlAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void PeerReport::Builder::setNode(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PeerReport::Builder::setControlAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder PeerReport::Builder::initNode(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder PeerReport::Builder::initControlAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void PeerReport::Builder::adoptNode(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void PeerReport::Builder::adoptControlAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> PeerReport::Builder::disownNode()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-            _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> PeerReport::Builder::disownControlAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool PeerReport::Reader::hasZone() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint16_t PeerReport::Reader::getControlPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool PeerReport::Builder::hasZone()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint16_t PeerReport::Builder::getControlPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Reader PeerReport::Reader::getZone() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-            _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void PeerReport::Builder::setControlPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Text::Builder PeerReport::Builder::getZone()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline bool PeerReport::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void PeerReport::Builder::setZone(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline bool PeerReport::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Builder PeerReport::Builder::initZone(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void PeerReport::Builder::adoptZone(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan<::capnp::Text> PeerReport::Builder::disownZone()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-            _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void PeerReport::Builder::setLoads( ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-
-inline bool PeerReport::Reader::hasControlAddress() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerReport::Builder::hasControlAddress()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader PeerReport::Reader::getControlAddress() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-            _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder PeerReport::Builder::getControlAddress()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void PeerReport::Builder::setControlAddress(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(
-            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder PeerReport::Builder::initControlAddress(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void PeerReport::Builder::adoptControlAddress(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> PeerReport::Builder::disownControlAddress()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-            _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline ::uint16_t PeerReport::Reader::getControlPort() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint16_t PeerReport::Builder::getControlPort()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void PeerReport::Builder::setControlPort(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool PeerReport::Reader::hasLoads() const
-{
-    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerReport::Builder::hasLoads()
-{
-    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>::Reader
-PeerReport::Reader::getLoads() const
-{
-    return ::capnp::_::PointerHelpers<
-            ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>>::
-            get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>::Builder
-PeerReport::Builder::getLoads()
-{
-    return ::capnp::_::PointerHelpers<
-            ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>>::
-            get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void PeerReport::Builder::setLoads(
-        ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<
-            ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>>::
-            set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>::Builder
-PeerReport::Builder::initLoads(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<
-            ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>>::
-            init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void PeerReport::Builder::adoptLoads(
-        ::capnp::Orphan<::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>>
-                &&value)
-{
-    ::capnp::_::PointerHelpers<
-            ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>>::
-            adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-                  kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>>
-PeerReport::Builder::disownLoads()
-{
-    return ::capnp::_::PointerHelpers<
-            ::capnp::List<::Radishplank::Rpc::UpstreamStreams, ::capnp::Kind::STRUCT>>::
-            disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline bool PeerReport::Reader::getHasJobs() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-
-inline bool PeerReport::Builder::getHasJobs()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-inline void PeerReport::Builder::setHasJobs(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool PeerReport::Reader::hasOwnedJobs() const
-{
-    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerReport::Builder::hasOwnedJobs()
-{
-    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
-PeerReport::Reader::getOwnedJobs() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
-            _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-PeerReport::Builder::getOwnedJobs()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
-            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void
-PeerReport::Builder::setOwnedJobs(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
-            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline void PeerReport::Builder::setOwnedJobs(::kj::ArrayPtr<const ::uint64_t> value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
-            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-PeerReport::Builder::initOwnedJobs(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
-            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamStreams,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::getHasJobs() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getHasJobs() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setHasJobs(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::hasOwnedJobs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasOwnedJobs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getOwnedJobs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getOwnedJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setOwnedJobs( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void PeerReport::Builder::setOwnedJobs(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initOwnedJobs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void PeerReport::Builder::adoptOwnedJobs(
-        ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
-            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
-PeerReport::Builder::disownOwnedJobs()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
-            _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-
-inline bool PeerReport::Reader::hasEndedJobs() const
-{
-    return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerReport::Builder::hasEndedJobs()
-{
-    return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-PeerReport::Reader::getEndedJobs() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-            _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-PeerReport::Builder::getEndedJobs()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-            _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void
-PeerReport::Builder::setEndedJobs(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-            _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline void PeerReport::Builder::setEndedJobs(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-            _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-PeerReport::Builder::initEndedJobs(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-            _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownOwnedJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasEndedJobs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasEndedJobs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PeerReport::Reader::getEndedJobs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PeerReport::Builder::getEndedJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setEndedJobs( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void PeerReport::Builder::setEndedJobs(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PeerReport::Builder::initEndedJobs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void PeerReport::Builder::adoptEndedJobs(
-        ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-            _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-PeerReport::Builder::disownEndedJobs()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-            _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PeerReport::Builder::disownEndedJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool PeerReport::Reader::getIsLeaving() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<17>() * ::capnp::ELEMENTS);
+inline bool PeerReport::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
 }
 
-inline bool PeerReport::Builder::getIsLeaving()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<17>() * ::capnp::ELEMENTS);
+inline bool PeerReport::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
 }
-inline void PeerReport::Builder::setIsLeaving(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+inline void PeerReport::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
-} // namespace Rpc
-} // namespace Radishplank
+inline bool PeerReport::Reader::getIsWatching() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getIsWatching() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setIsWatching(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerReport::Reader::getConfiguration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getConfiguration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setConfiguration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerReport::Reader::getUpstreamRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getUpstreamRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setUpstreamRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerReport::Reader::getUpstreamDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getUpstreamDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setUpstreamDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -30,6 +30,9 @@
     for (const auto job : reader.getEndedJobs())
         report.endedJobs.push_back(textOf(job));
     report.isLeaving = reader.getIsLeaving();
+    report.isWatching = reader.getIsWatching();
+    report.fleet
+            = {reader.getConfiguration(), reader.getUpstreamRevision(), reader.getUpstreamDigest()};
     return report;
 }
 
@@ -57,6 +60,10 @@
     for (unsigned i = 0; i < report.endedJobs.size(); ++i)
         ended.set(i, report.endedJobs[i].c_str());
     builder.setIsLeaving(report.isLeaving);
+    builder.setIsWatching(report.isWatching);
+    builder.setConfiguration(report.fleet.configuration);
+    builder.setUpstreamRevision(report.fleet.upstreamRevision);
+    builder.setUpstreamDigest(report.fleet.upstreamDigest);
     const auto words = capnp::messageToFlatArray(message);
     const auto bytes = words.asBytes();
     return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -18,6 +18,24 @@
     unsigned batch = 0;
 };
 
+/// Which configuration and which upstreams a process knows.
+struct FleetVersion
+{
+    std::uint64_t configuration = 0;
+    /// Revision of the store at which the list of upstreams was last seen to change.
+    std::uint64_t upstreamRevision = 0;
+    /// Hash of the list of upstreams.
+    std::uint64_t upstreamDigest = 0;
+
+    /// Tells whether the other has something that this lacks.
+    [[nodiscard]] bool isBehind(const FleetVersion &other) const
+    {
+        return other.configuration > configuration
+               || (other.upstreamRevision > upstreamRevision
+                   && other.upstreamDigest != upstreamDigest);
+    }
+};
+
 /// What an entry process tells its peers.
 struct PeerReport
 {
@@ -32,6 +50,9 @@
     std::vector<std::uint64_t> ownedJobs;
     std::vector<std::string> endedJobs;
     bool isLeaving = false;
+    /// Whether the sender keeps up with the store by itself.
+    bool isWatching = false;
+    FleetVersion fleet;
 };
 
 /// Encodes a report for one datagram.
--- a/Libraries/Gateway/PeerTable.cpp
+++ b/Libraries/Gateway/PeerTable.cpp
@@ -6,11 +6,16 @@
 
 /// Reports come twice a second at least; so many in a row are hardly lost on a sound link.
 constexpr Milliseconds silenceLimit{2'500};
+/// Others depend on what a watching process knows, so its silence counts sooner.
+constexpr Milliseconds watcherSilenceLimit{1'200};
+/// Processes that watch besides one for each zone, so that a cut link blinds nobody.
+constexpr std::size_t leastWatchers = 3;
 
 } // namespace
 
-PeerTable::PeerTable(NodeId self)
+PeerTable::PeerTable(NodeId self, ZoneName zone)
     : m_self(std::move(self))
+    , m_zone(std::move(zone))
 {
 }
 
@@ -39,6 +44,8 @@
     peer.control = report.control;
     peer.heardAt = now;
     peer.isSilenceTold = false;
+    peer.isWatching = report.isWatching && !report.isLeaving;
+    peer.fleet = report.fleet;
     if (report.hasJobs)
         peer.jobs = {report.ownedJobs.begin(), report.ownedJobs.end()};
     if (report.isLeaving) {
@@ -95,6 +102,36 @@
     return found->second.control;
 }
 
+bool PeerTable::shouldWatch(TimePoint now) const
+{
+    std::size_t watchersBefore = 0;
+    bool isZoneWatched = false;
+    for (const auto &[node, peer] : m_peers) {
+        const bool isHeardLately = peer.heardAt && now - *peer.heardAt <= watcherSilenceLimit;
+        if (!isHeardLately || !peer.isWatching || !(node < m_self))
+            continue;
+        watchersBefore += 1;
+        isZoneWatched |= peer.zone == m_zone;
+    }
+    return !isZoneWatched || watchersBefore + 1 < leastWatchers;
+}
+
+std::optional<Endpoint> PeerTable::betterInformed(const FleetVersion &own, TimePoint now) const
+{
+    std::optional<Endpoint> best;
+    bool isBestNear = false;
+    for (const auto &[node, peer] : m_peers) {
+        if (!isHeard(node, now) || !own.isBehind(peer.fleet))
+            continue;
+        const bool isNear = peer.zone == m_zone;
+        if (best && (isBestNear || !isNear))
+            continue;
+        best = peer.control;
+        isBestNear = isNear;
+    }
+    return best;
+}
+
 bool PeerTable::isSuccessor(const std::string &job, TimePoint now) const
 {
     const auto weight = [&](const NodeId &node) { return stableHash(node.text(), jobHash(job)); };
--- a/Libraries/Gateway/PeerTable.h
+++ b/Libraries/Gateway/PeerTable.h
@@ -15,7 +15,7 @@
 class PeerTable
 {
 public:
-    explicit PeerTable(NodeId self);
+    PeerTable(NodeId self, ZoneName zone);
 
     /// Notes where a peer's datagrams go, as the store's list of members has it.
     void noteMember(const NodeId &node, const ZoneName &zone, const Endpoint &datagrams);
@@ -37,6 +37,12 @@
     [[nodiscard]] std::optional<Endpoint> ownerOf(const std::string &job, TimePoint now) const;
     /// Returns where a peer that is heard takes calls.
     [[nodiscard]] std::optional<Endpoint> controlOf(const NodeId &node, TimePoint now) const;
+    /// Tells whether this process is to keep up with the store by itself. One in each zone does,
+    /// and three in all at least; the others learn from them.
+    [[nodiscard]] bool shouldWatch(TimePoint now) const;
+    /// Returns where a peer takes calls that knows more of the fleet; peers in the same zone first.
+    [[nodiscard]] std::optional<Endpoint> betterInformed(const FleetVersion &own,
+                                                         TimePoint now) const;
     /// Tells whether this process is the one, of all that are heard, that takes over a job.
     [[nodiscard]] bool isSuccessor(const std::string &job, TimePoint now) const;
 
@@ -48,10 +54,13 @@
         Endpoint control;
         std::optional<TimePoint> heardAt;
         bool isSilenceTold = false;
+        bool isWatching = false;
+        FleetVersion fleet;
         std::set<std::uint64_t> jobs;
     };
 
     const NodeId m_self;
+    const ZoneName m_zone;
     std::map<NodeId, Peer> m_peers;
 };
 
--- a/Libraries/Store/ObjectMirror.h
+++ b/Libraries/Store/ObjectMirror.h
@@ -3,6 +3,7 @@
 #include <Core/Core.h>
 #include <Store/ObjectStore.h>
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <vector>
@@ -16,18 +17,25 @@
     Milliseconds watchWait{20'000};
     /// Least time between two watches, so that frequent changes are fetched together.
     Milliseconds watchInterval{300};
-    /// Pause after a call that failed.
+    /// Pause after the first call that failed; doubles with each further one up to the longest.
     Milliseconds retryInterval{250};
+    Milliseconds longestRetryInterval{1'000};
+    /// Time between two checks whether the mirror is wanted again.
+    Milliseconds unwantedInterval{100};
 };
 
 /// What a mirror tells of its objects; called by the mirror's own fiber.
 struct MirrorHandler
 {
     /// The store's objects as a whole; replaces all that was told before.
-    std::function<void(const std::vector<StoredObject> &)> onList;
+    std::function<void(const std::vector<StoredObject> &, Version revision)> onList;
     std::function<void(const ObjectChange &)> onChange;
+    /// All changes up to this revision have been told; called only after some have been.
+    std::function<void(Version revision)> onRevision;
     /// The store answers again, after it did not for the given time.
     std::function<void(Duration)> onStoreBack;
+    /// Tells whether the mirror is to ask the store at all; missing: always.
+    std::function<bool()> isWanted;
 };
 
 /// Keeps up with all objects under a prefix by one list and then watches, in the calling fiber.
@@ -47,14 +55,20 @@
     [[noreturn]] void run()
     {
         while (true) {
-            if (!m_isListed) {
+            if (m_handler.isWanted && !m_handler.isWanted()) {
+                m_isListed = false;
+                m_pause(m_pace.unwantedInterval);
+            } else if (!m_isListed) {
                 listAll();
-                continue;
+            } else {
+                watchOnce();
             }
-            watchOnce();
         }
     }
 
+    /// Tells whether the mirror keeps up with the store, as far as it knows.
+    [[nodiscard]] bool isCurrent() const { return m_isListed && !m_isFailing; }
+
 private:
     void listAll()
     {
@@ -65,7 +79,6 @@
             auto page = m_store.list(m_prefix, after, ListContent::KeysAndValues);
             if (page.isError()) {
                 noteFailure(page.error());
-                m_pause(m_pace.retryInterval);
                 return;
             }
             // Changes between two pages come with the watch from the first page's revision.
@@ -78,7 +91,7 @@
             after = objects.back().key;
         }
         noteSuccess();
-        m_handler.onList(objects);
+        m_handler.onList(objects, revision);
         m_revision = revision;
         m_isListed = true;
     }
@@ -95,13 +108,14 @@
                 return;
             }
             noteFailure(batch.error());
-            m_pause(m_pace.retryInterval);
             return;
         }
         noteSuccess();
         for (const auto &change : batch.value().changes)
             m_handler.onChange(change);
         m_revision = std::max(m_revision, batch.value().revision);
+        if (!batch.value().changes.empty() && m_handler.onRevision)
+            m_handler.onRevision(m_revision);
         const auto took = SteadyClock().now() - began;
         if (took < m_pace.watchInterval)
             m_pause(std::chrono::duration_cast<Milliseconds>(m_pace.watchInterval - took));
@@ -109,11 +123,14 @@
 
     void noteFailure(const Error &error)
     {
-        if (m_isFailing)
-            return;
-        m_isFailing = true;
-        m_failingSince = SteadyClock().now();
-        logStateChange("store-lost", {{"prefix", m_prefix}, {"reason", error.message}});
+        if (!m_isFailing) {
+            m_isFailing = true;
+            m_failingSince = SteadyClock().now();
+            m_retryPause = m_pace.retryInterval;
+            logStateChange("store-lost", {{"prefix", m_prefix}, {"reason", error.message}});
+        }
+        m_pause(m_retryPause);
+        m_retryPause = std::min(2 * m_retryPause, m_pace.longestRetryInterval);
     }
 
     void noteSuccess()
@@ -138,6 +155,7 @@
     bool m_isListed = false;
     bool m_isFailing = false;
     TimePoint m_failingSince{};
+    Milliseconds m_retryPause{0};
 };
 
 } // namespace Radishplank
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -24,7 +24,7 @@
         : store(memory)
         , node(name)
         , upstreams(node, {})
-        , peers(node)
+        , peers(node, ZoneName("zone1"))
         , link(threads, peers, upstreams, {})
         , service({threads,
                    routes,
--- a/Tests/Gateway/TestPeers.cpp
+++ b/Tests/Gateway/TestPeers.cpp
@@ -51,7 +51,7 @@
 
 TEST_CASE("Peers are known by what is heard of them", "[Peers]")
 {
-    PeerTable peers(NodeId("entry1"));
+    PeerTable peers(NodeId("entry1"), ZoneName("zone1"));
     const TimePoint start{std::chrono::seconds(1'000)};
     peers.noteMember(NodeId("entry2"), ZoneName("zone1"), sender);
     CHECK(peers.destinations().size() == 1);
@@ -79,7 +79,7 @@
     }
     SECTION("Exactly one of those that are heard succeeds to a job")
     {
-        PeerTable others(NodeId("entry2"));
+        PeerTable others(NodeId("entry2"), ZoneName("zone1"));
         others.noteReport(reportOf("entry1"), sender, start);
         for (int i = 0; i < 50; ++i) {
             const auto job = "job" + std::to_string(i);
--- a/Tests/Platform/PlatformDeployment.cpp
+++ b/Tests/Platform/PlatformDeployment.cpp
@@ -45,7 +45,7 @@
 } // namespace
 
 PlatformDeployment::PlatformDeployment()
-    : store({addressBase() + "250", 0})
+    : store(*new StoreStandin({addressBase() + "250", 0}))
     , m_directory(makeDirectory())
 {
 }
@@ -60,7 +60,7 @@
 ServerStandin &PlatformDeployment::addServer(const std::string &id)
 {
     const auto address = addressBase() + std::to_string(100 + m_servers.size());
-    m_servers.push_back(std::make_unique<ServerStandin>(Endpoint{address, 0}, id));
+    m_servers.push_back(new ServerStandin(Endpoint{address, 0}, id));
     registerServer(*m_servers.back(), "ready");
     return *m_servers.back();
 }
--- a/Tests/Platform/PlatformDeployment.h
+++ b/Tests/Platform/PlatformDeployment.h
@@ -18,7 +18,8 @@
     PlatformDeployment();
     ~PlatformDeployment();
 
-    StoreStandin store;
+    /// The stand-ins are never destroyed: their fibers run until the test program ends.
+    StoreStandin &store;
     TestClient client;
 
     /// Starts a server and registers it.
@@ -50,7 +51,7 @@
     [[nodiscard]] std::string addressOf(const std::string &name) const;
 
     std::string m_directory;
-    std::vector<std::unique_ptr<ServerStandin>> m_servers;
+    std::vector<ServerStandin *> m_servers;
     std::vector<std::unique_ptr<Process>> m_processes;
 };
 
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -145,6 +145,49 @@
     }
 }
 
+TEST_CASE("Entry processes learn from each other", "[Platform]")
+{
+    PlatformDeployment deployment;
+    auto &server = deployment.addServer("i-1");
+    deployment.writeConfiguration(1);
+    deployment.startEntry("entry1");
+    deployment.waitUntilReady("entry1");
+
+    SECTION("One that starts while the store is out serves what the others know")
+    {
+        deployment.store.setMood(StoreMood::Silent);
+        deployment.startEntry("entry2");
+        deployment.waitUntilReady("entry2");
+        CHECK(deployment.post("entry2", "/plain/x", "hello", "a1").status == 200);
+        CHECK(server.served().size() == 1);
+    }
+    SECTION("What the store forgets of its history is listed anew")
+    {
+        deployment.store.dropHistory();
+        deployment.store.remove("servers", "i-1");
+        deployment.addServer("i-2");
+        CHECK(eventually([&] {
+            const auto answer = deployment.post("entry1", "/plain/x", "hello", "a1");
+            return answer.headers.value("X-Response-Seal") == "seal-of-i-2";
+        }));
+    }
+    SECTION("All of them know a new configuration, though not all ask the store")
+    {
+        for (const auto *name : {"entry2", "entry3", "entry4", "entry5"})
+            deployment.startEntry(name);
+        for (const auto *name : {"entry2", "entry3", "entry4", "entry5"})
+            deployment.waitUntilReady(name);
+        deployment.addServer("i-2");
+        deployment.store.remove("servers", "i-1");
+        for (const auto *name : {"entry1", "entry2", "entry3", "entry4", "entry5"}) {
+            CHECK(eventually([&] {
+                const auto answer = deployment.post(name, "/plain/x", "hello", "a1");
+                return answer.headers.value("X-Response-Seal") == "seal-of-i-2";
+            }));
+        }
+    }
+}
+
 TEST_CASE("A process that is told to stop finishes what it has", "[Platform]")
 {
     PlatformDeployment deployment;
