Log, Gateway: Write a line for each decision, within a budget, and serve metrics

Cause: on-call engineers have only logs and metrics; the log told of state changes only, on standard error, and a stopped reader could block the process.

--- a/Libraries/Core/Core.h
+++ b/Libraries/Core/Core.h
@@ -10,6 +10,7 @@
 #include <Core/Identifier.h>
 #include <Core/Json.h>
 #include <Core/Log.h>
+#include <Core/LogBudget.h>
 #include <Core/Metrics.h>
 #include <Core/Random.h>
 #include <Core/RcuPointer.h>
--- a/Libraries/Core/Log.cpp
+++ b/Libraries/Core/Log.cpp
@@ -1,32 +1,80 @@
 #include <Core/Log.h>
 
 #include <boost/json.hpp>
+#include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/support/date_time.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
+#include <csignal>
+#include <cstdio>
+#include <ctime>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace Radishplank {
 
 namespace {
 
-struct LogConfiguration
+/// A busy entry process makes about this many decisions of a kind a second.
+constexpr LogBudget::Rate ordinaryRate{50, 150};
+constexpr LogBudget::Rate failureRate{100, 300};
+/// A pipe that polls as writable takes so many bytes without blocking (POSIX's PIPE_BUF).
+constexpr std::size_t maxLineBytes = 4'096;
+
+struct LogState
 {
     std::string processName = "radishplank";
     LogFormat format = LogFormat::KeyValue;
+    std::mutex budgetMutex;
+    LogBudget budget{ordinaryRate, failureRate};
+    Counter written;
+    Counter leftOut;
 };
 
-LogConfiguration &logConfiguration()
+LogState &logState()
 {
-    static LogConfiguration configuration;
-    return configuration;
+    static LogState state;
+    return state;
+}
+
+/// Writes each line with one system call, or not at all if that would block.
+class StandardOutputBackend : public boost::log::sinks::basic_formatted_sink_backend<
+                                      char, boost::log::sinks::synchronized_feeding>
+{
+public:
+    void consume(const boost::log::record_view &, const string_type &text)
+    {
+        std::string line = text.substr(0, maxLineBytes - 1);
+        line += '\n';
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        const bool isWritable = ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        const auto length = static_cast<ssize_t>(line.size());
+        if (isWritable && ::write(STDOUT_FILENO, line.data(), line.size()) == length)
+            logState().written.increase();
+        else
+            logState().leftOut.increase();
+    }
+};
+
+std::string timeText()
+{
+    timespec now{};
+    ::clock_gettime(CLOCK_REALTIME, &now);
+    tm parts{};
+    ::gmtime_r(&now.tv_sec, &parts);
+    char text[40];
+    const auto length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(text + length, sizeof text - length, ".%03ldZ", now.tv_nsec / 1'000'000);
+    return text;
 }
 
 std::string keyValueLine(std::string_view event, std::initializer_list<LogField> fields)
 {
-    std::string line = "process=" + logConfiguration().processName + " event=";
+    std::string line = "time=" + timeText() + " process=" + logState().processName + " event=";
     line += event;
     for (const auto &field : fields) {
         line += ' ';
@@ -42,38 +90,80 @@
 std::string jsonLine(std::string_view event, std::initializer_list<LogField> fields)
 {
     boost::json::object line;
-    line["process"] = logConfiguration().processName;
+    line["time"] = timeText();
+    line["process"] = logState().processName;
     line["event"] = event;
     for (const auto &field : fields)
         line[field.name] = field.value;
     return boost::json::serialize(line);
 }
 
+void writeLine(std::string_view event, std::initializer_list<LogField> fields)
+{
+    static boost::log::sources::logger_mt logger;
+    const bool isJson = logState().format == LogFormat::Json;
+    BOOST_LOG(logger) << (isJson ? jsonLine(event, fields) : keyValueLine(event, fields));
+}
+
+void writeWithinBudget(std::string_view event, LogImportance importance,
+                       std::initializer_list<LogField> fields)
+{
+    auto &state = logState();
+    std::vector<LogBudget::LeftOut> leftOut;
+    bool mayWrite = false;
+    {
+        const std::scoped_lock lock(state.budgetMutex);
+        const auto now = SteadyClock().now();
+        mayWrite = state.budget.takeLine(event, importance, now);
+        leftOut = state.budget.takeLeftOut(now);
+    }
+    for (const auto &each : leftOut) {
+        writeLine("log-lines-left-out",
+                  {{"of", each.event}, {"lines", std::to_string(each.lines)}});
+    }
+    if (mayWrite)
+        writeLine(event, fields);
+    else
+        state.leftOut.increase();
+}
+
 } // namespace
 
 void startLogging(std::string_view processName, LogFormat format)
 {
-    logConfiguration() = {std::string(processName), format};
-    boost::log::add_common_attributes();
-    namespace expressions = boost::log::expressions;
-    auto sink = boost::log::add_console_log(std::cerr);
-    if (format == LogFormat::Json) {
-        sink->set_formatter(expressions::stream << expressions::smessage);
-    } else {
-        sink->set_formatter(expressions::stream
-                            << "time="
-                            << expressions::format_date_time<boost::posix_time::ptime>(
-                                       "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                            << ' ' << expressions::smessage);
-    }
-    sink->locked_backend()->auto_flush(true);
+    logState().processName = std::string(processName);
+    logState().format = format;
+    // A reader that has gone must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    namespace sinks = boost::log::sinks;
+    auto sink = boost::make_shared<sinks::synchronous_sink<StandardOutputBackend>>();
+    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
 }
 
 void logStateChange(std::string_view event, std::initializer_list<LogField> fields)
 {
-    static boost::log::sources::logger_mt logger;
-    const bool isJson = logConfiguration().format == LogFormat::Json;
-    BOOST_LOG(logger) << (isJson ? jsonLine(event, fields) : keyValueLine(event, fields));
+    writeWithinBudget(event, LogImportance::Failure, fields);
+}
+
+void logDecision(std::string_view event, std::initializer_list<LogField> fields)
+{
+    writeWithinBudget(event, LogImportance::Ordinary, fields);
+}
+
+void logFailure(std::string_view event, std::initializer_list<LogField> fields)
+{
+    writeWithinBudget(event, LogImportance::Failure, fields);
+}
+
+const Counter &logLinesWritten()
+{
+    return logState().written;
+}
+
+const Counter &logLinesLeftOut()
+{
+    return logState().leftOut;
 }
 
 } // namespace Radishplank
--- /dev/null
+++ b/Libraries/Core/LogBudget.cpp
@@ -0,0 +1,50 @@
+#include <Core/LogBudget.h>
+
+#include <algorithm>
+
+namespace Radishplank {
+
+namespace {
+
+/// Time between two summaries of lines left out.
+constexpr Milliseconds summaryInterval{1'000};
+
+} // namespace
+
+LogBudget::LogBudget(Rate ordinary, Rate failure)
+    : m_ordinary(ordinary)
+    , m_failure(failure)
+{
+}
+
+bool LogBudget::takeLine(std::string_view event, LogImportance importance, TimePoint now)
+{
+    const auto &rate = importance == LogImportance::Failure ? m_failure : m_ordinary;
+    auto found = m_buckets.find(event);
+    if (found == m_buckets.end())
+        found = m_buckets.emplace(std::string(event), Bucket{rate.burst, now}).first;
+    auto &bucket = found->second;
+    const std::chrono::duration<double> passed = now - bucket.filledAt;
+    bucket.lines = std::min(rate.burst, bucket.lines + passed.count() * rate.linesPerSecond);
+    bucket.filledAt = now;
+    if (bucket.lines < 1) {
+        noteLeftOut(event);
+        return false;
+    }
+    bucket.lines -= 1;
+    return true;
+}
+
+std::vector<LogBudget::LeftOut> LogBudget::takeLeftOut(TimePoint now)
+{
+    if (m_leftOut.empty() || now - m_toldAt < summaryInterval)
+        return {};
+    m_toldAt = now;
+    std::vector<LeftOut> result;
+    for (const auto &[event, lines] : m_leftOut)
+        result.push_back({event, lines});
+    m_leftOut.clear();
+    return result;
+}
+
+} // namespace Radishplank
--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -5,6 +5,7 @@
 #include <Gateway/CallDialect.h>
 #include <Gateway/CallForwarder.h>
 #include <Gateway/EventFramer.h>
+#include <Gateway/GatewayMetrics.h>
 #include <Gateway/HeaderRules.h>
 #include <Gateway/JobService.h>
 #include <Gateway/MemberRegistry.h>
--- /dev/null
+++ b/Libraries/Gateway/GatewayMetrics.cpp
@@ -0,0 +1,30 @@
+#include <Gateway/GatewayMetrics.h>
+
+namespace Radishplank {
+
+void GatewayMetrics::renderPrometheus(std::string &text) const
+{
+    renderCounter(text, "radishplank_calls_answered_total", callsAnswered);
+    renderCounter(text, "radishplank_calls_refused_total", callsRefused);
+    renderCounter(text, "radishplank_calls_failed_total", callsFailed);
+    renderCounter(text, "radishplank_calls_cut_off_total", callsCutOff);
+    renderCounter(text, "radishplank_calls_abandoned_total", callsAbandoned);
+    renderCounter(text, "radishplank_calls_resumed_total", callsResumed);
+    renderCounter(text, "radishplank_attempts_sent_total", attemptsSent);
+    renderCounter(text, "radishplank_attempts_not_run_total", attemptsNotRun);
+    renderCounter(text, "radishplank_attempts_failed_total", attemptsFailed);
+    renderCounter(text, "radishplank_item_runs_total", itemRuns);
+    renderCounter(text, "radishplank_items_preempted_total", itemsPreempted);
+    renderCounter(text, "radishplank_items_completed_total", itemsCompleted);
+    renderCounter(text, "radishplank_items_given_up_total", itemsGivenUp);
+    renderCounter(text, "radishplank_jobs_adopted_total", jobsAdopted);
+    renderCounter(text, "radishplank_jobs_ended_total", jobsEnded);
+    renderCounter(text, "radishplank_result_segments_total", resultSegments);
+    renderCounter(text, "radishplank_log_lines_written_total", logLinesWritten());
+    renderCounter(text, "radishplank_log_lines_left_out_total", logLinesLeftOut());
+    firstEvent.renderPrometheus(text, "radishplank_first_event_seconds");
+    wholeCall.renderPrometheus(text, "radishplank_call_seconds");
+    itemAge.renderPrometheus(text, "radishplank_item_age_seconds");
+}
+
+} // namespace Radishplank
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Batch/Batch.h>
+#include <Gateway/GatewayMetrics.h>
 #include <Gateway/ItemRun.h>
 #include <Gateway/PeerLink.h>
 #include <Gateway/RouteTable.h>
@@ -29,6 +30,7 @@
     PeerLink &link;
     CallDialect dialect;
     NodeId self;
+    GatewayMetrics &metrics;
     /// How long a job can be read after its submission.
     Milliseconds retention{600'000};
     /// When the peers that live have been heard, counted from the start.
@@ -233,6 +235,7 @@
                                        {"items", std::to_string(job->progress.size())},
                                        {"results", std::to_string(job->stored.results.size())},
                                        {"ended", job->stored.isEnded ? "yes" : "no"}});
+        m_context.metrics.jobsAdopted.increase();
         m_context.link.announceJobs();
         wakeDispatcher();
     }
@@ -336,6 +339,13 @@
         });
         job->running.insert(stop);
         m_runningItems += 1;
+        m_context.metrics.itemRuns.increase();
+        const auto &after = job->progress[item.index].lastEvent;
+        logDecision("item-sent", {{"job", item.job},
+                                  {"item", job->stored.job.items[item.index].id},
+                                  {"upstream", place->upstream().id.text()},
+                                  {"afterEvent", after ? std::to_string(*after) : ""},
+                                  {"waiting", std::to_string(m_queue.waiting())}});
         m_context.threads.spawnOn(
                 0, [this, job, item, stop,
                     held = std::make_shared<UpstreamTable::PlacePointer>(std::move(place))] {
@@ -358,15 +368,16 @@
         if (job->isGone || job->stored.isEnded)
             return;
         const auto verdict = m_queue.noteRun(item, end, hasProgressed, SteadyClock().now());
-        if (verdict == JobQueue::Verdict::Completed)
+        logDecision("item-run-ended", {{"job", item.job},
+                                       {"item", job->stored.job.items[item.index].id},
+                                       {"end", itemRunEndName(end)},
+                                       {"upstream", upstream.text()}});
+        if (end == ItemRunEnd::Preempted)
+            m_context.metrics.itemsPreempted.increase();
+        if (verdict == JobQueue::Verdict::Completed) {
+            m_context.metrics.itemsCompleted.increase();
             return addResult(job, item, ItemState::Completed,
                              std::move(job->progress[item.index].output));
-        const bool isOrdinary = end == ItemRunEnd::Preempted || end == ItemRunEnd::NotRun;
-        if (!isOrdinary) {
-            logStateChange("item-run-ended", {{"job", item.job},
-                                              {"item", job->stored.job.items[item.index].id},
-                                              {"end", itemRunEndName(end)},
-                                              {"upstream", upstream.text()}});
         }
         if (verdict == JobQueue::Verdict::GivenUp)
             giveUp(item, itemRunEndName(end));
@@ -396,9 +407,10 @@
         const auto job = find(item.job);
         if (!job)
             return;
-        logStateChange("item-given-up", {{"job", item.job},
-                                         {"item", job->stored.job.items[item.index].id},
-                                         {"reason", reason}});
+        m_context.metrics.itemsGivenUp.increase();
+        logFailure("item-given-up", {{"job", item.job},
+                                     {"item", job->stored.job.items[item.index].id},
+                                     {"reason", reason}});
         addResult(job, item, ItemState::DeadLetter, "");
     }
 
@@ -435,10 +447,23 @@
                     job->stored.results.push_back(result);
                 job->stored.segments += 1;
             }
+            noteWritten(*job, segment);
             job->changed.notify_all();
         }
     }
 
+    void noteWritten(const ActiveJob &job, const ResultSegment &segment)
+    {
+        const Milliseconds age(unixMilliseconds() - job.stored.job.submittedAt);
+        for (std::size_t i = 0; i < segment.results.size(); ++i)
+            m_context.metrics.itemAge.record(age);
+        m_context.metrics.resultSegments.increase();
+        logDecision("results-written", {{"job", job.stored.job.id},
+                                        {"results", std::to_string(segment.results.size())},
+                                        {"total", std::to_string(job.stored.results.size())},
+                                        {"ageMs", std::to_string(age.count())}});
+    }
+
     /// Returns false if another process has written the segment; what is pending then is what that
     /// process lacks.
     bool writeSegment(const JobPointer &job, const ResultSegment &segment)
@@ -508,6 +533,7 @@
         const auto job = find(id);
         if (!job || job->stored.isEnded)
             return;
+        m_context.metrics.jobsEnded.increase();
         logStateChange("job-ended", {{"job", id}});
         job->stored.isEnded = true;
         m_queue.removeJob(id);
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -40,11 +40,12 @@
 }
 
 RelayCall::RelayCall(HttpExchange &exchange, UpstreamTable &upstreams, const CallDialect &dialect,
-                     IncomingCall call)
+                     GatewayMetrics &metrics, IncomingCall call)
     : m_exchange(exchange)
     , m_upstreams(upstreams)
     , m_dialect(dialect)
     , m_call(std::move(call))
+    , m_metrics(metrics)
     , m_watch(exchange, m_call.deadline)
 {
 }
@@ -65,6 +66,7 @@
             return refuse(offer.expectedWait.value_or(longestWait), "no slot in time");
         }
         m_tried.insert(offer.place->upstream().id);
+        logAttempt(offer);
         const auto end = attempt(*offer.place);
         if (end == AttemptEnd::Answered)
             return;
@@ -90,33 +92,43 @@
 
 RelayCall::AttemptEnd RelayCall::attempt(UpstreamTable::Place &place)
 {
+    m_metrics.attemptsSent.increase();
     const auto &upstream = place.upstream();
     auto opened = HttpClient::open(upstream.endpoint, requestFor(upstream), optionsFor());
     if (const auto *failure = std::get_if<HttpCallError>(&opened)) {
         if (!m_watch.isStopped()) {
             place.conclude(UpstreamVerdict::Failed);
-            logStateChange("attempt-failed",
-                           {{"id", m_exchange.request().headers.value(m_dialect.attemptId)},
-                            {"upstream", upstream.id.text()},
-                            {"reason", failure->error.message}});
+            logFailedAttempt(upstream, failure->error.message);
         }
         return failure->progress == CallProgress::NotSent ? AttemptEnd::NotRun
                                                           : AttemptEnd::Interrupted;
     }
-    auto &answer = *std::get<std::unique_ptr<HttpAnswer>>(opened);
+    return takeAnswer(place, *std::get<std::unique_ptr<HttpAnswer>>(opened));
+}
+
+RelayCall::AttemptEnd RelayCall::takeAnswer(UpstreamTable::Place &place, HttpAnswer &answer)
+{
+    const auto &upstream = place.upstream();
     constexpr unsigned misdirected = 421;
     if (answer.status() == misdirected || answer.headers().find(m_dialect.notExecuted)) {
         // An upstream that is another one by now gets nothing more; a full one is asked again.
         if (answer.status() == misdirected)
             place.conclude(UpstreamVerdict::Failed);
+        m_metrics.attemptsNotRun.increase();
+        logDecision("attempt-not-run", {{"id", id()},
+                                        {"upstream", upstream.id.text()},
+                                        {"status", std::to_string(answer.status())}});
         (void)answer.readBody();
         return AttemptEnd::NotRun;
     }
     const auto end = passAnswer(answer);
-    if (end == AttemptEnd::Answered)
+    if (end == AttemptEnd::Answered) {
         place.conclude(UpstreamVerdict::Sound);
-    else if (!m_watch.isStopped())
+        noteAnswered(upstream, answer.status());
+    } else if (!m_watch.isStopped()) {
         place.conclude(UpstreamVerdict::Failed);
+        logFailedAttempt(upstream, "its answer broke off");
+    }
     return end;
 }
 
@@ -133,6 +145,7 @@
     auto body = answer.readBody();
     if (body.isError())
         return AttemptEnd::Interrupted;
+    noteFirstBytes();
     auto headers = endToEndHeaders(answer.headers());
     if (m_exchange.respond({answer.status(), std::move(headers), body.takeValue()}).isError())
         m_watch.noteCallerLeft();
@@ -157,6 +170,7 @@
         if (piece.isError())
             return AttemptEnd::Interrupted;
         const bool isEnd = piece.value().empty();
+        noteFirstBytes();
         Result<void> written;
         if (!isResumable)
             written = m_exchange.writeStream(piece.value());
@@ -239,19 +253,23 @@
 void RelayCall::giveUp(std::string_view reason)
 {
     if (m_watch.stopReason() == StopReason::CallerLeft) {
+        m_metrics.callsAbandoned.increase();
         logEnd("call-abandoned", "the caller has left");
         m_exchange.abandon();
         return;
     }
     const bool isTooLate = m_watch.stopReason() == StopReason::DeadlinePassed;
+    const auto cause = isTooLate ? std::string_view("its time is over") : reason;
     if (m_hasBegun) {
-        logEnd("call-cut-off", isTooLate ? "its time is over" : reason);
+        m_metrics.callsCutOff.increase();
+        logEnd("call-cut-off", cause);
         m_exchange.abandon();
         return;
     }
     if (m_runs == 0)
-        return refuse(shortestRetryAfter, isTooLate ? "its time is over" : reason);
-    logEnd("call-failed", isTooLate ? "its time is over" : reason);
+        return refuse(shortestRetryAfter, cause);
+    m_metrics.callsFailed.increase();
+    logEnd("call-failed", cause);
     (void)m_exchange.respond({isTooLate ? 504U : 502U,
                               {{"Content-Type", "text/plain"}},
                               "the call may have run, and has no answer\n"});
@@ -259,6 +277,7 @@
 
 void RelayCall::refuse(Milliseconds retryAfter, std::string_view reason)
 {
+    m_metrics.callsRefused.increase();
     logEnd("call-refused", reason);
     (void)m_exchange.respond(
             {503,
@@ -267,15 +286,74 @@
              "the call has not run: " + std::string(reason) + "\n"});
 }
 
+std::string RelayCall::id() const
+{
+    return m_exchange.request().headers.value(m_dialect.attemptId);
+}
+
+Milliseconds RelayCall::age() const
+{
+    return std::chrono::duration_cast<Milliseconds>(SteadyClock().now() - m_call.arrived);
+}
+
+void RelayCall::noteFirstBytes()
+{
+    if (m_firstBytesAge)
+        return;
+    m_firstBytesAge = age();
+    m_metrics.firstEvent.record(*m_firstBytesAge);
+}
+
+void RelayCall::noteAnswered(const UpstreamInfo &upstream, unsigned status)
+{
+    m_metrics.callsAnswered.increase();
+    m_metrics.wholeCall.record(age());
+    logDecision("call-answered",
+                {{"id", id()},
+                 {"route", m_call.route->name},
+                 {"upstream", upstream.id.text()},
+                 {"status", std::to_string(status)},
+                 {"firstBytesMs", std::to_string(m_firstBytesAge.value_or(age()).count())},
+                 {"ageMs", std::to_string(age().count())},
+                 {"attempts", std::to_string(m_tried.size())}});
+}
+
+void RelayCall::logAttempt(const UpstreamTable::OnlineOffer &offer) const
+{
+    if (m_runs > 0)
+        m_metrics.callsResumed.increase();
+    logDecision(m_runs > 0 ? "call-resumed" : "attempt-sent",
+                {{"id", id()},
+                 {"route", m_call.route->name},
+                 {"configuration", std::to_string(m_call.configuration)},
+                 {"upstream", offer.place->upstream().id.text()},
+                 {"online", std::to_string(offer.basis.online)},
+                 {"batch", std::to_string(offer.basis.batch)},
+                 {"slots", std::to_string(offer.basis.slots)},
+                 {"expectedWaitMs",
+                  std::to_string(offer.expectedWait.value_or(Milliseconds(0)).count())},
+                 {"preempts", offer.hasPreempted ? "yes" : "no"},
+                 {"afterEvent", m_lastEvent ? std::to_string(*m_lastEvent) : ""}});
+}
+
+void RelayCall::logFailedAttempt(const UpstreamInfo &upstream, const std::string &reason)
+{
+    m_metrics.attemptsFailed.increase();
+    logFailure("attempt-failed", {{"id", id()},
+                                  {"upstream", upstream.id.text()},
+                                  {"reason", reason},
+                                  {"ageMs", std::to_string(age().count())}});
+}
+
 void RelayCall::logEnd(std::string_view event, std::string_view reason) const
 {
-    const auto age = std::chrono::duration_cast<Milliseconds>(SteadyClock().now() - m_call.arrived);
-    logStateChange(event, {{"id", m_exchange.request().headers.value(m_dialect.attemptId)},
-                           {"route", m_call.route->name},
-                           {"reason", std::string(reason)},
-                           {"attempts", std::to_string(m_tried.size())},
-                           {"runs", std::to_string(m_runs)},
-                           {"ageMs", std::to_string(age.count())}});
+    logFailure(event, {{"id", id()},
+                       {"route", m_call.route->name},
+                       {"configuration", std::to_string(m_call.configuration)},
+                       {"reason", std::string(reason)},
+                       {"attempts", std::to_string(m_tried.size())},
+                       {"runs", std::to_string(m_runs)},
+                       {"ageMs", std::to_string(age().count())}});
 }
 
 } // namespace Radishplank
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -3,6 +3,7 @@
 #include <Gateway/CallDialect.h>
 #include <Gateway/CallWatch.h>
 #include <Gateway/EventFramer.h>
+#include <Gateway/GatewayMetrics.h>
 #include <Gateway/Route.h>
 #include <Gateway/UpstreamTable.h>
 #include <Net/Net.h>
@@ -22,6 +23,8 @@
     std::string body;
     TimePoint arrived;
     TimePoint deadline;
+    /// Version of the configuration that the route is from.
+    std::uint64_t configuration = 0;
 };
 
 /// Passes one call through to upstreams until one has answered it or nothing more can be done.
@@ -29,7 +32,7 @@
 {
 public:
     RelayCall(HttpExchange &exchange, UpstreamTable &upstreams, const CallDialect &dialect,
-              IncomingCall call);
+              GatewayMetrics &metrics, IncomingCall call);
 
     void run();
 
@@ -41,6 +44,8 @@
     };
 
     AttemptEnd attempt(UpstreamTable::Place &place);
+    /// Passes on what an upstream has answered, unless it says that it has not run the call.
+    AttemptEnd takeAnswer(UpstreamTable::Place &place, HttpAnswer &answer);
     AttemptEnd passAnswer(HttpAnswer &answer);
     AttemptEnd passEvents(HttpAnswer &answer);
     /// Writes the events that the caller lacks; an error means that the caller has left.
@@ -54,17 +59,25 @@
     /// Gives the final answer of a call that no upstream has answered.
     void giveUp(std::string_view reason);
     void refuse(Milliseconds retryAfter, std::string_view reason);
+    void logAttempt(const UpstreamTable::OnlineOffer &offer) const;
+    void logFailedAttempt(const UpstreamInfo &upstream, const std::string &reason);
     void logEnd(std::string_view event, std::string_view reason) const;
+    void noteAnswered(const UpstreamInfo &upstream, unsigned status);
+    void noteFirstBytes();
+    [[nodiscard]] std::string id() const;
+    [[nodiscard]] Milliseconds age() const;
 
     HttpExchange &m_exchange;
     UpstreamTable &m_upstreams;
     const CallDialect &m_dialect;
     IncomingCall m_call;
+    GatewayMetrics &m_metrics;
     CallWatch m_watch;
     std::set<UpstreamId> m_tried;
     unsigned m_refusals = 0;
     unsigned m_runs = 0;
     bool m_hasBegun = false;
+    std::optional<Milliseconds> m_firstBytesAge;
     std::optional<std::uint64_t> m_lastEvent;
 };
 
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -150,6 +150,9 @@
         state.own.online += 1;
         if (choice->mustPreempt)
             stop = takeNewestStop(state);
+        offer.basis = found.views[choice->index];
+        offer.expectedWait = choice->wait;
+        offer.hasPreempted = static_cast<bool>(stop);
         offer.place = std::make_unique<Place>(*this, state.info, WorkClass::Online, m_nextNumber++);
     }
     if (stop)
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -86,7 +86,10 @@
     struct OnlineOffer
     {
         PlacePointer place;
-        /// Time until a slot is expected somewhere; set if there is no place.
+        /// What the choice was based on; set if there is a place.
+        PlaceView basis;
+        bool hasPreempted = false;
+        /// Time until a slot is expected; missing if there is no upstream.
         std::optional<Milliseconds> expectedWait;
     };
     OnlineOffer takeOnline(const std::string &service, const std::set<UpstreamId> &excluded,
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -30,10 +30,7 @@
                    routes,
                    upstreams,
                    peers,
-                   link,
-                   {},
-                   node,
-                   Milliseconds(600'000),
+                   link, {}, node, metrics, Milliseconds(600'000),
                    Milliseconds(100)},
                   {store, FiberSleep(), Milliseconds(150)})
     {
@@ -76,6 +73,7 @@
     UpstreamTable upstreams;
     PeerTable peers;
     PeerLink link;
+    GatewayMetrics metrics;
     Service service;
 };
 
