--- a/Libraries/Store/DecidedWrite.h
+++ b/Libraries/Store/DecidedWrite.h
@@ -2,10 +2,13 @@
 
 #include <Store/ObjectStore.h>
 
+#include <algorithm>
+
 namespace Radishplank {
 
-/// Waits between two tries of a call that is in doubt.
-inline constexpr Milliseconds doubtfulWritePause{100};
+/// Pause after the first try of a call that is in doubt; doubles with each further one.
+inline constexpr Milliseconds doubtfulWritePause{20};
+inline constexpr Milliseconds longestDoubtfulWritePause{200};
 
 /// Writes an object and settles every doubt before it returns.
 ///
@@ -21,6 +24,7 @@
         return error.kind == ErrorKind::Unavailable || error.kind == ErrorKind::Timeout;
     };
     bool isInDoubt = false;
+    auto nextPause = doubtfulWritePause;
     while (true) {
         auto written = store.put(key, value, expected);
         if (!written.isError())
@@ -44,7 +48,8 @@
         }
         if (!mayGoOn())
             return failure;
-        pause(doubtfulWritePause);
+        pause(nextPause);
+        nextPause = std::min(2 * nextPause, longestDoubtfulWritePause);
     }
 }
 
--- a/Tests/Platform/PlatformDeployment.cpp
+++ b/Tests/Platform/PlatformDeployment.cpp
@@ -111,21 +111,23 @@
     return {addressOf(name), callerPort};
 }
 
-Process &PlatformDeployment::startEntry(const std::string &name)
+Process &PlatformDeployment::startEntry(const std::string &name,
+                                        const std::vector<std::string> &settings)
 {
     const auto address = addressOf(name);
     const auto at = [&](std::uint16_t port) { return Endpoint{address, port}.text(); };
-    const std::vector<std::string> arguments{
-            "entry",
-            "--node=" + name,
-            "--zone=north-a",
-            "--zones=north-a=north,south-a=south",
-            "--caller-listen=" + at(callerPort),
-            "--ready-listen=" + at(readyPort),
-            "--control-listen=" + at(controlPort),
-            "--peer-listen=" + at(peerPort),
-            "--seeds=" + Endpoint{addressBase() + "1", controlPort}.text(),
-            "--store=" + store.endpoint().text()};
+    std::vector<std::string> arguments{"entry",
+                                       "--node=" + name,
+                                       "--zone=north-a",
+                                       "--zones=north-a=north,south-a=south",
+                                       "--caller-listen=" + at(callerPort),
+                                       "--ready-listen=" + at(readyPort),
+                                       "--control-listen=" + at(controlPort),
+                                       "--peer-listen=" + at(peerPort),
+                                       "--seeds="
+                                               + Endpoint{addressBase() + "1", controlPort}.text(),
+                                       "--store=" + store.endpoint().text()};
+    arguments.insert(arguments.end(), settings.begin(), settings.end());
     m_processes.push_back(std::make_unique<Process>(PLATFORM_PATH, arguments, m_directory, name));
     m_processes.back()->waitUntilReady();
     return *m_processes.back();
--- a/Tests/Platform/PlatformDeployment.h
+++ b/Tests/Platform/PlatformDeployment.h
@@ -29,7 +29,7 @@
     /// Writes a configuration with a resumable, a plain and a batch route.
     void writeConfiguration(unsigned version);
     /// Starts an entry process and waits until it listens.
-    Process &startEntry(const std::string &name);
+    Process &startEntry(const std::string &name, const std::vector<std::string> &settings = {});
     [[nodiscard]] Endpoint callers(const std::string &name) const;
     [[nodiscard]] bool isReady(const std::string &name);
     /// Waits until the process takes callers.
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -249,6 +249,16 @@
             CHECK(deployment.post("entry1", "/plain/x", "hello", "a1").status == 200);
         }
     }
+    SECTION("The store's lost answers hold up no submission")
+    {
+        // By itself, the process would wait for the answer longer than it may try to write.
+        deployment.startEntry("entry3", {"--store-timeout=20000"});
+        deployment.waitUntilReady("entry3");
+        deployment.store.setMood(StoreMood::Losing);
+        CHECK(deployment.submit("entry3", "job1", {"a"}).status == 202);
+        deployment.store.setMood(StoreMood::Sound);
+        CHECK(deployment.waitForResults("entry2", "job1", 1).size() == 1);
+    }
     SECTION("A run that breaks off goes on after the last event")
     {
         server.plan({ServerDeed::BreakOff, ServerDeed::BreakOff, ServerDeed::Shed});
