--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -25,4 +25,5 @@
   configuration @10 :UInt64;         # Version of the configuration that the sender has.
   upstreamRevision @11 :UInt64;      # Store revision of the sender's list of upstreams,
   upstreamDigest @12 :UInt64;        # and a hash of its content.
+  isStoreReachable @13 :Bool;        # Whether the store answered when the sender last called it.
 }
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -192,6 +192,8 @@
 
   inline  ::uint64_t getUpstreamDigest() const;
 
+  inline bool getIsStoreReachable() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -285,6 +287,9 @@
   inline  ::uint64_t getUpstreamDigest();
   inline void setUpstreamDigest( ::uint64_t value);
 
+  inline bool getIsStoreReachable();
+  inline void setIsStoreReachable(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -665,6 +670,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerReport::Reader::getIsStoreReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getIsStoreReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setIsStoreReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -31,6 +31,7 @@
         report.endedJobs.push_back(textOf(job));
     report.isLeaving = reader.getIsLeaving();
     report.isWatching = reader.getIsWatching();
+    report.isStoreReachable = reader.getIsStoreReachable();
     report.fleet
             = {reader.getConfiguration(), reader.getUpstreamRevision(), reader.getUpstreamDigest()};
     return report;
@@ -61,6 +62,7 @@
         ended.set(i, report.endedJobs[i].c_str());
     builder.setIsLeaving(report.isLeaving);
     builder.setIsWatching(report.isWatching);
+    builder.setIsStoreReachable(report.isStoreReachable);
     builder.setConfiguration(report.fleet.configuration);
     builder.setUpstreamRevision(report.fleet.upstreamRevision);
     builder.setUpstreamDigest(report.fleet.upstreamDigest);
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -52,6 +52,8 @@
     bool isLeaving = false;
     /// Whether the sender keeps up with the store by itself.
     bool isWatching = false;
+    /// Whether the store answered when the sender last called it.
+    bool isStoreReachable = true;
     FleetVersion fleet;
 };
 
--- a/Libraries/Gateway/PeerTable.cpp
+++ b/Libraries/Gateway/PeerTable.cpp
@@ -45,6 +45,7 @@
     peer.heardAt = now;
     peer.isSilenceTold = false;
     peer.isWatching = report.isWatching && !report.isLeaving;
+    peer.isStoreReachable = report.isStoreReachable && !report.isLeaving;
     peer.fleet = report.fleet;
     if (report.hasJobs)
         peer.jobs = {report.ownedJobs.begin(), report.ownedJobs.end()};
@@ -132,6 +133,21 @@
     return best;
 }
 
+std::optional<Endpoint> PeerTable::storeProxy(TimePoint now) const
+{
+    const auto worth = [&](const Peer &peer) {
+        return (peer.isWatching ? 2 : 0) + (peer.zone == m_zone ? 1 : 0);
+    };
+    const Peer *best = nullptr;
+    for (const auto &[node, peer] : m_peers) {
+        if (!isHeard(node, now) || !peer.isStoreReachable)
+            continue;
+        if (best == nullptr || worth(peer) > worth(*best))
+            best = &peer;
+    }
+    return best == nullptr ? std::optional<Endpoint>() : best->control;
+}
+
 bool PeerTable::isSuccessor(const std::string &job, TimePoint now) const
 {
     const auto weight = [&](const NodeId &node) { return stableHash(node.text(), jobHash(job)); };
--- a/Libraries/Gateway/PeerTable.h
+++ b/Libraries/Gateway/PeerTable.h
@@ -43,6 +43,9 @@
     /// Returns where a peer takes calls that knows more of the fleet; peers in the same zone first.
     [[nodiscard]] std::optional<Endpoint> betterInformed(const FleetVersion &own,
                                                          TimePoint now) const;
+    /// Returns where a peer takes calls that can make calls to the store for this process; one that
+    /// watches the store first, then one in the same zone.
+    [[nodiscard]] std::optional<Endpoint> storeProxy(TimePoint now) const;
     /// Tells whether this process is the one, of all that are heard, that takes over a job.
     [[nodiscard]] bool isSuccessor(const std::string &job, TimePoint now) const;
 
@@ -55,6 +58,7 @@
         std::optional<TimePoint> heardAt;
         bool isSilenceTold = false;
         bool isWatching = false;
+        bool isStoreReachable = false;
         FleetVersion fleet;
         std::set<std::uint64_t> jobs;
     };
