--- a/Tests/Platform/PlatformDeployment.cpp
+++ b/Tests/Platform/PlatformDeployment.cpp
@@ -159,6 +159,11 @@
     return client.call(callers(entry), {"GET", path, {{"Host", host}}, ""});
 }
 
+std::string PlatformDeployment::fleetOf(const std::string &entry)
+{
+    return client.call({addressOf(entry), controlPort}, {"GET", "/fleet", {}, ""}).body;
+}
+
 HttpResponse PlatformDeployment::submit(const std::string &entry, const std::string &job,
                                         const std::vector<std::string> &bodies)
 {
--- a/Tests/Platform/PlatformDeployment.h
+++ b/Tests/Platform/PlatformDeployment.h
@@ -38,6 +38,8 @@
     HttpResponse post(const std::string &entry, const std::string &path, const std::string &body,
                       const std::string &id);
     HttpResponse get(const std::string &entry, const std::string &path);
+    /// What an entry process tells its peers of the configuration and the upstreams.
+    std::string fleetOf(const std::string &entry);
     /// Submits a job whose items have the given bodies; each item is named after its body.
     HttpResponse submit(const std::string &entry, const std::string &job,
                         const std::vector<std::string> &bodies);
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -1,5 +1,6 @@
 #include "PlatformDeployment.h"
 
+#include <Gateway/CallForwarder.h>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <set>
@@ -17,6 +18,48 @@
     return items;
 }
 
+/// Passes calls on to the store, or refuses them as the store does when it turns a machine away.
+class StoreGate
+{
+public:
+    explicit StoreGate(const Endpoint &store)
+        : m_store(store)
+        , m_threads(*new FiberThreads(1)) // Its fibers run until the test program ends.
+        , m_server(HttpServer::listen(m_threads, {"127.0.0.1", 0}, {},
+                                      [state = m_state, store](HttpExchange &exchange) {
+                                          const auto body = exchange.readBody();
+                                          if (*state
+                                              || !forwardCall(exchange, body.value(), store,
+                                                              Milliseconds(30'000)))
+                                              (void)exchange.respond({503, {}, ""});
+                                      })
+                           .takeValue())
+    {
+    }
+
+    [[nodiscard]] Endpoint endpoint() const { return m_server->endpoint(); }
+    void refuse(bool mustRefuse) { *m_state = mustRefuse; }
+
+private:
+    std::shared_ptr<std::atomic<bool>> m_state = std::make_shared<std::atomic<bool>>(false);
+    Endpoint m_store;
+    FiberThreads &m_threads;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+std::int64_t revisionOf(const std::string &fleet)
+{
+    return boost::json::parse(fleet).as_object().at("upstreamRevision").to_number<std::int64_t>();
+}
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        count += 1;
+    return count;
+}
+
 } // namespace
 
 TEST_CASE("Streams pass through an entry process", "[Platform]")
@@ -150,7 +193,7 @@
     PlatformDeployment deployment;
     auto &server = deployment.addServer("i-1");
     deployment.writeConfiguration(1);
-    deployment.startEntry("entry1");
+    auto &trusting = deployment.startEntry("entry1");
     deployment.waitUntilReady("entry1");
 
     SECTION("One that starts while the store is out serves what the others know")
@@ -171,6 +214,30 @@
             return answer.headers.value("X-Response-Seal") == "seal-of-i-2";
         }));
     }
+    SECTION("One that doubts a removal after an outage does not bring the server back elsewhere")
+    {
+        StoreGate gate(deployment.store.endpoint());
+        auto &doubting = deployment.startEntry("entry2", {"--store=" + gate.endpoint().text()});
+        deployment.waitUntilReady("entry2");
+        gate.refuse(true);
+        REQUIRE(eventually(
+                [&] { return doubting.logText().find("store-lost") != std::string::npos; }));
+        gate.refuse(false);
+        REQUIRE(eventually(
+                [&] { return doubting.logText().find("store-back") != std::string::npos; }));
+        const auto before = revisionOf(deployment.fleetOf("entry2"));
+        deployment.store.remove("servers", "i-1");
+        std::string told;
+        REQUIRE(eventually([&] {
+            told = deployment.fleetOf("entry2");
+            return revisionOf(told) > before;
+        }));
+        // What it tells its peers is what the store says, though it still uses the server itself.
+        CHECK(told.find("servers/i-1") == std::string::npos);
+        REQUIRE(eventually([&] { return countOf(trusting.logText(), "upstream-removed") == 1; }));
+        REQUIRE(eventually([&] { return countOf(doubting.logText(), "upstream-removed") == 1; }));
+        CHECK(countOf(trusting.logText(), "upstream-known") == 1);
+    }
     SECTION("All of them know a new configuration, though not all ask the store")
     {
         for (const auto *name : {"entry2", "entry3", "entry4", "entry5"})
