--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -63,7 +63,8 @@
         if (!offer.place) {
             if (m_runs > 0)
                 return giveUp("no upstream is left");
-            return refuse(offer.expectedWait.value_or(longestWait), "no slot in time");
+            return refuse(offer.expectedWait.value_or(longestWait),
+                          offer.expectedWait ? "no slot in time" : "no upstream to send it to");
         }
         m_tried.insert(offer.place->upstream().id);
         logAttempt(offer);
--- /dev/null
+++ b/Tests/Log/TestLogBudget.cpp
@@ -0,0 +1,39 @@
+#include <Core/Core.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Radishplank;
+
+TEST_CASE("Each event has a budget of lines", "[LogBudget]")
+{
+    LogBudget budget({10, 3}, {10, 5});
+    const TimePoint start{std::chrono::seconds(1'000)};
+    const auto linesOf = [&](std::string_view event, LogImportance importance, TimePoint now) {
+        int lines = 0;
+        while (budget.takeLine(event, importance, now))
+            lines += 1;
+        return lines;
+    };
+    CHECK(linesOf("sent", LogImportance::Ordinary, start) == 3);
+
+    SECTION("which fills again with time")
+    {
+        CHECK(linesOf("sent", LogImportance::Ordinary, start + Milliseconds(200)) == 2);
+        CHECK(linesOf("sent", LogImportance::Ordinary, start + std::chrono::seconds(60)) == 3);
+    }
+    SECTION("which other events do not use up, least of all failures")
+    {
+        CHECK(linesOf("failed", LogImportance::Failure, start) == 5);
+    }
+    SECTION("What is left out is told, once in a while")
+    {
+        const auto leftOut = budget.takeLeftOut(start);
+        REQUIRE(leftOut.size() == 1);
+        CHECK(leftOut[0].event == "sent");
+        CHECK(leftOut[0].lines == 1);
+        budget.noteLeftOut("sent");
+        CHECK(budget.takeLeftOut(start + Milliseconds(500)).empty());
+        CHECK(budget.takeLeftOut(start + Milliseconds(1'500)).size() == 1);
+        CHECK(budget.takeLeftOut(start + Milliseconds(3'500)).empty());
+    }
+}
--- /dev/null
+++ b/Tests/Log/TestLogStory.cpp
@@ -0,0 +1,45 @@
+#include <LogStory.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Radishplank;
+
+namespace {
+
+LogStory storyOf(const std::string &id)
+{
+    LogStory story(id);
+    // Two processes, each in order, the second one's lines with a collector's prefix.
+    for (const auto *line :
+         {R"({"time":"T02","process":"e1","event":"attempt-sent","id":"a","upstream":"u1"})",
+          R"({"time":"T03","process":"e1","event":"upstream-removed","upstream":"u1"})",
+          R"({"time":"T03","process":"e1","event":"upstream-removed","upstream":"u2"})",
+          R"({"time":"T04","process":"e1","event":"call-cut-off","id":"a"})",
+          R"({"time":"T05","process":"e1","event":"store-lost","prefix":"x"})",
+          R"(  1.5 e2 {"time":"T01","process":"e2","event":"item-sent","job":"j","item":"i"})",
+          R"(  1.6 e2 {"time":"T06","process":"e2","event":"item-given-up","job":"j","item":"i"})",
+          "not a line of ours", "{\"broken\":", ""})
+        story.addLine(line);
+    return story;
+}
+
+std::vector<std::string> eventsOf(const LogStory &story)
+{
+    std::vector<std::string> events;
+    for (const auto &line : story.lines())
+        events.emplace_back(line.at("event").as_string());
+    return events;
+}
+
+} // namespace
+
+TEST_CASE("A story has the lines of its request, and what explains them", "[LogStory]")
+{
+    CHECK(eventsOf(storyOf("a"))
+          == std::vector<std::string>{"attempt-sent", "upstream-removed", "call-cut-off"});
+    CHECK(eventsOf(storyOf("i")) == std::vector<std::string>{"item-sent", "item-given-up"});
+    CHECK(eventsOf(storyOf("j")).size() == 2);
+    CHECK(eventsOf(storyOf("nothing")).empty());
+    CHECK(LogStory::render(storyOf("a").lines()).find("T02  e1  attempt-sent  id=a")
+          != std::string::npos);
+}
--- a/Utilities/radishplankctl/Commands.h
+++ b/Utilities/radishplankctl/Commands.h
@@ -16,6 +16,9 @@
 CommandResult runStateCommand(ControlClient &client, const CommandSettings &settings,
                               Arguments arguments);
 
+/// `explain ID [LOG-FILE...]`: the story of a request, a job or an item, from log lines.
+CommandResult runExplainCommand(const CommandSettings &settings, Arguments arguments);
+
 /// Prints the JSON of an answer as it is, or as a table.
 [[nodiscard]] CommandResult show(const CommandSettings &settings,
                                  const Result<HttpResponse> &answer);
--- /dev/null
+++ b/Utilities/radishplankctl/ExplainCommand.cpp
@@ -0,0 +1,37 @@
+#include "Commands.h"
+#include "LogStory.h"
+
+#include <fstream>
+#include <iostream>
+
+namespace Radishplank {
+
+CommandResult runExplainCommand(const CommandSettings &settings, Arguments arguments)
+{
+    if (arguments.empty())
+        return usageError("expected: explain ID [LOG-FILE...]; without files, standard input");
+    LogStory story(arguments[0]);
+    std::string line;
+    for (const auto &path : arguments.subspan(1)) {
+        std::ifstream file(path);
+        if (!file)
+            return usageError("cannot read the log file " + path);
+        while (std::getline(file, line))
+            story.addLine(line);
+    }
+    if (arguments.size() == 1) {
+        while (std::getline(std::cin, line))
+            story.addLine(line);
+    }
+    const auto lines = story.lines();
+    if (lines.empty())
+        return {ExitCode::NotFound, "", "no line tells of " + arguments[0]};
+    if (!settings.isJson)
+        return {ExitCode::Success, LogStory::render(lines), ""};
+    std::string text;
+    for (const auto &each : lines)
+        text += boost::json::serialize(each) + "\n";
+    return {ExitCode::Success, text, ""};
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Utilities/radishplankctl/LogStory.cpp
@@ -0,0 +1,108 @@
+#include "LogStory.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace Radishplank {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Fields that name what a line is about.
+constexpr std::array<std::string_view, 3> subjectFields{"id", "job", "item"};
+/// Events about an upstream that explain what happened to a request there.
+constexpr std::array<std::string_view, 3> upstreamEvents{"upstream-known", "upstream-removed",
+                                                         "upstream-unreadable"};
+/// Events that tell of the whole process, and can explain any request that it had.
+constexpr std::array<std::string_view, 7> processEvents{
+        "entry-started",   "entry-draining", "entry-stopped", "store-unreachable",
+        "store-reachable", "store-lost",     "store-back"};
+
+template<typename Names>
+bool contains(const Names &names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+std::string fieldOf(const json::object &fields, std::string_view name)
+{
+    return textField(fields, name).value_or("");
+}
+
+} // namespace
+
+LogStory::LogStory(std::string id)
+    : m_id(std::move(id))
+{
+}
+
+void LogStory::addLine(std::string_view line)
+{
+    const auto brace = line.find('{');
+    if (brace == std::string_view::npos)
+        return;
+    auto fields = parseJsonObject(line.substr(brace), DuplicateFields::LastCounts);
+    if (fields.isError() || !fields.value().contains("event"))
+        return;
+    m_lines.push_back({fieldOf(fields.value(), "time"), fields.takeValue()});
+}
+
+std::vector<json::object> LogStory::lines() const
+{
+    const auto isAboutSubject = [&](const Line &line) {
+        return std::any_of(subjectFields.begin(), subjectFields.end(), [&](std::string_view field) {
+            return fieldOf(line.fields, field) == m_id;
+        });
+    };
+    std::set<std::string> upstreams;
+    std::set<std::string> processes;
+    std::string first;
+    std::string last;
+    for (const auto &line : m_lines) {
+        if (!isAboutSubject(line))
+            continue;
+        upstreams.insert(fieldOf(line.fields, "upstream"));
+        processes.insert(fieldOf(line.fields, "process"));
+        first = first.empty() ? line.time : std::min(first, line.time);
+        last = std::max(last, line.time);
+    }
+    const auto explains = [&](const Line &line) {
+        if (line.time < first || line.time > last
+            || !processes.contains(fieldOf(line.fields, "process")))
+            return false;
+        const auto event = fieldOf(line.fields, "event");
+        return contains(processEvents, event)
+               || (contains(upstreamEvents, event)
+                   && upstreams.contains(fieldOf(line.fields, "upstream")));
+    };
+    std::vector<Line> chosen;
+    std::copy_if(m_lines.begin(), m_lines.end(), std::back_inserter(chosen),
+                 [&](const Line &line) { return isAboutSubject(line) || explains(line); });
+    std::stable_sort(chosen.begin(), chosen.end(),
+                     [](const Line &left, const Line &right) { return left.time < right.time; });
+    std::vector<json::object> result;
+    for (auto &line : chosen)
+        result.push_back(std::move(line.fields));
+    return result;
+}
+
+std::string LogStory::render(const std::vector<json::object> &lines)
+{
+    std::string text;
+    for (const auto &line : lines) {
+        text += fieldOf(line, "time") + "  " + fieldOf(line, "process") + "  "
+                + fieldOf(line, "event");
+        for (const auto &[name, value] : line) {
+            const bool isShown = name == "time" || name == "process" || name == "event";
+            if (isShown || !value.is_string() || value.as_string().empty())
+                continue;
+            text += "  " + std::string(name) + "=" + std::string(value.as_string());
+        }
+        text += '\n';
+    }
+    return text;
+}
+
+} // namespace Radishplank
--- a/Utilities/radishplankctl/main.cpp
+++ b/Utilities/radishplankctl/main.cpp
@@ -7,9 +7,10 @@
 namespace {
 
 constexpr std::string_view usage
-        = "radishplankctl [SETTING...] batch|catalogue|state ...\n"
+        = "radishplankctl [SETTING...] batch|catalogue|explain|state ...\n"
           "  batch submit NAME | status NAME | results NAME | cancel NAME | list\n"
           "  catalogue check FILE... | put KEY | get KEY | list | delete KEY | status\n"
+          "  explain ID [LOG-FILE...]\n"
           "  state ADDRESS:PORT\n"
           "Exit codes: 0 success, 1 refused or failed, 2 usage, 3 conflict, 4 not found,\n"
           "5 unavailable (try again).";
@@ -40,6 +41,8 @@
         return runBatchCommand(client, settings, arguments);
     if (words[0] == "catalogue")
         return runCatalogueCommand(client, settings, arguments);
+    if (words[0] == "explain")
+        return runExplainCommand(settings, arguments);
     if (words[0] == "state")
         return runStateCommand(client, settings, arguments);
     return usageError("unknown command '" + words[0] + "'");
