JobService: Drop gathered results that another process has written

Cause: while a process that was cut off could not write a segment, it gathered a further result; the job's next owner wrote that item too. Test: TestJobService (red before).

--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -499,9 +499,12 @@
             const std::scoped_lock lock(job->mutex);
             job->stored = loaded.takeValue();
         }
-        for (const auto &result : unwritten) {
+        // What has been gathered meanwhile may be among the other process's results as well.
+        auto gathered = std::exchange(job->pending, {});
+        gathered.insert(gathered.end(), unwritten.begin(), unwritten.end());
+        for (auto &result : gathered) {
             if (!hasResult(*job, result.item))
-                job->pending.push_back(result);
+                job->pending.push_back(std::move(result));
         }
         job->settled = 0;
         for (std::size_t i = 0; i < job->stored.job.items.size(); ++i) {
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -30,7 +30,11 @@
                    routes,
                    upstreams,
                    peers,
-                   link, {}, node, metrics, Milliseconds(600'000),
+                   link,
+                   {"Attempt", "Time-Left", "Upstream", "Not-Executed", "Resume-After"},
+                   node,
+                   metrics,
+                   Milliseconds(600'000),
                    Milliseconds(100)},
                   {store, FiberSleep(), Milliseconds(150)})
     {
@@ -77,6 +81,32 @@
     Service service;
 };
 
+/// An upstream that answers with one event; the second item's comes later than the first's.
+class UpstreamStandin
+{
+public:
+    UpstreamStandin()
+        : m_threads(*new FiberThreads(1)) // Its fibers run until the test program ends.
+        , m_server(HttpServer::listen(m_threads, {"127.0.0.1", 0}, {}, [](HttpExchange &exchange) {
+                       if (exchange.request().target == "/jobs/later")
+                           boost::this_fiber::sleep_for(Milliseconds(1'600));
+                       (void)exchange.beginStream(200, {});
+                       (void)exchange.writeStream("id: 1\ndata: x\n\n");
+                       (void)exchange.endStream();
+                   }).takeValue())
+    {
+    }
+
+    [[nodiscard]] UpstreamInfo info() const
+    {
+        return {UpstreamId("u1"), "service", m_server->endpoint(), ZoneName("zone1"), 4, false, 1};
+    }
+
+private:
+    FiberThreads &m_threads;
+    std::unique_ptr<HttpServer> m_server;
+};
+
 SmallJob jobWith(std::size_t items)
 {
     SmallJob job;
@@ -85,7 +115,8 @@
     job.path = "/jobs/job1";
     job.submittedAt = unixMilliseconds();
     for (std::size_t i = 0; i < items; ++i)
-        job.items.push_back({"item" + std::to_string(i), "/jobs/x", {}, "body"});
+        job.items.push_back(
+                {"item" + std::to_string(i), i == 1 ? "/jobs/later" : "/jobs/x", {}, "body"});
     return job;
 }
 
@@ -164,6 +195,41 @@
             CHECK(loaded.value().job.owner == NodeId("entry2"));
         }
     }
+    SECTION("Another process goes on with it while this one cannot write its results")
+    {
+        UpstreamStandin upstream;
+        entry.upstreams.put(upstream.info());
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(2)); }).isError());
+        entry.on([&] {
+            entry.store.nextFault = [] { return FaultyStore::Fault::Outage; };
+            return true;
+        });
+        REQUIRE(entry.eventually([&] { return entry.metrics.itemsCompleted.value() == 2; }));
+        const ResultSegment others{
+                "other",
+                {{"item0", ItemState::Completed, "0"}, {"item1", ItemState::Completed, "1"}}};
+        REQUIRE_FALSE(
+                memory.put("radishplank-results/job1.0", serialize(others), noVersion).isError());
+        entry.on([&] {
+            entry.store.nextFault = [] { return FaultyStore::Fault::None; };
+            return true;
+        });
+
+        SECTION("and no item has two results")
+        {
+            const auto results = [&] {
+                const auto page = entry.service.read("job1", 0, Milliseconds(0));
+                return page.isError() ? std::size_t{0} : page.value().results.size();
+            };
+            REQUIRE(entry.eventually([&] { return results() >= 2; }));
+            entry.on([] {
+                boost::this_fiber::sleep_for(Milliseconds(400));
+                return true;
+            });
+            CHECK(entry.on(results) == 2);
+            CHECK(memory.get("radishplank-results/job1.1").isError());
+        }
+    }
     SECTION("It is ended at another process")
     {
         REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(2)); }).isError());
