platform: Finish running items before a process stops, and take no new jobs meanwhile

Cause: a process that was told to stop ended once its callers were served, and items that ran were run again from their start elsewhere; jobs taken meanwhile waited for its successor. Unused queries removed. Test: TestPlatform.

--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -7,6 +7,7 @@
 #include <Gateway/RouteTable.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
@@ -67,9 +68,11 @@
         m_context.threads.spawnOn(0, [this] { recoveryLoop(); });
     }
 
-    /// No further item is started; those that run go on.
+    /// No further job is taken and no item started; those that run go on.
     void beginDrain() { m_isDraining = true; }
     [[nodiscard]] std::size_t runningItems() const { return m_runningItems; }
+    /// Tells whether no item runs and no result waits to be made durable.
+    [[nodiscard]] bool isIdle() const { return m_runningItems == 0 && m_writers == 0; }
 
     /// Makes a job durable. Conflict: the name belongs to another job. Refused: it does not run.
     /// Unavailable or Timeout: it may have been accepted.
@@ -80,6 +83,8 @@
                 return {};
             return Error{ErrorKind::Conflict, "the job " + job.id + " exists with other items"};
         }
+        if (m_isDraining)
+            return Error{ErrorKind::Refused, "this process is about to stop"};
         if (m_queue.waiting() + job.items.size() > maxWaitingItems)
             return Error{ErrorKind::Refused, "too many items are waiting"};
         job.owner = m_context.self;
@@ -424,9 +429,11 @@
         if (job->isWriting)
             return;
         job->isWriting = true;
+        m_writers += 1;
         m_context.threads.spawnOn(0, [this, job] {
             writeResults(job);
             job->isWriting = false;
+            m_writers -= 1;
         });
     }
 
@@ -434,7 +441,7 @@
     void writeResults(const JobPointer &job)
     {
         while (!job->pending.empty() && !job->isGone) {
-            if (job->settled < job->stored.job.items.size())
+            if (job->settled < job->stored.job.items.size() && !m_isDraining)
                 boost::this_fiber::sleep_for(gatherTime);
             const ResultSegment segment{makeUniqueId(m_context.self.text()),
                                         std::move(job->pending)};
@@ -704,8 +711,10 @@
     /// Jobs whose submission was in doubt, and until when it stays so.
     std::map<std::string, TimePoint> m_unsettled;
     bool m_mustRecover = false;
-    std::size_t m_runningItems = 0;
-    bool m_isDraining = false;
+    /// Read by the thread that ends the process.
+    std::atomic<std::size_t> m_runningItems{0};
+    std::atomic<std::size_t> m_writers{0};
+    std::atomic<bool> m_isDraining{false};
     bool m_hasListenedOnce = false;
     boost::fibers::mutex m_workMutex;
     boost::fibers::condition_variable m_work;
--- a/Libraries/Gateway/PeerTable.cpp
+++ b/Libraries/Gateway/PeerTable.cpp
@@ -28,11 +28,6 @@
     peer.datagrams = datagrams;
 }
 
-void PeerTable::removeMember(const NodeId &node)
-{
-    m_peers.erase(node);
-}
-
 bool PeerTable::noteReport(const PeerReport &report, const Endpoint &sender, TimePoint now)
 {
     if (report.node == m_self)
@@ -95,14 +90,6 @@
     return {};
 }
 
-std::optional<Endpoint> PeerTable::controlOf(const NodeId &node, TimePoint now) const
-{
-    const auto found = m_peers.find(node);
-    if (found == m_peers.end() || !isHeard(node, now))
-        return {};
-    return found->second.control;
-}
-
 bool PeerTable::shouldWatch(TimePoint now) const
 {
     std::size_t watchersBefore = 0;
--- a/Libraries/Gateway/PeerTable.h
+++ b/Libraries/Gateway/PeerTable.h
@@ -19,7 +19,6 @@
 
     /// Notes where a peer's datagrams go, as the store's list of members has it.
     void noteMember(const NodeId &node, const ZoneName &zone, const Endpoint &datagrams);
-    void removeMember(const NodeId &node);
     /// Takes in a report; returns whether the peer was not heard before, or not for a while.
     bool noteReport(const PeerReport &report, const Endpoint &sender, TimePoint now);
 
@@ -35,8 +34,6 @@
     std::vector<NodeId> takeSilent(TimePoint now);
     /// Returns where the owner of a job takes calls, if a peer that is heard says that it is that.
     [[nodiscard]] std::optional<Endpoint> ownerOf(const std::string &job, TimePoint now) const;
-    /// Returns where a peer that is heard takes calls.
-    [[nodiscard]] std::optional<Endpoint> controlOf(const NodeId &node, TimePoint now) const;
     /// Tells whether this process is to keep up with the store by itself. One in each zone does,
     /// and three in all at least; the others learn from them.
     [[nodiscard]] bool shouldWatch(TimePoint now) const;
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -95,7 +95,7 @@
 {
     m_metrics.attemptsSent.increase();
     const auto &upstream = place.upstream();
-    auto opened = HttpClient::open(upstream.endpoint, requestFor(upstream), optionsFor());
+    auto opened = HttpClient::open(upstream.endpoint, requestFor(upstream), attemptOptions());
     if (const auto *failure = std::get_if<HttpCallError>(&opened)) {
         if (!m_watch.isStopped()) {
             place.conclude(UpstreamVerdict::Failed);
@@ -222,12 +222,12 @@
     return request;
 }
 
-HttpCallOptions RelayCall::optionsFor() const
+HttpCallOptions RelayCall::attemptOptions()
 {
     HttpCallOptions options;
     options.connectTimeout = std::min(connectTimeout, timeLeft());
     options.readTimeout = silenceLimit();
-    options.cancellation = const_cast<CallWatch &>(m_watch).cancellation();
+    options.cancellation = m_watch.cancellation();
     options.match = {m_dialect.attemptId, m_exchange.request().headers.value(m_dialect.attemptId)};
     return options;
 }
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -51,7 +51,7 @@
     /// Writes the events that the caller lacks; an error means that the caller has left.
     Result<void> writeEvents(const std::vector<StreamEvent> &events);
     [[nodiscard]] HttpRequest requestFor(const UpstreamInfo &upstream) const;
-    [[nodiscard]] HttpCallOptions optionsFor() const;
+    [[nodiscard]] HttpCallOptions attemptOptions();
     [[nodiscard]] Milliseconds timeLeft() const;
     [[nodiscard]] Milliseconds silenceLimit() const;
     [[nodiscard]] bool mayTryAgain() const;
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -268,21 +268,4 @@
         stop();
 }
 
-UpstreamTable::Usage UpstreamTable::usage(const std::string &service) const
-{
-    const std::scoped_lock lock(m_mutex);
-    const auto now = SteadyClock().now();
-    Usage usage;
-    for (const auto &entry : m_states) {
-        const auto &state = entry.second;
-        if (state.info.service != service || state.info.isDraining)
-            continue;
-        const auto peers = peerLoad(state.hash, now);
-        usage.slots += state.info.slots;
-        usage.taken += std::min(state.info.slots,
-                                state.own.online + state.own.batch + peers.online + peers.batch);
-    }
-    return usage;
-}
-
 } // namespace Radishplank
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -104,13 +104,6 @@
     [[nodiscard]] std::map<UpstreamId, UpstreamLoad> ownLoads() const;
     /// Stops batch items of this process at upstreams that hold more than their slots.
     void yieldOverfull();
-    /// Slots of all upstreams, and how many of them are taken, as far as known.
-    struct Usage
-    {
-        unsigned slots = 0;
-        unsigned taken = 0;
-    };
-    [[nodiscard]] Usage usage(const std::string &service) const;
     /// Called, outside the lock, when the loads of this process have changed.
     std::function<void()> onLoadChange;
 
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -278,6 +278,27 @@
     CHECK(entry.waitForEnd() == 0);
 }
 
+TEST_CASE("A process that is told to stop finishes the items that run", "[Platform]")
+{
+    PlatformDeployment deployment;
+    auto &server = deployment.addServer("i-1");
+    deployment.writeConfiguration(1);
+    auto &first = deployment.startEntry("entry1");
+    deployment.startEntry("entry2");
+    deployment.waitUntilReady("entry1");
+    deployment.waitUntilReady("entry2");
+    // Longer than the process waits for the platform's balancer, shorter than it may take to stop.
+    server.setEventInterval(Milliseconds(950));
+    CHECK(deployment.submit("entry1", "job1", {"a", "b"}).status == 202);
+    REQUIRE(eventually([&] { return server.served().size() == 2; }));
+    first.signal(SIGTERM);
+    REQUIRE(eventually([&] { return !deployment.isReady("entry1"); }));
+    CHECK(deployment.submit("entry1", "job2", {"c"}).status == 503);
+    CHECK(first.waitForEnd() == 0);
+    CHECK(deployment.waitForResults("entry2", "job1", 2).size() == 2);
+    CHECK(server.served().size() == 2);
+}
+
 TEST_CASE("Batch jobs are run, whichever process is asked", "[Platform]")
 {
     PlatformDeployment deployment;
