--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -220,7 +220,7 @@
         return {ErrorKind::NotFound, "this process does not run the job " + id};
     }
 
-    void adopt(LoadedJob loaded)
+    void adopt(LoadedJob &&loaded)
     {
         const std::string id = loaded.job.id;
         if (owns(id))
