--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -30,7 +30,7 @@
 start() {
     local name="$1"
     shift
-    "$@" --ready-file="$work/$name" 2> "$work/$name.log" &
+    "$@" --ready-file="$work/$name" > "$work/$name.log" 2>&1 &
     processes+=($!)
     while [ ! -e "$work/$name" ]; do
         kill -0 "${processes[-1]}" || { cat "$work/$name.log"; exit 1; }
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -238,6 +238,16 @@
         REQUIRE(eventually([&] { return countOf(doubting.logText(), "upstream-removed") == 1; }));
         CHECK(countOf(trusting.logText(), "upstream-known") == 1);
     }
+    SECTION("One that the store turns away has its calls made by another")
+    {
+        StoreGate gate(deployment.store.endpoint());
+        deployment.startEntry("entry2", {"--store=" + gate.endpoint().text()});
+        deployment.waitUntilReady("entry2");
+        gate.refuse(true);
+        // The first call shows that the store refuses; from then on a peer makes the calls.
+        CHECK(eventually([&] { return deployment.submit("entry2", "job1", {"a"}).status == 202; }));
+        CHECK(deployment.waitForResults("entry2", "job1", 1).size() == 1);
+    }
     SECTION("All of them know a new configuration, though not all ask the store")
     {
         for (const auto *name : {"entry2", "entry3", "entry4", "entry5"})
