--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -38,19 +38,19 @@
         "    if (incarnation.empty())\n        return Admission::OtherIncarnation;",
         "TestIntegration", "Not-run is said only where it is proved"),
     "record of keyed calls": (
-        DAEMON + "CallerApi.cpp", "if (!spec.mayRepeat && !key.empty())",
+        DAEMON + "Entry/CallerApi.cpp", "if (!spec.mayRepeat && !key.empty())",
         "if (!spec.mayRepeat && key == \"never\")",
         "TestIntegration", "A call that must not be repeated runs once*"),
     "no retry of unknown fates": (
-        DAEMON + "CallRunner.cpp", "const bool mayRetry = spec.mayRepeat && ",
+        DAEMON + "Entry/CallRunner.cpp", "const bool mayRetry = spec.mayRepeat && ",
         "const bool mayRetry = ",
         "TestIntegration", "A call that must not be repeated runs once*"),
     "reading on at a silent connection": (
-        DAEMON + "AttemptClient.cpp", "constexpr int maxReattachments = 2;",
+        DAEMON + "Entry/AttemptClient.cpp", "constexpr int maxReattachments = 2;",
         "constexpr int maxReattachments = 0;",
         "TestIntegration", "Each caller gets its own whole answer*"),
     "resuming at another upstream": (
-        DAEMON + "CallRunner.cpp",
+        DAEMON + "Entry/CallRunner.cpp",
         "makeAttempt(spec, WorkClass::Online, id, progress.tokens, suspicion)",
         "makeAttempt(spec, WorkClass::Online, id, 0, suspicion)",
         "TestIntegration", "Each caller gets its own whole answer*"),
@@ -64,12 +64,12 @@
         "            continue;",
         "TestIntegration", "A request that crashes upstreams*"),
     "leaving upstreams": (
-        DAEMON + "Upstream.cpp",
+        DAEMON + "Fleet/Upstream.cpp",
         "return m_hasReported && m_report.isAccepting && m_member.state == MemberState::Live",
         "return m_hasReported",
         "TestIntegration", "An upstream that leaves gets no new work*"),
     "draining at a planned stop": (
-        DAEMON + "EntryDaemon.cpp", "&& (callerServer.activeExchanges() > 0",
+        DAEMON + "Entry/EntryDaemon.cpp", "&& (callerServer.activeExchanges() > 0",
         "&& (callerServer.activeExchanges() > 1000",
         "TestIntegration", "A planned stop of an entry process*"),
     "conditional progress": (
@@ -88,11 +88,11 @@
         "return now - seen.since >= m_duration * 1000 + margin;",
         "TestIntegration", "Each accepted item completes exactly once"),
     "started marks": (
-        DAEMON + "ShardRunner.cpp", "    if (item.spec.mayRepeat)\n        return true;",
+        DAEMON + "Jobs/ShardRunner.cpp", "    if (item.spec.mayRepeat)\n        return true;",
         "    if (item.number + 1 > 0)\n        return true;",
         "TestIntegration", "Items that must not be repeated run once*"),
     "handing shards back": (
-        DAEMON + "ShardRunner.cpp", "    if (m_isComplete || m_command == Command::Drop)",
+        DAEMON + "Jobs/ShardRunner.cpp", "    if (m_isComplete || m_command == Command::Drop)",
         "    if (m_isComplete || m_command != Command::Run)",
         "TestIntegration", "An entry process that stops hands its shards back"),
     "closing the shards of a cancelled job": (
@@ -102,7 +102,7 @@
         "                TRY(closeShard(job, current.manifest, shard));",
         "TestIntegration", "A cancelled batch stops*"),
     "noticing callers that leave": (
-        DAEMON + "CallerApi.cpp", "return !exchange.isCallerGone();", "return true;",
+        DAEMON + "Entry/CallerApi.cpp", "return !exchange.isCallerGone();", "return true;",
         "TestIntegration", "A caller that goes away frees its slot"),
     "refusing duplicate fields": (
         "Libraries/Core/Json.cpp", "    if (twice)\n", "    if (twice && text.empty())\n",
@@ -112,12 +112,12 @@
         "return balanceAt(now) > -1e18;",
         "TestIntegration", "Batch runs on idle engines of the other region*"),
     "sweeping uploads": (
-        DAEMON + "StoreSweeper.cpp", "        if (isElected())\n            logSwept(\"uploads",
+        DAEMON + "Jobs/StoreSweeper.cpp", "        if (isElected())\n            logSwept(\"uploads",
         "        if (isElected() && m_settings.uploadTime.count() == 0)\n"
         "            logSwept(\"uploads",
         "TestIntegration", "What is left of an upload that was cut off*"),
     "waiting for news of crashes": (
-        DAEMON + "ConfigurationSync.cpp", "    group.waitFor(crashNewsTime);",
+        DAEMON + "Fleet/ConfigurationSync.cpp", "    group.waitFor(crashNewsTime);",
         "    group.waitFor(Milliseconds(0));",
         "TestIntegration", "A crashing request sent to two entry processes*"),
     "versions only rise": (
@@ -126,7 +126,7 @@
         "found->second.object.version == change.object.version",
         "TestCatalogue", "A replica of the configuration never goes back"),
     "learning from peers": (
-        DAEMON + "ConfigurationSync.cpp",
+        DAEMON + "Fleet/ConfigurationSync.cpp",
         "    if (m_context.configuration.apply(answer.changes, answer.revision))",
         "    if (m_context.configuration.apply({}, noVersion))",
         "TestIntegration", "A catalogue change comes into force*"),
@@ -136,7 +136,7 @@
         "return std::max(0.0, m_owned) + borrowed(now);",
         "TestLimits", "The sum of all rates never passes the limit*"),
     "lending of limits nobody has used here": (
-        DAEMON + "LimitSharing.cpp", "        learn(share.key);",
+        DAEMON + "Entry/LimitSharing.cpp", "        learn(share.key);",
         "        if (share.key.empty())\n            learn(share.key);",
         "TestIntegration", "An owner that calls one entry process only*"),
     "holding lent slots until calls have ended": (
@@ -148,28 +148,28 @@
         "    loan.slots = ask.held + extra * 0;",
         "TestIntegration", "An owner that may run one call at once*"),
     "no shard without a part of the limit": (
-        DAEMON + "BatchScheduler.cpp", "    return itemPart(owner) != 0;",
+        DAEMON + "Jobs/BatchScheduler.cpp", "    return itemPart(owner) != 0;",
         "    return itemPart(owner) != -1;",
         "TestIntegration", "A limit on items below the number of entry processes*"),
     "due time first": (
-        DAEMON + "BatchScheduler.cpp",
+        DAEMON + "Jobs/BatchScheduler.cpp",
         "        return std::tie(left.dueBucket, left.served, left.dueAt, left.job)\n"
         "               < std::tie(right.dueBucket, right.served, right.dueAt, right.job);",
         "        return std::tie(left.served, left.job) < std::tie(right.served, right.job);",
         "TestIntegration", "Batch goes by due time*"),
     "fairness by weight": (
-        DAEMON + "BatchScheduler.cpp",
+        DAEMON + "Jobs/BatchScheduler.cpp",
         "        return std::tie(left.dueBucket, left.served, left.dueAt, left.job)\n"
         "               < std::tie(right.dueBucket, right.served, right.dueAt, right.job);",
         "        return std::tie(left.dueBucket, left.dueAt, left.job)\n"
         "               < std::tie(right.dueBucket, right.dueAt, right.job);",
         "TestIntegration", "Batch goes by due time*"),
     "attempts name their pool": (
-        DAEMON + "Agent.cpp", "        if (!m_orders.loader().serves(order.pool))",
+        DAEMON + "Agent/Agent.cpp", "        if (!m_orders.loader().serves(order.pool))",
         "        if (!m_orders.loader().serves(order.pool) && order.pool.empty())",
         "TestIntegration", "Models are placed where they are asked for"),
     "fencing after a restart of the agent": (
-        DAEMON + "AgentDaemon.cpp", "            return lease.isError() ? 0 : lease.value().fencing;",
+        DAEMON + "Agent/AgentDaemon.cpp", "            return lease.isError() ? 0 : lease.value().fencing;",
         "            return lease.isError() ? 0 : lease.value().fencing * 0;",
         "TestIntegration", "Two processes that hold the placement*"),
     "gain asked of a move": (
@@ -177,7 +177,7 @@
         "constexpr double leastGain = 0.5;",
         "TestPlacement", "Engines are placed where the demand is"),
     "comparing digests": (
-        DAEMON + "ConfigurationSync.cpp", "    if (!isComparable || answer.digest == own.digest)",
+        DAEMON + "Fleet/ConfigurationSync.cpp", "    if (!isComparable || answer.digest == own.digest)",
         "    if (!isComparable || answer.digest + 1 > 0)",
         "TestIntegration", "A catalogue change comes into force*"),
     "halving when isolated": (
@@ -197,7 +197,7 @@
         "        if (current.isOpened || timeToOpen > 0 * kj::SECONDS)\n",
         "TestControl", "Processes ask each other*"),
     "fencing of orders": (
-        DAEMON + "EngineOrders.cpp", "    if (fencing < m_highestFencing)",
+        DAEMON + "Agent/EngineOrders.cpp", "    if (fencing < m_highestFencing)",
         "    if (fencing < 0)",
         "TestIntegration", "Orders to an engine*"),
 }
--- a/Services/radishplankd/Agent.cpp
+++ b/Services/radishplankd/Agent/Agent.cpp
@@ -1,6 +1,6 @@
-#include "Agent.h"
+#include "Agent/Agent.h"
 
-#include "UpstreamCall.h"
+#include "Agent/UpstreamCall.h"
 
 #include <boost/fiber/operations.hpp>
 #include <charconv>
--- a/Services/radishplankd/Agent.h
+++ b/Services/radishplankd/Agent/Agent.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Attempt.h"
-#include "EngineOrders.h"
+#include "Agent/Attempt.h"
+#include "Agent/EngineOrders.h"
 
 #include <Control/Control.h>
 #include <Net/Net.h>
--- a/Services/radishplankd/AgentDaemon.cpp
+++ b/Services/radishplankd/Agent/AgentDaemon.cpp
@@ -1,9 +1,9 @@
-#include "AgentDaemon.h"
+#include "Agent/AgentDaemon.h"
 
-#include "Agent.h"
-#include "ApiAnswer.h"
-#include "MemberRegistration.h"
-#include "OperatorApi.h"
+#include "Agent/Agent.h"
+#include "Entry/ApiAnswer.h"
+#include "Fleet/MemberRegistration.h"
+#include "Operator/OperatorApi.h"
 
 #include <Placement/Placement.h>
 
--- a/Services/radishplankd/Attempt.cpp
+++ b/Services/radishplankd/Agent/Attempt.cpp
@@ -1,4 +1,4 @@
-#include "Attempt.h"
+#include "Agent/Attempt.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/EngineOrders.cpp
+++ b/Services/radishplankd/Agent/EngineOrders.cpp
@@ -1,4 +1,4 @@
-#include "EngineOrders.h"
+#include "Agent/EngineOrders.h"
 
 #include <algorithm>
 
--- a/Services/radishplankd/EngineOrders.h
+++ b/Services/radishplankd/Agent/EngineOrders.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ModelLoader.h"
+#include "Agent/ModelLoader.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/ModelLoader.cpp
+++ b/Services/radishplankd/Agent/ModelLoader.cpp
@@ -1,4 +1,4 @@
-#include "ModelLoader.h"
+#include "Agent/ModelLoader.h"
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
--- a/Services/radishplankd/UpstreamCall.cpp
+++ b/Services/radishplankd/Agent/UpstreamCall.cpp
@@ -1,4 +1,4 @@
-#include "UpstreamCall.h"
+#include "Agent/UpstreamCall.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/UpstreamCall.h
+++ b/Services/radishplankd/Agent/UpstreamCall.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Attempt.h"
+#include "Agent/Attempt.h"
 
 #include <Net/Net.h>
 
--- a/Services/radishplankd/DaemonSettings.cpp
+++ b/Services/radishplankd/Common/DaemonSettings.cpp
@@ -1,4 +1,4 @@
-#include "DaemonSettings.h"
+#include "Common/DaemonSettings.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/ApiAnswer.cpp
+++ b/Services/radishplankd/Entry/ApiAnswer.cpp
@@ -1,4 +1,4 @@
-#include "ApiAnswer.h"
+#include "Entry/ApiAnswer.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/AttemptClient.cpp
+++ b/Services/radishplankd/Entry/AttemptClient.cpp
@@ -1,4 +1,4 @@
-#include "AttemptClient.h"
+#include "Entry/AttemptClient.h"
 
 #include <boost/fiber/operations.hpp>
 
--- a/Services/radishplankd/AttemptClient.h
+++ b/Services/radishplankd/Entry/AttemptClient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Upstream.h"
+#include "Fleet/Upstream.h"
 
 #include <Net/Net.h>
 
--- a/Services/radishplankd/CallRunner.cpp
+++ b/Services/radishplankd/Entry/CallRunner.cpp
@@ -1,4 +1,4 @@
-#include "CallRunner.h"
+#include "Entry/CallRunner.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/CallerApi.cpp
+++ b/Services/radishplankd/Entry/CallerApi.cpp
@@ -1,6 +1,6 @@
-#include "CallerApi.h"
+#include "Entry/CallerApi.h"
 
-#include "ApiAnswer.h"
+#include "Entry/ApiAnswer.h"
 
 #include <charconv>
 
--- a/Services/radishplankd/CallerApi.h
+++ b/Services/radishplankd/Entry/CallerApi.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "BatchApi.h"
-#include "CallRunner.h"
-#include "KeyedCalls.h"
+#include "Entry/CallRunner.h"
+#include "Entry/KeyedCalls.h"
+#include "Jobs/BatchApi.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/EntryContext.h
+++ b/Services/radishplankd/Entry/EntryContext.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "AttemptClient.h"
-#include "Fleet.h"
-#include "UsageLedger.h"
+#include "Entry/AttemptClient.h"
+#include "Entry/UsageLedger.h"
+#include "Fleet/Fleet.h"
 
 #include <Limits/Limits.h>
 #include <Placement/Placement.h>
--- a/Services/radishplankd/EntryDaemon.cpp
+++ b/Services/radishplankd/Entry/EntryDaemon.cpp
@@ -1,13 +1,13 @@
-#include "EntryDaemon.h"
-
-#include "CallerApi.h"
-#include "ConfigurationSync.h"
-#include "LimitSharing.h"
-#include "MemberRegistration.h"
-#include "OperatorApi.h"
-#include "PlacementController.h"
-#include "StoreSweeper.h"
-#include "VmWatch.h"
+#include "Entry/EntryDaemon.h"
+
+#include "Entry/CallerApi.h"
+#include "Entry/LimitSharing.h"
+#include "Fleet/ConfigurationSync.h"
+#include "Fleet/MemberRegistration.h"
+#include "Fleet/PlacementController.h"
+#include "Fleet/VmWatch.h"
+#include "Jobs/StoreSweeper.h"
+#include "Operator/OperatorApi.h"
 
 #include <boost/fiber/operations.hpp>
 #include <thread>
--- a/Services/radishplankd/EntryDaemon.h
+++ b/Services/radishplankd/Entry/EntryDaemon.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "DaemonSettings.h"
+#include "Common/DaemonSettings.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/KeyedCalls.cpp
+++ b/Services/radishplankd/Entry/KeyedCalls.cpp
@@ -1,4 +1,4 @@
-#include "KeyedCalls.h"
+#include "Entry/KeyedCalls.h"
 
 #include <boost/fiber/operations.hpp>
 
--- a/Services/radishplankd/KeyedCalls.h
+++ b/Services/radishplankd/Entry/KeyedCalls.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "CallRunner.h"
+#include "Entry/CallRunner.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/LimitSharing.cpp
+++ b/Services/radishplankd/Entry/LimitSharing.cpp
@@ -1,4 +1,4 @@
-#include "LimitSharing.h"
+#include "Entry/LimitSharing.h"
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
--- a/Services/radishplankd/LimitSharing.h
+++ b/Services/radishplankd/Entry/LimitSharing.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "EntryContext.h"
+#include "Entry/EntryContext.h"
 
 #include <mutex>
 #include <set>
--- a/Services/radishplankd/UsageLedger.cpp
+++ b/Services/radishplankd/Entry/UsageLedger.cpp
@@ -1,4 +1,4 @@
-#include "UsageLedger.h"
+#include "Entry/UsageLedger.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/ConfigurationSync.cpp
+++ b/Services/radishplankd/Fleet/ConfigurationSync.cpp
@@ -1,6 +1,6 @@
-#include "ConfigurationSync.h"
+#include "Fleet/ConfigurationSync.h"
 
-#include "FiberGroup.h"
+#include "Common/FiberGroup.h"
 
 #include <algorithm>
 #include <array>
--- a/Services/radishplankd/Fleet.cpp
+++ b/Services/radishplankd/Fleet/Fleet.cpp
@@ -1,4 +1,4 @@
-#include "Fleet.h"
+#include "Fleet/Fleet.h"
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
--- a/Services/radishplankd/MemberRegistration.cpp
+++ b/Services/radishplankd/Fleet/MemberRegistration.cpp
@@ -1,4 +1,4 @@
-#include "MemberRegistration.h"
+#include "Fleet/MemberRegistration.h"
 
 #include <boost/fiber/operations.hpp>
 
--- a/Services/radishplankd/PlacementController.cpp
+++ b/Services/radishplankd/Fleet/PlacementController.cpp
@@ -1,6 +1,6 @@
-#include "PlacementController.h"
+#include "Fleet/PlacementController.h"
 
-#include "FiberGroup.h"
+#include "Common/FiberGroup.h"
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
--- a/Services/radishplankd/Upstream.cpp
+++ b/Services/radishplankd/Fleet/Upstream.cpp
@@ -1,4 +1,4 @@
-#include "Upstream.h"
+#include "Fleet/Upstream.h"
 
 #include <algorithm>
 
--- a/Services/radishplankd/VmWatch.cpp
+++ b/Services/radishplankd/Fleet/VmWatch.cpp
@@ -1,4 +1,4 @@
-#include "VmWatch.h"
+#include "Fleet/VmWatch.h"
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
--- a/Services/radishplankd/VmWatch.h
+++ b/Services/radishplankd/Fleet/VmWatch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ConfigurationSync.h"
+#include "Fleet/ConfigurationSync.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/BatchApi.cpp
+++ b/Services/radishplankd/Jobs/BatchApi.cpp
@@ -1,6 +1,6 @@
-#include "BatchApi.h"
+#include "Jobs/BatchApi.h"
 
-#include "ApiAnswer.h"
+#include "Entry/ApiAnswer.h"
 
 #include <charconv>
 
--- a/Services/radishplankd/BatchApi.h
+++ b/Services/radishplankd/Jobs/BatchApi.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "BatchScheduler.h"
-#include "EntryContext.h"
+#include "Entry/EntryContext.h"
+#include "Jobs/BatchScheduler.h"
 
 #include <Batch/Batch.h>
 
--- a/Services/radishplankd/BatchScheduler.cpp
+++ b/Services/radishplankd/Jobs/BatchScheduler.cpp
@@ -1,6 +1,6 @@
-#include "BatchScheduler.h"
+#include "Jobs/BatchScheduler.h"
 
-#include "ShardRunner.h"
+#include "Jobs/ShardRunner.h"
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
--- a/Services/radishplankd/BatchScheduler.h
+++ b/Services/radishplankd/Jobs/BatchScheduler.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "CallRunner.h"
-#include "FiberPause.h"
+#include "Common/FiberPause.h"
+#include "Entry/CallRunner.h"
 
 #include <map>
 #include <set>
--- a/Services/radishplankd/ShardRunner.cpp
+++ b/Services/radishplankd/Jobs/ShardRunner.cpp
@@ -1,4 +1,4 @@
-#include "ShardRunner.h"
+#include "Jobs/ShardRunner.h"
 
 #include <boost/fiber/operations.hpp>
 
--- a/Services/radishplankd/ShardRunner.h
+++ b/Services/radishplankd/Jobs/ShardRunner.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "BatchScheduler.h"
+#include "Jobs/BatchScheduler.h"
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
--- a/Services/radishplankd/StoreSweeper.cpp
+++ b/Services/radishplankd/Jobs/StoreSweeper.cpp
@@ -1,6 +1,6 @@
-#include "StoreSweeper.h"
+#include "Jobs/StoreSweeper.h"
 
-#include "KeyedCalls.h"
+#include "Entry/KeyedCalls.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/StoreSweeper.h
+++ b/Services/radishplankd/Jobs/StoreSweeper.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "EntryContext.h"
-#include "FiberPause.h"
+#include "Common/FiberPause.h"
+#include "Entry/EntryContext.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/OperatorApi.cpp
+++ b/Services/radishplankd/Operator/OperatorApi.cpp
@@ -1,6 +1,6 @@
-#include "OperatorApi.h"
+#include "Operator/OperatorApi.h"
 
-#include "ApiAnswer.h"
+#include "Entry/ApiAnswer.h"
 
 #include <boost/fiber/operations.hpp>
 #include <charconv>
--- a/Services/radishplankd/OperatorApi.h
+++ b/Services/radishplankd/Operator/OperatorApi.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "BatchScheduler.h"
-#include "ConfigurationSync.h"
-#include "PlacementController.h"
+#include "Fleet/ConfigurationSync.h"
+#include "Fleet/PlacementController.h"
+#include "Jobs/BatchScheduler.h"
 
 namespace Radishplank {
 
--- a/Services/radishplankd/main.cpp
+++ b/Services/radishplankd/main.cpp
@@ -1,5 +1,5 @@
-#include "AgentDaemon.h"
-#include "EntryDaemon.h"
+#include "Agent/AgentDaemon.h"
+#include "Entry/EntryDaemon.h"
 
 #include <Net/Net.h>
 
