Fleet: Do not count time asleep as an upstream's silence

HeartbeatRecord counts silence only while this process itself ran and asked. The test sends calls to a process while it sleeps.

--- a/Libraries/Serving/Serving.h
+++ b/Libraries/Serving/Serving.h
@@ -6,6 +6,7 @@
 #include <Serving/AttemptLine.h>
 #include <Serving/AttemptOrder.h>
 #include <Serving/BatchWindow.h>
+#include <Serving/HeartbeatRecord.h>
 #include <Serving/LinkAllowance.h>
 #include <Serving/Outcome.h>
 #include <Serving/Quarantine.h>
--- a/Services/radishplankd/Fleet/Fleet.cpp
+++ b/Services/radishplankd/Fleet/Fleet.cpp
@@ -180,8 +180,11 @@
     const auto &member = upstream->member();
     bool wasAccepting = false;
     while (find(member.id) == upstream) {
+        upstream->noteHeartbeat(SteadyClock().now());
         const auto report = m_control.observe(member.control, heartbeatTimeout);
-        if (!report.isError())
+        if (report.isError())
+            upstream->noteHeartbeat(SteadyClock().now());
+        else
             upstream->noteReport(report.value(), SteadyClock().now());
         const bool isAccepting = upstream->isAccepting(SteadyClock().now());
         if (isAccepting != wasAccepting)
--- a/Services/radishplankd/Fleet/Upstream.cpp
+++ b/Services/radishplankd/Fleet/Upstream.cpp
@@ -13,6 +13,9 @@
 /// An agent that has not answered for so long gets no new work.
 constexpr Milliseconds busyReportLifetime{1'500};
 constexpr Milliseconds idleReportLifetime{3'500};
+/// An idle agent's heartbeat is sent this long after the one before has ended, and ends within
+/// Fleet's time-out of 1 s; the rest is for a busy machine.
+constexpr Milliseconds longestHeartbeatGap{3'000};
 
 } // namespace
 
@@ -20,18 +23,24 @@
     : m_member(std::move(member))
     , m_distance(distance)
     , m_idHash(stableHash(m_member.id.text()))
+    , m_heartbeats(longestHeartbeatGap)
     , m_usedAt(SteadyClock().now())
     // Somewhat more than the slots, so that a freed slot finds its next item waiting.
     , m_window(static_cast<std::size_t>(m_member.slots + m_member.slots / 2 + 1))
 {
 }
 
+void Upstream::noteHeartbeat(TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_heartbeats.noteAttempt(now);
+}
+
 void Upstream::noteReport(const LoadReport &report, TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
     m_report = report;
-    m_reportedAt = now;
-    m_hasReported = true;
+    m_heartbeats.noteAnswer(now);
     m_sentSinceReport = 0;
 }
 
@@ -56,8 +65,8 @@
 bool Upstream::isAccepting(TimePoint now) const
 {
     const std::scoped_lock lock(m_mutex);
-    return m_hasReported && m_report.isAccepting && m_member.state == MemberState::Live
-           && now - m_reportedAt < reportLifetime();
+    return m_report.isAccepting && m_member.state == MemberState::Live
+           && m_heartbeats.isAnswering(now, reportLifetime());
 }
 
 std::string Upstream::incarnation() const
--- a/Services/radishplankd/Fleet/Upstream.h
+++ b/Services/radishplankd/Fleet/Upstream.h
@@ -18,6 +18,8 @@
     [[nodiscard]] Distance distance() const { return m_distance; }
     [[nodiscard]] std::uint64_t idHash() const { return m_idHash; }
 
+    /// Notes that a heartbeat is sent, or has failed.
+    void noteHeartbeat(TimePoint now);
     void noteReport(const LoadReport &report, TimePoint now);
     /// Returns how long to wait before the next heartbeat: shorter while it is used.
     Milliseconds nextHeartbeat(TimePoint now);
@@ -47,8 +49,7 @@
 
     mutable std::mutex m_mutex;
     LoadReport m_report;
-    TimePoint m_reportedAt{};
-    bool m_hasReported = false;
+    HeartbeatRecord m_heartbeats;
     TimePoint m_usedAt;
     bool m_isWatchedSlowly = false;
     std::uint32_t m_sentSinceReport = 0;
--- a/Tests/Integration/TestSharedState.cpp
+++ b/Tests/Integration/TestSharedState.cpp
@@ -105,6 +105,18 @@
             CHECK(eventually([&] { return revision(deployment, entry) >= after; }));
         CHECK(servedEverywhere("new"));
     }
+    SECTION("A process that wakes up answers the calls that came meanwhile")
+    {
+        deployment.waitForUpstreams("entry2", 1);
+        deployment.entry("entry2").process->freeze();
+        std::vector<RunningCall> calls;
+        for (int call = 0; call < 8; ++call)
+            calls.push_back(deployment.start("entry2", completion("while asleep", 2)));
+        std::this_thread::sleep_for(std::chrono::seconds(5));
+        deployment.entry("entry2").process->thaw();
+        for (auto &call : calls)
+            CHECK(wholeText(call.answer.get()) == expectedText("while asleep", 2));
+    }
     SECTION("A process frozen for a minute catches up with all that has changed meanwhile")
     {
         deployment.entry("entry2").process->freeze();
