RetryBudget: Let streams of lost upstreams go on wherever a slot is free

Cause: 200 streams over three upstreams with room for all, two of them lost at once: 39 arrived whole, because the reserve of 20 retries, meant against overload, also stopped streams that only needed to go on elsewhere. A retry that finds a free slot displaces nobody; the budget now bounds only the others.

--- a/Libraries/Serving/RetryBudget.cpp
+++ b/Libraries/Serving/RetryBudget.cpp
@@ -17,8 +17,10 @@
     m_available = std::min(m_reserve, m_available + m_share);
 }
 
-bool RetryBudget::takeRetry()
+bool RetryBudget::takeRetry(RetryRoom room)
 {
+    if (room == RetryRoom::Free)
+        return true;
     const std::scoped_lock lock(m_mutex);
     if (m_available < 1)
         return false;
--- a/Libraries/Serving/RetryBudget.h
+++ b/Libraries/Serving/RetryBudget.h
@@ -4,7 +4,14 @@
 
 namespace Radishplank {
 
-/// Bounds retries to a share of the successes, so that an outage is not amplified. Thread-safe.
+/// Whether the upstream that a retry would go to has a free slot.
+enum class RetryRoom { Free, Full };
+
+/// Bounds retries, so that an outage is not amplified. Thread-safe.
+///
+/// The load it answers: upstreams that are lost leave their calls to the others. Those that find a
+/// free slot go on there, since nobody waits for it; beyond that, retries displace first attempts
+/// and are bounded to a share of the successes.
 class RetryBudget
 {
 public:
@@ -12,8 +19,8 @@
     RetryBudget(double share, double reserve);
 
     void noteSuccess();
-    /// Takes one retry from the budget; false if none is left.
-    [[nodiscard]] bool takeRetry();
+    /// Returns whether a call may be tried again; takes it from the budget where no slot is free.
+    [[nodiscard]] bool takeRetry(RetryRoom room);
     [[nodiscard]] double available() const;
 
 private:
--- a/Libraries/Serving/Router.cpp
+++ b/Libraries/Serving/Router.cpp
@@ -17,11 +17,6 @@
     return static_cast<double>(candidate.onlineLoad) / static_cast<double>(candidate.slots);
 }
 
-bool hasRoom(const Candidate &candidate)
-{
-    return candidate.onlineLoad < candidate.slots;
-}
-
 Indices eligible(std::span<const Candidate> candidates)
 {
     Indices indices;
@@ -39,7 +34,7 @@
     for (const auto distance : {Distance::SameZone, Distance::SameRegion, Distance::OtherRegion}) {
         Indices tier;
         for (const auto index : indices) {
-            if (candidates[index].distance == distance && hasRoom(candidates[index]))
+            if (candidates[index].distance == distance && candidates[index].hasRoom())
                 tier.push_back(index);
         }
         if (!tier.empty())
@@ -104,7 +99,7 @@
     const auto tier = nearestWithRoom(candidates, all);
     if (prefixKey != 0) {
         const auto warm = rendezvousChoice(candidates, tier, prefixKey);
-        if (hasRoom(candidates[warm]) && isWithinShare(candidates, tier, warm))
+        if (candidates[warm].hasRoom() && isWithinShare(candidates, tier, warm))
             return warm;
     }
     return lessLoadedOfTwo(candidates, tier, random);
--- a/Libraries/Serving/Router.h
+++ b/Libraries/Serving/Router.h
@@ -20,6 +20,8 @@
     /// Online streams: those last reported, and those sent since.
     std::uint32_t onlineLoad = 0;
     bool isEligible = true;
+
+    [[nodiscard]] bool hasRoom() const { return onlineLoad < slots; }
 };
 
 enum class RoutingPolicy { Random, RoundRobin, Balanced };
--- a/Services/radishplankd/Entry/CallRunner.cpp
+++ b/Services/radishplankd/Entry/CallRunner.cpp
@@ -52,6 +52,8 @@
                           : UpstreamPointer();
         if (!upstream)
             return refuseExhausted(progress);
+        if (std::exchange(progress.isRetry, false) && !mayRetryAt(*upstream))
+            return refuseLost(spec);
         progress.tried.push_back(upstream->member().id);
         const auto result = attempt(spec, *upstream, sink, progress);
         if (auto answer = judge(spec, result, progress))
@@ -142,9 +144,20 @@
         break;
     }
     progress.mayHaveRun = true;
-    const bool mayRetry = spec.mayRepeat && m_context.retryBudget.takeRetry();
-    if (mayRetry)
-        return {};
+    if (!spec.mayRepeat)
+        return refuseLost(spec);
+    progress.isRetry = true;
+    return {};
+}
+
+bool CallRunner::mayRetryAt(const Upstream &upstream)
+{
+    const auto candidate = upstream.candidate(SteadyClock().now());
+    return m_context.retryBudget.takeRetry(candidate.hasRoom() ? RetryRoom::Free : RetryRoom::Full);
+}
+
+CallResult CallRunner::refuseLost(const CallSpec &spec)
+{
     m_context.metrics.unknownOutcomes.increase();
     auto refused = refusal(502, Outcome::Unknown, "upstream_lost",
                            "the upstream was lost and the call may have run");
--- a/Services/radishplankd/Entry/CallRunner.h
+++ b/Services/radishplankd/Entry/CallRunner.h
@@ -66,6 +66,8 @@
         std::vector<UpstreamId> tried;
         std::uint64_t tokens = 0;
         bool mayHaveRun = false;
+        /// The last attempt was cut off; the next one is a retry.
+        bool isRetry = false;
         bool sawFullQueue = false;
         std::string lastDetail;
     };
@@ -73,6 +75,8 @@
     CallResult runOnUpstreams(const CallSpec &spec, const TokenSink &sink);
     std::optional<CallResult> refuseBarred(const CallSpec &spec, const Progress &progress);
     CallResult refuseExhausted(const Progress &progress);
+    CallResult refuseLost(const CallSpec &spec);
+    [[nodiscard]] bool mayRetryAt(const Upstream &upstream);
     AttemptResult attempt(const CallSpec &spec, Upstream &upstream, const TokenSink &sink,
                           Progress &progress);
     std::optional<CallResult> judge(const CallSpec &spec, const AttemptResult &result,
--- a/Tests/Integration/TestOnlinePromises.cpp
+++ b/Tests/Integration/TestOnlinePromises.cpp
@@ -311,6 +311,36 @@
     }
 }
 
+TEST_CASE("Streams of lost upstreams go on wherever there is room")
+{
+    Deployment deployment;
+    constexpr std::size_t callers = 200;
+    for (const auto *name : {"agent1", "agent2", "agent3"})
+        deployment.addAgent(name, {.slots = callers, .onlineQueue = callers});
+    deployment.addEntry("entry1");
+    deployment.putCatalogue(3);
+    constexpr std::size_t tokens = 400;
+    std::vector<RunningCall> calls;
+    for (std::size_t i = 0; i < callers; ++i)
+        calls.push_back(deployment.start("entry1",
+                                         completion("caller " + std::to_string(i), tokens, true)));
+    REQUIRE(eventually([&] {
+        return std::all_of(calls.begin(), calls.end(),
+                           [](const RunningCall &call) { return *call.bytes > 0; });
+    }));
+    deployment.agent("agent1").process->kill();
+    deployment.agent("agent2").process->freeze();
+    std::size_t whole = 0;
+    for (std::size_t i = 0; i < callers; ++i) {
+        const auto text = streamedText(calls[i].answer.get().body);
+        const auto expected = expectedText("caller " + std::to_string(i), tokens);
+        CHECK(expected.starts_with(text));
+        whole += text == expected ? 1 : 0;
+    }
+    CHECK(whole >= callers * 98 / 100);
+    deployment.agent("agent2").process->thaw();
+}
+
 TEST_CASE("A request that crashes upstreams is stopped after two, and innocents are answered")
 {
     Deployment deployment;
