--- a/Libraries/Batch/JobLog.h
+++ b/Libraries/Batch/JobLog.h
@@ -134,6 +134,18 @@
         return {};
     }
 
+    /// Returns what keeps up with the ends of all jobs, whoever ends them.
+    ObjectMirror<Store, Pause> mirrorEnds(MirrorPace pace, MirrorHandler handler) const
+    {
+        return {m_store, m_kinds.ends, pace, std::move(handler)};
+    }
+
+    /// Returns the name of the job that an object of mirrorEnds() is the end of.
+    [[nodiscard]] std::string endedJobOf(const StoredObject &object) const
+    {
+        return object.key.substr(m_kinds.ends.size());
+    }
+
     /// Makes another process the owner; Conflict if the job has changed since it was read.
     Result<Version> takeOver(LoadedJob &loaded, const NodeId &owner)
     {
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -56,6 +56,7 @@
     JobService(JobServiceContext context, JobLog<Store, Pause> log)
         : m_context(std::move(context))
         , m_log(std::move(log))
+        , m_endsMirror(makeEndsMirror())
     {
     }
 
@@ -66,6 +67,7 @@
                 = [this](const PeerReport &report, bool isNews) { takeReport(report, isNews); };
         m_context.threads.spawnOn(0, [this] { dispatchLoop(); });
         m_context.threads.spawnOn(0, [this] { recoveryLoop(); });
+        m_context.threads.spawnOn(0, [this] { m_endsMirror.run(); });
     }
 
     /// No further job is taken and no item started; those that run go on.
@@ -136,13 +138,13 @@
         return bodyOf(job->stored.job, item);
     }
 
-    /// Ends a job, whoever owns it: the owner hears of it from this process, or from the store.
+    /// Ends a job, whoever owns it. The owner hears of it from this process, or from one that
+    /// watches the store.
     Result<void> end(const std::string &id)
     {
-        stopEnded(id);
         TRY(m_log.end(id));
-        m_ended.push_back({id, SteadyClock().now()});
-        m_context.link.announceJobs();
+        stopEnded(id);
+        tellEnded(id);
         return {};
     }
 
@@ -185,6 +187,12 @@
     static constexpr Milliseconds settleTime{12'000};
     /// Ends of jobs are told to peers for so long.
     static constexpr Milliseconds endedToldTime{6'000};
+    /// Bounds the size of a report; the oldest ends have been told several times by then.
+    static constexpr std::size_t maxEndedTold = 200;
+    /// A job that is taken over is read, written and adopted within this time.
+    static constexpr Milliseconds endedMemory{30'000};
+    /// Items of an ended job must stop within 3 s; watching and telling takes two intervals.
+    static constexpr Milliseconds endsWatchInterval{300};
     /// Items of services without room that are passed over in one turn.
     static constexpr std::size_t maxPassedOver = 64;
 
@@ -229,6 +237,8 @@
         job->stored = std::move(loaded);
         job->progress.resize(job->stored.job.items.size());
         m_jobs[id] = job;
+        // The end may have been written after the job was read.
+        job->stored.isEnded |= m_recentEnds.contains(id);
         if (!job->stored.isEnded) {
             m_queue.add(id, job->stored.job.items.size(), limitsOf(job->stored.job));
             for (std::size_t i = 0; i < job->stored.job.items.size(); ++i) {
@@ -538,8 +548,46 @@
             stop->cancellation.cancel();
     }
 
+    ObjectMirror<Store, Pause> makeEndsMirror()
+    {
+        MirrorPace pace;
+        pace.watchInterval = endsWatchInterval;
+        MirrorHandler handler;
+        handler.onList = [this](const std::vector<StoredObject> &objects, Version) {
+            for (const auto &object : objects)
+                takeStoredEnd(object);
+        };
+        handler.onChange = [this](const ObjectChange &change) {
+            if (change.isRemoval)
+                m_storedEnds.erase(m_log.endedJobOf(change.object));
+            else
+                takeStoredEnd(change.object);
+        };
+        handler.isWanted = [this] { return m_context.peers.shouldWatch(SteadyClock().now()); };
+        return m_log.mirrorEnds(pace, std::move(handler));
+    }
+
+    /// The process that wrote the end may be gone before its report has reached the job's owner.
+    void takeStoredEnd(const StoredObject &object)
+    {
+        const auto id = m_log.endedJobOf(object);
+        if (!m_storedEnds.insert(id).second)
+            return;
+        stopEnded(id);
+        tellEnded(id);
+    }
+
+    void tellEnded(const std::string &id)
+    {
+        m_ended.push_back({id, SteadyClock().now()});
+        if (m_ended.size() > maxEndedTold)
+            m_ended.pop_front();
+        m_context.link.announceJobs();
+    }
+
     void stopEnded(const std::string &id)
     {
+        m_recentEnds[id] = SteadyClock().now();
         const auto job = find(id);
         if (!job || job->stored.isEnded)
             return;
@@ -551,6 +599,12 @@
         job->changed.notify_all();
     }
 
+    void forgetOldEnds()
+    {
+        const auto oldest = SteadyClock().now() - endedMemory;
+        std::erase_if(m_recentEnds, [&](const auto &end) { return end.second < oldest; });
+    }
+
     void forgetOldJobs()
     {
         const auto oldest = unixMilliseconds() - m_context.retention.count();
@@ -607,6 +661,7 @@
         recover();
         while (true) {
             boost::this_fiber::sleep_for(recoveryCheckInterval);
+            forgetOldEnds();
             settleDisputes();
             takeUpUnsettled();
             const auto silent = m_context.peers.takeSilent(SteadyClock().now());
@@ -704,9 +759,15 @@
 
     const JobServiceContext m_context;
     JobLog<Store, Pause> m_log;
+    ObjectMirror<Store, Pause> m_endsMirror;
     JobQueue m_queue;
     std::unordered_map<std::string, JobPointer> m_jobs;
+    /// What peers are told.
     std::deque<EndedJob> m_ended;
+    /// Ends that the store has, as far as this process has watched it.
+    std::set<std::string> m_storedEnds;
+    /// Ends heard of lately, and when.
+    std::unordered_map<std::string, TimePoint> m_recentEnds;
     std::set<std::string> m_disputed;
     /// Jobs whose submission was in doubt, and until when it stays so.
     std::map<std::string, TimePoint> m_unsettled;
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -238,5 +238,10 @@
         const auto loaded = second.on([&] { return second.service.load("job1"); });
         REQUIRE_FALSE(loaded.isError());
         CHECK(loaded.value().isEnded);
+
+        SECTION("The owner learns it from the store, though nobody tells it")
+        {
+            CHECK(entry.eventually([&] { return entry.metrics.jobsEnded.value() == 1; }));
+        }
     }
 }
