--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -157,6 +157,11 @@
     return report;
 }
 
+void PeerLink::setSeeds(std::vector<Endpoint> seeds)
+{
+    m_threads.spawnOn(0, [this, seeds = std::move(seeds)] { m_settings.seeds = seeds; });
+}
+
 void PeerLink::announceLeaving()
 {
     m_threads.spawnOn(0, [this] {
--- a/Libraries/Gateway/PeerLink.h
+++ b/Libraries/Gateway/PeerLink.h
@@ -42,6 +42,8 @@
     void announceJobs() { m_mustSendJobs = true; }
     /// Sends a full report soon, because this process knows more of the fleet.
     void announceFleet() { m_mustSendJobs = true; }
+    /// Replaces the peers to report to before the list of members is known.
+    void setSeeds(std::vector<Endpoint> seeds);
     /// Tells the peers that this process is about to end.
     void announceLeaving();
 
@@ -57,7 +59,7 @@
     FiberThreads &m_threads;
     PeerTable &m_peers;
     UpstreamTable &m_upstreams;
-    const PeerLinkSettings m_settings;
+    PeerLinkSettings m_settings;
     boost::asio::ip::udp::socket m_socket;
     std::map<Endpoint, TimePoint> m_sentAt;
     TimePoint m_jobsSentAt{};
--- a/Tests/Platform/PlatformDeployment.cpp
+++ b/Tests/Platform/PlatformDeployment.cpp
@@ -14,7 +14,6 @@
 constexpr std::uint16_t callerPort = 21'361;
 constexpr std::uint16_t readyPort = 21'362;
 constexpr std::uint16_t controlPort = 21'363;
-constexpr std::uint16_t peerPort = 21'364;
 
 /// Loopback addresses that no other test program uses at the same time.
 std::string addressBase()
@@ -67,9 +66,20 @@
 
 void PlatformDeployment::registerServer(ServerStandin &server, const std::string &state)
 {
-    store.write("servers", server.id(),
+    registerAt(server.id(), server.endpoint(), state);
+}
+
+std::string PlatformDeployment::freeAddress() const
+{
+    return addressBase() + "90";
+}
+
+void PlatformDeployment::registerAt(const std::string &id, const Endpoint &endpoint,
+                                    const std::string &state)
+{
+    store.write("servers", id,
                 json::object{{"service", "assist"},
-                             {"address", server.endpoint().text()},
+                             {"address", endpoint.text()},
                              {"zone", "north-a"},
                              {"version", "v1"},
                              {"slots", 4},
--- a/Tests/Platform/PlatformDeployment.h
+++ b/Tests/Platform/PlatformDeployment.h
@@ -24,6 +24,10 @@
 
     /// Starts a server and registers it.
     ServerStandin &addServer(const std::string &id);
+    /// Registers a server that a test runs by itself.
+    void registerAt(const std::string &id, const Endpoint &endpoint, const std::string &state);
+    /// An address for such a server.
+    [[nodiscard]] std::string freeAddress() const;
     /// Writes a server's entry again, for instance as draining.
     void registerServer(ServerStandin &server, const std::string &state);
     /// Writes a configuration with a resumable, a plain and a batch route.
@@ -48,6 +52,8 @@
                                       std::size_t count);
 
     static constexpr const char *host = "shop.example";
+    /// Where entry processes take each other's datagrams.
+    static constexpr std::uint16_t peerPort = 21'364;
 
 private:
     [[nodiscard]] std::string addressOf(const std::string &name) const;
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -1,5 +1,6 @@
 #include <ConfigurationDecoder.h>
 #include <JobCodec.h>
+#include <LiveSettings.h>
 #include <UpstreamDecoder.h>
 
 #include <catch2/catch.hpp>
@@ -124,3 +125,33 @@
           == R"({"total":3,"next":3,"results":[{"id":"x","state":"completed","output":"one\ntwo"},)"
              R"({"id":"y","state":"dead_letter","output":""}]})");
 }
+
+TEST_CASE("Settings that may change are read from the platform's file", "[Decoders]")
+{
+    const LiveSettings current{{{"10.0.0.1", 5}}, 8};
+    const auto parse = [&](const std::string &text) { return parseLiveSettings(text, current); };
+
+    SECTION("What the file does not name stays")
+    {
+        const auto settings = parse(R"({"node_name":"x","bounds":{}})");
+        REQUIRE_FALSE(settings.isError());
+        CHECK(settings.value() == current);
+        CHECK(changedSettings(current, settings.value()) == "nothing");
+    }
+    SECTION("What it names is taken")
+    {
+        const auto settings
+                = parse(R"({"seeds":["10.0.0.2:6","10.0.0.3:6"],"bounds":{"grace_s":5.5}})");
+        REQUIRE_FALSE(settings.isError());
+        CHECK(settings.value().seeds.size() == 2);
+        CHECK(settings.value().stopTime == 5.5);
+        CHECK(changedSettings(current, settings.value()) == "seeds stop-time");
+    }
+    SECTION("Nothing is taken of a file with a mistake")
+    {
+        for (const auto *text :
+             {"", "[]", R"({"seeds":7})", R"({"seeds":[7]})", R"({"seeds":["10.0.0.2"]})",
+              R"({"bounds":{"grace_s":"8"}})", R"({"bounds":{"grace_s":-1}})"})
+            CHECK(parse(text).isError());
+    }
+}
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -1,9 +1,13 @@
 #include "PlatformDeployment.h"
 
 #include <Gateway/CallForwarder.h>
+#include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <set>
+#include <unistd.h>
 
 using namespace Radishplank;
 using namespace Radishplank::Test;
@@ -265,6 +269,52 @@
     }
 }
 
+TEST_CASE("An entry process takes over settings at SIGHUP", "[Platform]")
+{
+    PlatformDeployment deployment;
+    auto &server = deployment.addServer("i-1");
+    deployment.writeConfiguration(1);
+    const auto file = std::filesystem::temp_directory_path()
+                      / ("radishplank-settings-" + std::to_string(::getpid()));
+    auto &entry = deployment.startEntry("entry1", {"--settings=" + file.string()});
+    deployment.waitUntilReady("entry1");
+    const auto reload = [&](const std::string &text) {
+        std::ofstream(file) << text;
+        entry.signal(SIGHUP);
+    };
+    const auto logs = [&](const std::string &text) {
+        return eventually([&] { return entry.logText().find(text) != std::string::npos; });
+    };
+
+    SECTION("It reports to a seed that is new")
+    {
+        boost::asio::io_context context;
+        auto address = server.endpoint().address;
+        address.replace(address.rfind('.') + 1, std::string::npos, "201");
+        boost::asio::ip::udp::socket peer(
+                context, {boost::asio::ip::make_address(address), PlatformDeployment::peerPort});
+        reload(R"({"seeds":[")" + address + R"(:1"],"bounds":{"grace_s":8},"news":[]})");
+        std::string datagram(65'000, '\0');
+        CHECK(peer.receive(boost::asio::buffer(datagram)) > 0);
+        CHECK(logs("seeds"));
+    }
+    SECTION("A file that cannot be used changes nothing")
+    {
+        reload(R"({"seeds":["nowhere"]})");
+        CHECK(logs("settings-unreadable"));
+        reload("{");
+        CHECK(deployment.post("entry1", "/plain/x", "hello", "a1").status == 200);
+    }
+    SECTION("Nor does one that is gone")
+    {
+        std::filesystem::remove(file);
+        entry.signal(SIGHUP);
+        CHECK(logs("cannot be opened"));
+        CHECK(deployment.post("entry1", "/plain/x", "hello", "a1").status == 200);
+    }
+    std::filesystem::remove(file);
+}
+
 TEST_CASE("A process that is told to stop finishes what it has", "[Platform]")
 {
     PlatformDeployment deployment;
