Tests: Show that spoilt answers of servers reach no caller as whole ones

The stand-in of a server could break off, refuse and lose answers; this one sends bytes that are no answer, that belong to another request, or that end early.

--- /dev/null
+++ b/Tests/Platform/SpoiltServer.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <Core/Core.h>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <string>
+#include <thread>
+
+namespace Radishplank::Test {
+
+/// A faulty model server: it answers with bytes that a test has chosen, whether they are an answer
+/// in the protocol or not.
+class SpoiltServer
+{
+public:
+    /// What is sent for a request, given the value of its X-Attempt-Id.
+    using Script = std::function<std::string(const std::string &attempt)>;
+
+    SpoiltServer(const std::string &address, Script script);
+    ~SpoiltServer();
+
+    [[nodiscard]] Endpoint endpoint() const { return m_endpoint; }
+    [[nodiscard]] unsigned requests() const { return m_requests; }
+
+private:
+    void acceptLoop();
+    void serve(boost::asio::ip::tcp::socket socket);
+
+    const Script m_script;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    const Endpoint m_endpoint;
+    std::atomic<unsigned> m_requests{0};
+    std::atomic<bool> m_isStopping{false};
+    std::thread m_thread;
+};
+
+} // namespace Radishplank::Test
