--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -42,8 +42,8 @@
         "if (!spec.mayRepeat && key == \"never\")",
         "TestIntegration", "A call that must not be repeated runs once*"),
     "no retry of unknown fates": (
-        DAEMON + "Entry/CallRunner.cpp", "const bool mayRetry = spec.mayRepeat && ",
-        "const bool mayRetry = ",
+        DAEMON + "Entry/CallRunner.cpp", "    if (!spec.mayRepeat)\n        return refuseLost(spec);\n    progress",
+        "    progress",
         "TestIntegration", "A call that must not be repeated runs once*"),
     "reading on at a silent connection": (
         DAEMON + "Entry/AttemptClient.cpp", "constexpr int maxReattachments = 2;",
@@ -200,6 +200,70 @@
         DAEMON + "Agent/EngineOrders.cpp", "    if (fencing < m_highestFencing)",
         "    if (fencing < 0)",
         "TestIntegration", "Orders to an engine*"),
+    "time asleep counts for nothing": (
+        "Libraries/Serving/HeartbeatRecord.cpp", "return gap > m_longestGap ? gap : Duration::zero();",
+        "return gap < Duration::zero() ? gap : Duration::zero();",
+        "TestServing", "A process is taken for silent*"),
+    "answering calls that came while asleep": (
+        "Libraries/Serving/HeartbeatRecord.cpp", "return gap > m_longestGap ? gap : Duration::zero();",
+        "return gap < Duration::zero() ? gap : Duration::zero();",
+        "TestIntegration", "A catalogue change comes into force*"),
+    "retries into free slots": (
+        "Libraries/Serving/RetryBudget.cpp", "    if (room == RetryRoom::Free)\n        return true;\n",
+        "    (void)room;\n",
+        "TestIntegration", "Streams of lost upstreams go on*"),
+    "budget of retries": (
+        "Libraries/Serving/RetryBudget.cpp", "    if (m_available < 1)\n        return false;\n", "",
+        "TestServing", "Retries go on where there is room*"),
+    "looking for ends in the store": (
+        "Libraries/Gateway/JobService.h", "m_endsMirror.run(); }", "(void)m_endsMirror; }",
+        "TestGateway", "A job belongs to the process*"),
+    "looking for jobs in doubt": (
+        "Libraries/Gateway/JobService.h", "                m_unsettled[job.id] = ",
+        "                (void)",
+        "TestGateway", "A job belongs to the process*"),
+    "dropping results that a successor has written": (
+        "Libraries/Gateway/JobService.h", "            if (!hasResult(*job, result.item))\n", "",
+        "TestGateway", "A job belongs to the process*"),
+    "what may have run is not sent again": (
+        "Libraries/Gateway/RelayCall.cpp",
+        "    return m_call.route->mayRunAgain() && m_runs < m_call.route->maxUpstreams",
+        "    return m_runs < 2",
+        "TestPlatform", "Streams pass through*"),
+    "resuming a stream after its last event": (
+        "Libraries/Gateway/RelayCall.cpp", "        if (event.id)\n            m_lastEvent = event.id;\n",
+        "",
+        "TestPlatform", "Streams pass through*"),
+    "nothing for draining servers": (
+        "Libraries/Gateway/UpstreamTable.cpp", "state.info.isDraining || ", "",
+        "TestPlatform", "Streams pass through*"),
+    "peers are told what the store says": (
+        "platform/FleetSync.cpp",
+        "    // Peers are told what the store says; whether they mistrust it as well is up to them.\n"
+        "    m_objects.erase(id);\n", "",
+        "TestPlatform", "Entry processes learn from each other"),
+    "a peer makes the calls": (
+        "platform/PlatformObjectStore.cpp", "m_isReachable || !findProxy ?",
+        "m_isReachable || findProxy ?",
+        "TestPlatform", "Entry processes learn from each other"),
+    "looking at a write without an answer": (
+        "platform/PlatformObjectStore.cpp", "    boost::this_fiber::sleep_for(lateWriteTime);",
+        "    boost::this_fiber::sleep_for(std::chrono::hours(1));",
+        "TestPlatform", "Batch jobs are run, whichever process is asked"),
+    "routes never go back": (
+        "Libraries/Gateway/RouteTable.cpp", "    if (table->version() <= version())",
+        "    if (table->version() == version())",
+        "TestGateway", "A directory never goes back*"),
+    "answers to earlier calls are passed over": (
+        "Libraries/Net/HttpClient.cpp", "        return match.header.empty()\n",
+        "        return true || match.header.empty()\n",
+        "TestNet", "An answer belongs to the call*"),
+    "settings taken over at SIGHUP": (
+        "platform/EntryProgram.cpp", "    link.setSeeds(settings.seeds);\n", "    (void)link;\n",
+        "TestPlatform", "An entry process takes over settings*"),
+    "budget of log lines": (
+        "Libraries/Core/LogBudget.cpp", "    if (bucket.lines < 1) {", "    if (bucket.lines < -1e9) {",
+        "TestLog", "Each event has a budget of lines"),
 }
 
 
