JobService: Let one fiber at a time read or write a job's results

While the reading waits for the store, a result can be written and told; the older state that was read then replaced it, for good if no further result followed. Ruled out: a reader that is not the owner (it reads the store), a segment numbered twice (each number is created once).

The test claims a job, and lets a result be written while the store's answer is on its way.

--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -436,11 +436,19 @@
             return;
         settle(*job, item);
         job->pending.push_back({id, state, std::move(output)});
-        if (job->isWriting)
-            return;
+        if (!job->isWriting)
+            spawnWriter(job);
+    }
+
+    /// Starts the one fiber that writes results of the job, and reads the job again first if its
+    /// owner is in doubt: what is read while another fiber writes would lack what that has written.
+    void spawnWriter(const JobPointer &job, bool mustReload = false)
+    {
         job->isWriting = true;
         m_writers += 1;
-        m_context.threads.spawnOn(0, [this, job] {
+        m_context.threads.spawnOn(0, [this, job, mustReload] {
+            if (mustReload)
+                reload(job, {});
             writeResults(job);
             job->isWriting = false;
             m_writers -= 1;
@@ -679,7 +687,7 @@
         for (const auto &id : disputed) {
             const auto job = find(id);
             if (job && !job->isWriting)
-                reload(job, {});
+                spawnWriter(job, true);
         }
     }
 
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -230,6 +230,41 @@
             CHECK(memory.get("radishplank-results/job1.1").isError());
         }
     }
+    SECTION("A peer claims it, and a result is written while the job is read again")
+    {
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(1)); }).isError());
+        bool isReading = false;
+        PeerReport claim;
+        claim.node = NodeId("entry2");
+        claim.ownedJobs = {jobHash("job1")};
+        entry.on([&] {
+            // The end of a job is read last, after its results.
+            entry.store.beforeGet = [&](std::string_view key) {
+                if (!key.starts_with("radishplank-job-ends/"))
+                    return;
+                isReading = true;
+                boost::this_fiber::sleep_for(Milliseconds(600));
+            };
+            entry.link.onReport(claim, false);
+            return true;
+        });
+        REQUIRE(entry.eventually([&] { return isReading; }));
+        UpstreamStandin upstream;
+        entry.upstreams.put(upstream.info());
+        REQUIRE(entry.eventually([&] { return entry.metrics.resultSegments.value() == 1; }));
+
+        SECTION("It is still told afterwards")
+        {
+            entry.on([] {
+                boost::this_fiber::sleep_for(Milliseconds(1'000));
+                return true;
+            });
+            const auto page
+                    = entry.on([&] { return entry.service.read("job1", 0, Milliseconds(0)); });
+            REQUIRE_FALSE(page.isError());
+            CHECK(page.value().results.size() == 1);
+        }
+    }
     SECTION("It is ended at another process")
     {
         REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(2)); }).isError());
--- a/Tests/Store/FaultyStore.h
+++ b/Tests/Store/FaultyStore.h
@@ -20,10 +20,13 @@
 
     /// Decides the fault of each call; called before it.
     std::function<Fault()> nextFault = [] { return Fault::None; };
+    /// Called before each read of one object.
+    std::function<void(std::string_view key)> beforeGet = [](std::string_view) {};
     std::size_t writes = 0;
 
     Result<StoredObject> get(std::string_view key)
     {
+        beforeGet(key);
         if (nextFault() != Fault::None)
             return unavailable();
         return m_store.get(key);
