JobService: Start batch items by shares of the room, not by what each process sees free

Cause of late online calls after bursts of jobs: all entry processes see the same free slots, each filled them, and the upstreams' queues were full of batch items that the calls then waited behind; preempted items went straight back into the crush.

Each process now takes its part of the room by its share of all waiting items, half of it in a turn of 60 ms, at upstreams drawn in proportion to their room; what online calls take before batch gives way is left free. Reports tell what waits.

--- a/Libraries/Batch/JobQueue.cpp
+++ b/Libraries/Batch/JobQueue.cpp
@@ -127,12 +127,22 @@
 std::size_t JobQueue::waiting() const
 {
     std::size_t count = 0;
-    for (const auto &[name, job] : m_jobs) {
-        count += static_cast<std::size_t>(
-                std::count_if(job.items.begin(), job.items.end(),
-                              [](const Item &item) { return !item.isRunning && !item.isSettled; }));
-    }
+    for (const auto &[name, job] : m_jobs)
+        count += waitingItems(job);
     return count;
 }
 
+std::size_t JobQueue::waitingOf(const std::string &job) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? 0 : waitingItems(found->second);
+}
+
+std::size_t JobQueue::waitingItems(const Job &job)
+{
+    return static_cast<std::size_t>(
+            std::count_if(job.items.begin(), job.items.end(),
+                          [](const Item &item) { return !item.isRunning && !item.isSettled; }));
+}
+
 } // namespace Radishplank
--- a/Libraries/Batch/JobQueue.h
+++ b/Libraries/Batch/JobQueue.h
@@ -64,6 +64,8 @@
     std::vector<ItemKey> takeExpired(TimePoint now);
 
     [[nodiscard]] std::size_t waiting() const;
+    /// Returns how many items of a job neither run nor are settled.
+    [[nodiscard]] std::size_t waitingOf(const std::string &job) const;
     [[nodiscard]] bool contains(const std::string &job) const { return m_jobs.contains(job); }
 
 private:
@@ -84,6 +86,8 @@
 
     Item *find(const ItemKey &item);
 
+    [[nodiscard]] static std::size_t waitingItems(const Job &job);
+
     std::map<std::string, Job> m_jobs;
 };
 
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -11,6 +11,7 @@
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
+#include <cmath>
 #include <deque>
 #include <memory>
 #include <set>
@@ -63,6 +64,12 @@
     void start()
     {
         m_context.link.describeJobs = [this](PeerReport &report) { describeJobs(report); };
+        m_context.link.describeWaiting = [this](PeerReport &report) {
+            for (const auto &[service, items] : waitingByService()) {
+                report.waiting.push_back(
+                        {serviceHash(service), static_cast<std::uint32_t>(std::ceil(items))});
+            }
+        };
         m_context.link.onReport
                 = [this](const PeerReport &report, bool isNews) { takeReport(report, isNews); };
         m_context.threads.spawnOn(0, [this] { dispatchLoop(); });
@@ -182,6 +189,8 @@
     static constexpr Milliseconds storeRetryPause{200};
     static constexpr Milliseconds busyDispatchInterval{20};
     static constexpr Milliseconds idleDispatchInterval{200};
+    /// What peers of the region have started is known by the next turn; see PeerLink.
+    static constexpr Milliseconds turnInterval{60};
     static constexpr Milliseconds recoveryCheckInterval{500};
     /// A write without an answer may still take effect some seconds later.
     static constexpr Milliseconds settleTime{12'000};
@@ -304,17 +313,51 @@
                 m_context.upstreams.yieldOverfull();
             for (const auto &item : m_queue.takeExpired(SteadyClock().now()))
                 giveUp(item, "its time is over");
-            if (!m_isDraining)
-                startItems();
+            takeTurn();
             forgetOldJobs();
         }
     }
 
-    void startItems()
+    /// Starts this process's part of what all processes may start.
+    void takeTurn()
+    {
+        const auto now = SteadyClock().now();
+        if (m_isDraining || now < m_nextTurn)
+            return;
+        m_nextTurn = now + turnInterval;
+        std::map<std::string, std::size_t> quotas;
+        for (const auto &[service, items] : waitingByService()) {
+            if (const auto quota = m_context.upstreams.batchTurn(service, items); quota > 0)
+                quotas[service] = quota;
+        }
+        startItems(std::move(quotas));
+    }
+
+    /// Returns how many items wait for each service; those of a route that divides its calls count
+    /// by its weights.
+    [[nodiscard]] std::map<std::string, double> waitingByService() const
+    {
+        std::map<std::string, double> result;
+        for (const auto &[id, job] : m_jobs) {
+            const auto items = static_cast<double>(m_queue.waitingOf(id));
+            if (items == 0)
+                continue;
+            const auto route = m_context.routes.find(job->stored.job.host, job->stored.job.path);
+            if (!route)
+                continue;
+            double whole = 0;
+            for (const auto &service : route->services)
+                whole += service.weight;
+            for (const auto &service : route->services)
+                result[service.name] += items * service.weight / std::max(whole, 1.0);
+        }
+        return result;
+    }
+
+    void startItems(std::map<std::string, std::size_t> quotas)
     {
         std::vector<ItemKey> passedOver;
-        std::set<std::string> servicesWithoutRoom;
-        while (passedOver.size() < maxPassedOver) {
+        while (passedOver.size() < maxPassedOver && !quotas.empty()) {
             const auto item = m_queue.takeNext(SteadyClock().now());
             if (!item)
                 break;
@@ -329,16 +372,16 @@
             }
             const double draw = std::uniform_real_distribution<double>(0, 1)(threadRandomEngine());
             const auto &service = chooseService(*route, draw);
-            auto place = servicesWithoutRoom.contains(service)
-                                 ? UpstreamTable::PlacePointer()
-                                 : m_context.upstreams.takeBatch(service, reservedSlots);
+            const auto quota = quotas.find(service);
+            auto place = quota == quotas.end() ? UpstreamTable::PlacePointer()
+                                               : m_context.upstreams.takeBatch(service);
             if (!place) {
                 passedOver.push_back(*item);
-                if (servicesWithoutRoom.insert(service).second && route->services.size() == 1
-                    && m_jobs.size() == 1)
-                    break;
+                quotas.erase(service);
                 continue;
             }
+            if (--quota->second == 0)
+                quotas.erase(quota);
             startItem(job, *item, std::move(place));
         }
         for (const auto &item : passedOver)
@@ -763,8 +806,6 @@
             m_mustRecover = true;
     }
 
-    static constexpr unsigned reservedSlots = 0;
-
     const JobServiceContext m_context;
     JobLog<Store, Pause> m_log;
     ObjectMirror<Store, Pause> m_endsMirror;
@@ -780,6 +821,7 @@
     /// Jobs whose submission was in doubt, and until when it stays so.
     std::map<std::string, TimePoint> m_unsettled;
     bool m_mustRecover = false;
+    TimePoint m_nextTurn{};
     /// Read by the thread that ends the process.
     std::atomic<std::size_t> m_runningItems{0};
     std::atomic<std::size_t> m_writers{0};
--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -80,7 +80,10 @@
     std::map<std::uint64_t, UpstreamLoad> loads;
     for (const auto &load : report.loads)
         loads[load.upstream] = {load.online, load.batch};
-    m_upstreams.notePeerLoads(report.node, std::move(loads), now);
+    std::map<std::uint64_t, std::uint32_t> waiting;
+    for (const auto &demand : report.waiting)
+        waiting[demand.service] = demand.items;
+    m_upstreams.notePeerLoads(report.node, std::move(loads), std::move(waiting), now);
     if (onReport)
         onReport(report, isNews);
 }
@@ -154,6 +157,8 @@
         describeFleet(report);
     for (const auto &[id, load] : m_upstreams.ownLoads())
         report.loads.push_back({upstreamHash(id), load.online, load.batch});
+    if (describeWaiting)
+        describeWaiting(report);
     return report;
 }
 
--- a/Libraries/Gateway/PeerLink.h
+++ b/Libraries/Gateway/PeerLink.h
@@ -32,6 +32,8 @@
 
     /// Fills in the jobs of a full report.
     std::function<void(PeerReport &)> describeJobs;
+    /// Fills in how many batch items wait.
+    std::function<void(PeerReport &)> describeWaiting;
     /// Fills in what this process knows of the fleet.
     std::function<void(PeerReport &)> describeFleet;
     /// Called for each report that arrives; `isNews` tells that the peer was not heard lately.
--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -10,6 +10,12 @@
   batch @2 :UInt16;
 }
 
+# Batch items that wait for a slot of a service at one entry process.
+struct ServiceDemand {
+  service @0 :UInt64;    # Hash of the service's name.
+  items @1 :UInt32;
+}
+
 # What an entry process tells its peers, in one datagram. Each report stands for itself.
 struct PeerReport {
   node @0 :Text;
@@ -26,4 +32,5 @@
   upstreamRevision @11 :UInt64;      # Store revision of the sender's list of upstreams,
   upstreamDigest @12 :UInt64;        # and a hash of its content.
   isStoreReachable @13 :Bool;        # Whether the store answered when the sender last called it.
+  waiting @14 :List(ServiceDemand);
 }
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(833c2538e2f6e422);
+CAPNP_DECLARE_SCHEMA(aee4fa194d61b53b);
 CAPNP_DECLARE_SCHEMA(904a47b5c1f7db18);
 
 }  // namespace schemas
@@ -40,6 +41,21 @@
   };
 };
 
+struct ServiceDemand {
+  ServiceDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aee4fa194d61b53b, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerReport {
   PeerReport() = delete;
 
@@ -48,7 +64,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 4, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -143,6 +159,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServiceDemand::Reader {
+public:
+  typedef ServiceDemand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService() const;
+
+  inline  ::uint32_t getItems() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServiceDemand::Builder {
+public:
+  typedef ServiceDemand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
+
+  inline  ::uint32_t getItems();
+  inline void setItems( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceDemand::Pipeline {
+public:
+  typedef ServiceDemand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerReport::Reader {
 public:
   typedef PeerReport Reads;
@@ -194,6 +291,9 @@
 
   inline bool getIsStoreReachable() const;
 
+  inline bool hasWaiting() const;
+  inline  ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getWaiting() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -290,6 +390,13 @@
   inline bool getIsStoreReachable();
   inline void setIsStoreReachable(bool value);
 
+  inline bool hasWaiting();
+  inline  ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder getWaiting();
+  inline void setWaiting( ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder initWaiting(unsigned int size);
+  inline void adoptWaiting(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>> disownWaiting();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -360,6 +467,34 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t ServiceDemand::Reader::getService() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServiceDemand::Builder::getService() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setService( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceDemand::Reader::getItems() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceDemand::Builder::getItems() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setItems( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerReport::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -684,6 +819,40 @@
       ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerReport::Reader::hasWaiting() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasWaiting() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getWaiting() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getWaiting() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setWaiting( ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initWaiting(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptWaiting(
+    ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownWaiting() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -24,6 +24,8 @@
     report.control = {textOf(reader.getControlAddress()), reader.getControlPort()};
     for (const auto load : reader.getLoads())
         report.loads.push_back({load.getUpstream(), load.getOnline(), load.getBatch()});
+    for (const auto demand : reader.getWaiting())
+        report.waiting.push_back({demand.getService(), demand.getItems()});
     report.hasJobs = reader.getHasJobs();
     for (const auto job : reader.getOwnedJobs())
         report.ownedJobs.push_back(job);
@@ -53,6 +55,11 @@
         loads[i].setOnline(static_cast<std::uint16_t>(report.loads[i].online));
         loads[i].setBatch(static_cast<std::uint16_t>(report.loads[i].batch));
     }
+    auto waiting = builder.initWaiting(static_cast<unsigned>(report.waiting.size()));
+    for (unsigned i = 0; i < report.waiting.size(); ++i) {
+        waiting[i].setService(report.waiting[i].service);
+        waiting[i].setItems(report.waiting[i].items);
+    }
     builder.setHasJobs(report.hasJobs);
     auto owned = builder.initOwnedJobs(static_cast<unsigned>(report.ownedJobs.size()));
     for (unsigned i = 0; i < report.ownedJobs.size(); ++i)
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -18,6 +18,14 @@
     unsigned batch = 0;
 };
 
+/// Batch items that wait for a slot of a service at one entry process.
+struct ServiceDemand
+{
+    /// Hash of the service's name, as serviceHash() gives it.
+    std::uint64_t service = 0;
+    std::uint32_t items = 0;
+};
+
 /// Which configuration and which upstreams a process knows.
 struct FleetVersion
 {
@@ -44,6 +52,7 @@
     /// Where the sender takes calls that other entry processes pass on.
     Endpoint control;
     std::vector<UpstreamStreams> loads;
+    std::vector<ServiceDemand> waiting;
     /// The jobs that the sender runs, as hashes of their names; nothing is said if `hasJobs` is
     /// false.
     bool hasJobs = false;
@@ -66,6 +75,10 @@
 {
     return stableHash(id.text());
 }
+[[nodiscard]] inline std::uint64_t serviceHash(const std::string &service)
+{
+    return stableHash(service);
+}
 [[nodiscard]] inline std::uint64_t jobHash(const std::string &job)
 {
     return stableHash(job);
--- a/Libraries/Gateway/PlaceChooser.cpp
+++ b/Libraries/Gateway/PlaceChooser.cpp
@@ -18,6 +18,13 @@
 constexpr double foreignPreemptionCost = 50;
 /// Each stream beside it slows a call a little; a fully used upstream costs this much.
 constexpr double loadCost = 12;
+/// Online calls that arrive before batch has given way, for each that runs: a call holds its slot
+/// for 0.7 s, and batch gives way within 0.1 s.
+constexpr double onlineReserve = 0.15;
+/// Reports from another region are older than four turns.
+constexpr double farRoomPart = 0.25;
+/// Part of the room that is taken in one turn; the rest covers what others take meanwhile.
+constexpr double partOfTurn = 0.5;
 /// Spreads the calls of processes that see the same loads.
 constexpr double spreadCost = 4;
 /// A trial of an upstream that has failed is made only if the others are worse than this.
@@ -72,24 +79,41 @@
     return best;
 }
 
-std::optional<std::size_t> chooseBatchPlace(std::span<const PlaceView> places,
-                                            unsigned reservedSlots, RandomEngine &random)
+double batchRoom(const PlaceView &place)
 {
-    std::optional<std::size_t> best;
-    double bestCost = 0;
+    const unsigned total = place.online + place.batch;
+    if (!place.isTrusted || total >= place.slots)
+        return 0;
+    const double room = place.slots - total - onlineReserve * place.online;
+    const double part = place.distance == Distance::OtherRegion ? farRoomPart : 1;
+    return std::max(0.0, room) * part;
+}
+
+std::optional<std::size_t> chooseBatchPlace(std::span<const PlaceView> places, RandomEngine &random)
+{
+    double whole = 0;
+    for (const auto &place : places)
+        whole += batchRoom(place);
+    double lot = whole * drawFrom(random);
+    std::optional<std::size_t> last;
     for (std::size_t index = 0; index < places.size(); ++index) {
-        const auto &place = places[index];
-        const unsigned total = place.online + place.batch;
-        if (!place.isTrusted || total + reservedSlots >= place.slots)
+        const double room = batchRoom(places[index]);
+        if (room <= 0)
             continue;
-        double cost = distanceCost(place.distance) + spreadCost * drawFrom(random);
-        cost += 10 * loadCost * total / place.slots;
-        if (!best || cost < bestCost) {
-            best = index;
-            bestCost = cost;
-        }
+        last = index;
+        lot -= room;
+        if (lot < 0)
+            break;
     }
-    return best;
+    return last;
+}
+
+std::size_t batchShare(double room, double waiting, double waitingOfAll, double draw)
+{
+    if (waiting <= 0)
+        return 0;
+    const double share = partOfTurn * room * waiting / std::max(waiting, waitingOfAll);
+    return static_cast<std::size_t>(std::min(waiting, share + draw));
 }
 
 } // namespace Radishplank
--- a/Libraries/Gateway/PlaceChooser.h
+++ b/Libraries/Gateway/PlaceChooser.h
@@ -41,9 +41,23 @@
 [[nodiscard]] std::optional<PlaceChoice> chooseOnlinePlace(std::span<const PlaceView> places,
                                                            RandomEngine &random);
 
-/// Chooses the upstream for a batch item: only slots that are free beyond the reserve, the
-/// emptiest upstream first.
-[[nodiscard]] std::optional<std::size_t>
-chooseBatchPlace(std::span<const PlaceView> places, unsigned reservedSlots, RandomEngine &random);
+/// Returns the room of a place for batch items, in slots: those that are free, less what online
+/// calls take before batch has given way to them. Places in other regions count for less, since
+/// what is known of them is older.
+[[nodiscard]] double batchRoom(const PlaceView &place);
+
+/// Chooses the upstream for a batch item by lot, each in proportion to its room, so that processes
+/// that see the same room spread over it.
+[[nodiscard]] std::optional<std::size_t> chooseBatchPlace(std::span<const PlaceView> places,
+                                                          RandomEngine &random);
+
+/// Returns how many of its waiting items a process may start in one turn, `draw` in [0, 1) being
+/// the rounding.
+///
+/// The load it answers: after a burst of jobs all processes see the same free slots. If each took
+/// what it sees, upstreams would be filled several times over, and online calls would wait behind
+/// batch items there. So each takes its part, by its share of all waiting items, and half of that
+/// in a turn; what others have taken is known by the next one.
+[[nodiscard]] std::size_t batchShare(double room, double waiting, double waitingOfAll, double draw);
 
 } // namespace Radishplank
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -162,14 +162,36 @@
     return offer;
 }
 
-UpstreamTable::PlacePointer UpstreamTable::takeBatch(const std::string &service,
-                                                     unsigned reservedSlots)
+double UpstreamTable::peersWaiting(std::uint64_t service, TimePoint now) const
+{
+    double sum = 0;
+    for (const auto &[peer, report] : m_peers) {
+        const auto found = report.waiting.find(service);
+        if (found != report.waiting.end() && now - report.at <= peerLoadLifetime)
+            sum += found->second;
+    }
+    return sum;
+}
+
+std::size_t UpstreamTable::batchTurn(const std::string &service, double waiting)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto now = SteadyClock().now();
+    double room = 0;
+    for (const auto &view : candidates(service, {}, now).views)
+        room += batchRoom(view);
+    auto &random = threadRandomEngine();
+    const double draw = std::uniform_real_distribution<double>(0, 1)(random);
+    return batchShare(room, waiting, waiting + peersWaiting(serviceHash(service), now), draw);
+}
+
+UpstreamTable::PlacePointer UpstreamTable::takeBatch(const std::string &service)
 {
     PlacePointer place;
     {
         const std::scoped_lock lock(m_mutex);
         auto found = candidates(service, {}, SteadyClock().now());
-        const auto index = chooseBatchPlace(found.views, reservedSlots, threadRandomEngine());
+        const auto index = chooseBatchPlace(found.views, threadRandomEngine());
         if (!index)
             return {};
         auto &state = *found.states[*index];
@@ -210,10 +232,10 @@
 }
 
 void UpstreamTable::notePeerLoads(const NodeId &peer, std::map<std::uint64_t, UpstreamLoad> loads,
-                                  TimePoint now)
+                                  std::map<std::uint64_t, std::uint32_t> waiting, TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
-    m_peers[peer] = {now, std::move(loads)};
+    m_peers[peer] = {now, std::move(loads), std::move(waiting)};
 }
 
 std::map<UpstreamId, UpstreamLoad> UpstreamTable::ownLoads() const
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -94,13 +94,17 @@
     };
     OnlineOffer takeOnline(const std::string &service, const std::set<UpstreamId> &excluded,
                            Milliseconds longestWait);
-    /// Takes a place for a batch item if a slot is free beyond the reserve.
-    PlacePointer takeBatch(const std::string &service, unsigned reservedSlots);
-
-    /// Notes what a peer has at the upstreams; it counts until it is replaced or has grown old.
-    /// The loads are by the hashes of the upstreams' names.
+    /// Takes a place for a batch item if a slot is free.
+    PlacePointer takeBatch(const std::string &service);
+    /// Returns how many of its waiting items of a service this process may start now; to be asked
+    /// once in a turn.
+    [[nodiscard]] std::size_t batchTurn(const std::string &service, double waiting);
+
+    /// Notes what a peer has at the upstreams, and what waits there; it counts until it is replaced
+    /// or has grown old. Loads are by the hashes of the upstreams' names, waiting items by those of
+    /// the services'.
     void notePeerLoads(const NodeId &peer, std::map<std::uint64_t, UpstreamLoad> loads,
-                       TimePoint now);
+                       std::map<std::uint64_t, std::uint32_t> waiting, TimePoint now);
     [[nodiscard]] std::map<UpstreamId, UpstreamLoad> ownLoads() const;
     /// Stops batch items of this process at upstreams that hold more than their slots.
     void yieldOverfull();
@@ -126,6 +130,7 @@
     {
         TimePoint at;
         std::map<std::uint64_t, UpstreamLoad> loads;
+        std::map<std::uint64_t, std::uint32_t> waiting;
     };
 
     struct Candidates
@@ -135,6 +140,7 @@
     };
 
     [[nodiscard]] UpstreamLoad peerLoad(std::uint64_t hash, TimePoint now) const;
+    [[nodiscard]] double peersWaiting(std::uint64_t service, TimePoint now) const;
     /// Tells whether a peer has to give way at an upstream before this process does.
     [[nodiscard]] bool isOutweighed(const State &state, TimePoint now) const;
     [[nodiscard]] Candidates candidates(const std::string &service,
--- a/Tests/Gateway/TestPeers.cpp
+++ b/Tests/Gateway/TestPeers.cpp
@@ -13,6 +13,7 @@
     report.zone = ZoneName("zone1");
     report.control = {"127.0.0.2", 77};
     report.loads = {{12, 3, 4}, {13, 0, 1}};
+    report.waiting = {{serviceHash("service"), 70'000}};
     report.hasJobs = true;
     report.ownedJobs = {jobHash("job1")};
     report.endedJobs = {"job2"};
@@ -32,6 +33,9 @@
     CHECK(decoded.value().control.text() == "127.0.0.2:77");
     REQUIRE(decoded.value().loads.size() == 2);
     CHECK(decoded.value().loads[0].batch == 4);
+    REQUIRE(decoded.value().waiting.size() == 1);
+    CHECK(decoded.value().waiting[0].service == serviceHash("service"));
+    CHECK(decoded.value().waiting[0].items == 70'000);
     CHECK(decoded.value().ownedJobs == std::vector<std::uint64_t>{jobHash("job1")});
     CHECK(decoded.value().endedJobs == std::vector<std::string>{"job2"});
 
--- a/Tests/Gateway/TestUpstreamTable.cpp
+++ b/Tests/Gateway/TestUpstreamTable.cpp
@@ -63,7 +63,7 @@
         draining.isDraining = true;
         CHECK(table.put(draining));
         CHECK_FALSE(table.takeOnline("service", {}, anyWait).place);
-        CHECK_FALSE(table.takeBatch("service", 0));
+        CHECK_FALSE(table.takeBatch("service"));
     }
     SECTION("A late report of an earlier start changes nothing")
     {
@@ -86,11 +86,11 @@
     UpstreamTable table(NodeId("entry1"), positionInZone1());
     table.put(upstreamNamed("a"));
     int stops = 0;
-    auto first = table.takeBatch("service", 0);
-    auto second = table.takeBatch("service", 0);
+    auto first = table.takeBatch("service");
+    auto second = table.takeBatch("service");
     REQUIRE(first);
     REQUIRE(second);
-    CHECK_FALSE(table.takeBatch("service", 0));
+    CHECK_FALSE(table.takeBatch("service"));
     first->onPreempt([&] { stops += 1; });
     second->onPreempt([&] { stops += 10; });
 
@@ -109,23 +109,37 @@
     }
     SECTION("Batch gives way as well to the calls of a peer")
     {
-        table.notePeerLoads(NodeId("entry2"), loadAt("a", {1, 0}), SteadyClock().now());
+        table.notePeerLoads(NodeId("entry2"), loadAt("a", {1, 0}), {}, SteadyClock().now());
         table.yieldOverfull();
         CHECK(stops == 10);
     }
     SECTION("Of two that hold batch, the one with more gives way")
     {
-        table.notePeerLoads(NodeId("entry2"), loadAt("a", {1, 3}), SteadyClock().now());
+        table.notePeerLoads(NodeId("entry2"), loadAt("a", {1, 3}), {}, SteadyClock().now());
         table.yieldOverfull();
         CHECK(stops == 0);
     }
 }
 
+TEST_CASE("What waits at peers lessens a process's turn", "[UpstreamTable]")
+{
+    UpstreamTable table(NodeId("entry1"), positionInZone1());
+    for (const auto *name : {"a", "b", "c", "d"})
+        table.put(upstreamNamed(name));
+    const auto now = SteadyClock().now();
+    CHECK(table.batchTurn("service", 100) >= 4);
+    table.notePeerLoads(NodeId("entry2"), {}, {{serviceHash("other"), 300}}, now);
+    CHECK(table.batchTurn("service", 100) >= 4);
+    table.notePeerLoads(NodeId("entry2"), {}, {{serviceHash("service"), 300}}, now);
+    CHECK(table.batchTurn("service", 100) <= 2);
+    CHECK(table.batchTurn("service", 0) == 0);
+}
+
 TEST_CASE("A call that would wait too long is not taken", "[UpstreamTable]")
 {
     UpstreamTable table(NodeId("entry1"), positionInZone1());
     table.put(upstreamNamed("a"));
-    table.notePeerLoads(NodeId("entry2"), loadAt("a", {9, 0}), SteadyClock().now());
+    table.notePeerLoads(NodeId("entry2"), loadAt("a", {9, 0}), {}, SteadyClock().now());
     const auto offer = table.takeOnline("service", {}, Milliseconds(100));
     CHECK_FALSE(offer.place);
     REQUIRE(offer.expectedWait);
@@ -133,7 +147,7 @@
 
     SECTION("An old report of a peer counts no more")
     {
-        table.notePeerLoads(NodeId("entry2"), loadAt("a", {9, 0}),
+        table.notePeerLoads(NodeId("entry2"), loadAt("a", {9, 0}), {},
                             SteadyClock().now() - std::chrono::seconds(5));
         CHECK(table.takeOnline("service", {}, Milliseconds(100)).place);
     }
