JobLog: Read results from the store's copies, and write them in larger groups

A job with all its results needs no search for more, nor for its end. Results are gathered for 2 s instead of 1 s, but written at once when all are there, and in time before their job is due.

--- a/Libraries/Batch/JobLog.h
+++ b/Libraries/Batch/JobLog.h
@@ -68,8 +68,8 @@
         LoadedJob loaded;
         loaded.job = TRY(parseSmallJob(object.value));
         loaded.version = object.version;
-        while (true) {
-            auto segment = m_store.get(segmentKey(id, loaded.segments));
+        while (loaded.results.size() < loaded.job.items.size()) {
+            auto segment = getUnchanging(segmentKey(id, loaded.segments));
             if (segment.isError()) {
                 if (segment.error().kind == ErrorKind::NotFound)
                     break;
@@ -80,6 +80,9 @@
                 loaded.results.push_back(std::move(result));
             loaded.segments += 1;
         }
+        // Nothing of a job with all results can be started any more, ended or not.
+        if (loaded.results.size() >= loaded.job.items.size())
+            return loaded;
         const auto end = m_store.get(m_kinds.ends + id);
         if (end.isError() && end.error().kind != ErrorKind::NotFound)
             return end.error();
@@ -175,6 +178,17 @@
         return m_kinds.results + id + "." + std::to_string(segment);
     }
 
+    /// Reads an object that is never changed: a copy of the store that has it has it as it is.
+    Result<StoredObject> getUnchanging(const std::string &key)
+    {
+        if constexpr (ReadsCopies<Store>) {
+            auto found = m_store.getFromCopy(key);
+            if (!found.isError())
+                return found;
+        }
+        return m_store.get(key);
+    }
+
     Result<void> removeIfThere(const std::string &key)
     {
         const auto object = m_store.get(key);
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -184,8 +184,13 @@
     static constexpr std::size_t maxWaitingItems = 4'000;
     /// A page of results stays well under 1 MB in its encoded form.
     static constexpr std::size_t maxPageBytes = 600'000;
-    /// Results that come within this time are made durable together.
-    static constexpr Milliseconds gatherTime{1'000};
+    /// Results that come within this time are made durable together: each write is a call to the
+    /// store, and what is not durable yet runs again if this process dies.
+    static constexpr Milliseconds gatherTime{2'000};
+    /// Results are durable this long before their job is due, which is time for a slow write and
+    /// a read.
+    static constexpr Milliseconds dueMargin{1'500};
+    static constexpr Milliseconds shortestGatherTime{100};
     static constexpr Milliseconds storeRetryPause{200};
     static constexpr Milliseconds busyDispatchInterval{20};
     static constexpr Milliseconds idleDispatchInterval{200};
@@ -212,6 +217,7 @@
         std::vector<ItemResult> pending;
         std::set<std::shared_ptr<ItemStop>> running;
         std::size_t settled = 0;
+        TimePoint due{};
         bool isWriting = false;
         /// Another process owns the job by now.
         bool isGone = false;
@@ -245,6 +251,7 @@
         auto job = std::make_shared<ActiveJob>();
         job->stored = std::move(loaded);
         job->progress.resize(job->stored.job.items.size());
+        job->due = limitsOf(job->stored.job).due;
         m_jobs[id] = job;
         // The end may have been written after the job was read.
         job->stored.isEnded |= m_recentEnds.contains(id);
@@ -481,6 +488,8 @@
         job->pending.push_back({id, state, std::move(output)});
         if (!job->isWriting)
             spawnWriter(job);
+        else if (job->settled >= job->stored.job.items.size())
+            job->changed.notify_all();
     }
 
     /// Starts the one fiber that writes results of the job, and reads the job again first if its
@@ -498,12 +507,26 @@
         });
     }
 
+    /// Waits for more results to write with those that are pending, unless they are due or all.
+    void gatherResults(ActiveJob &job)
+    {
+        const auto now = SteadyClock().now();
+        Milliseconds wait = gatherTime;
+        if (now < job.due) {
+            const auto left = std::chrono::duration_cast<Milliseconds>(job.due - now);
+            wait = std::clamp(left - dueMargin, shortestGatherTime, gatherTime);
+        }
+        std::unique_lock lock(job.mutex);
+        job.changed.wait_for(lock, wait, [&] {
+            return job.settled >= job.stored.job.items.size() || job.isGone || m_isDraining;
+        });
+    }
+
     /// Makes pending results durable until there are none.
     void writeResults(const JobPointer &job)
     {
         while (!job->pending.empty() && !job->isGone) {
-            if (job->settled < job->stored.job.items.size() && !m_isDraining)
-                boost::this_fiber::sleep_for(gatherTime);
+            gatherResults(*job);
             const ResultSegment segment{makeUniqueId(m_context.self.text()),
                                         std::move(job->pending)};
             job->pending.clear();
--- a/Libraries/Store/ObjectStore.h
+++ b/Libraries/Store/ObjectStore.h
@@ -75,4 +75,13 @@
         } -> std::same_as<Result<WatchBatch>>;
 };
 
+/// A store that also answers reads from a copy that may be seconds old, which costs it less.
+template<typename Type>
+concept ReadsCopies = requires(Type &store, std::string_view key)
+{
+    {
+        store.getFromCopy(key)
+        } -> std::same_as<Result<StoredObject>>;
+};
+
 } // namespace Radishplank
