JobService: Tell nothing of a job that another process claims, until it has been read again

Ruled out: lost segments (the store had all).

A disputed job is read again at once by its writer, and not told meanwhile; the same after the process was suspended or heard nobody; of two claimants neither is believed.

--- a/Libraries/Core/Clock.h
+++ b/Libraries/Core/Clock.h
@@ -26,6 +26,14 @@
     [[nodiscard]] TimePoint now() const { return std::chrono::steady_clock::now(); }
 };
 
+/// Time since this machine started. It goes on while the machine is suspended; the steady clock
+/// does not.
+class BootClock
+{
+public:
+    [[nodiscard]] static Duration now();
+};
+
 /// A clock that moves only when told to.
 class ManualClock
 {
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -125,13 +125,14 @@
     Result<JobPage> read(const std::string &id, std::size_t after, Milliseconds wait)
     {
         const auto job = find(id);
-        if (!job)
+        if (!job || job->isDisputed)
             return notOwned(id);
         std::unique_lock lock(job->mutex);
         job->changed.wait_for(lock, wait, [&] {
-            return job->stored.results.size() > after || job->stored.isEnded || job->isGone;
+            return job->stored.results.size() > after || job->stored.isEnded || job->isGone
+                   || job->isDisputed;
         });
-        if (job->isGone)
+        if (job->isGone || job->isDisputed)
             return notOwned(id);
         return pageOf(job->stored, after);
     }
@@ -197,6 +198,8 @@
     /// What peers of the region have started is known by the next turn; see PeerLink.
     static constexpr Milliseconds turnInterval{60};
     static constexpr Milliseconds recoveryCheckInterval{500};
+    /// Peers take over a process's jobs after 2.5 s of silence.
+    static constexpr Milliseconds longestPause{2'000};
     /// A write without an answer may still take effect some seconds later.
     static constexpr Milliseconds settleTime{12'000};
     /// Ends of jobs are told to peers for so long.
@@ -221,6 +224,9 @@
         bool isWriting = false;
         /// Another process owns the job by now.
         bool isGone = false;
+        /// Another process may own the job and have written more results: nothing is told of it
+        /// until it has been read again.
+        bool isDisputed = false;
         boost::fibers::mutex mutex;
         boost::fibers::condition_variable changed;
     };
@@ -492,15 +498,13 @@
             job->changed.notify_all();
     }
 
-    /// Starts the one fiber that writes results of the job, and reads the job again first if its
-    /// owner is in doubt: what is read while another fiber writes would lack what that has written.
-    void spawnWriter(const JobPointer &job, bool mustReload = false)
+    /// Starts the one fiber that writes results of the job, and that reads the job again while it
+    /// is disputed: what is read while another fiber writes would lack what that has written.
+    void spawnWriter(const JobPointer &job)
     {
         job->isWriting = true;
         m_writers += 1;
-        m_context.threads.spawnOn(0, [this, job, mustReload] {
-            if (mustReload)
-                reload(job, {});
+        m_context.threads.spawnOn(0, [this, job] {
             writeResults(job);
             job->isWriting = false;
             m_writers -= 1;
@@ -518,15 +522,22 @@
         }
         std::unique_lock lock(job.mutex);
         job.changed.wait_for(lock, wait, [&] {
-            return job.settled >= job.stored.job.items.size() || job.isGone || m_isDraining;
+            return job.settled >= job.stored.job.items.size() || job.isGone || job.isDisputed
+                   || m_isDraining;
         });
     }
 
-    /// Makes pending results durable until there are none.
+    /// Makes pending results durable until there are none, and settles who owns the job.
     void writeResults(const JobPointer &job)
     {
-        while (!job->pending.empty() && !job->isGone) {
+        while ((!job->pending.empty() || job->isDisputed) && !job->isGone) {
+            if (job->isDisputed) {
+                reload(job, {});
+                continue;
+            }
             gatherResults(*job);
+            if (job->isDisputed)
+                continue;
             const ResultSegment segment{makeUniqueId(m_context.self.text()),
                                         std::move(job->pending)};
             job->pending.clear();
@@ -589,6 +600,7 @@
         {
             const std::scoped_lock lock(job->mutex);
             job->stored = loaded.takeValue();
+            job->isDisputed = false;
         }
         // What has been gathered meanwhile may be among the other process's results as well.
         auto gathered = std::exchange(job->pending, {});
@@ -720,7 +732,7 @@
         for (const auto hash : report.ownedJobs) {
             for (const auto &[id, job] : m_jobs) {
                 if (jobHash(id) == hash)
-                    m_disputed.insert(id);
+                    dispute(*job);
             }
         }
         if (isNews)
@@ -728,14 +740,38 @@
         wakeDispatcher();
     }
 
+    static void dispute(ActiveJob &job)
+    {
+        job.isDisputed = true;
+        job.changed.notify_all();
+    }
+
+    /// Doubts all jobs after a time in which nobody could tell this process that they have been
+    /// taken over: its own suspension, or the silence of all peers.
+    void doubtAfterAbsence(Duration pause)
+    {
+        const bool wasSuspended = pause > longestPause;
+        const bool isAlone = !m_context.peers.isAnyHeard(SteadyClock().now());
+        const bool isBack = m_wasAlone && !isAlone;
+        m_wasAlone = isAlone;
+        if (!wasSuspended && !isBack)
+            return;
+        logStateChange("jobs-doubted", {{"jobs", std::to_string(m_jobs.size())},
+                                        {"reason", wasSuspended ? "suspended" : "alone"}});
+        for (const auto &[id, job] : m_jobs)
+            dispute(*job);
+    }
+
     void recoveryLoop()
     {
         recover();
         boost::this_fiber::sleep_for(m_context.listenTime);
         recover();
         while (true) {
+            const auto before = BootClock::now();
             boost::this_fiber::sleep_for(recoveryCheckInterval);
             forgetOldEnds();
+            doubtAfterAbsence(BootClock::now() - before);
             settleDisputes();
             takeUpUnsettled();
             const auto silent = m_context.peers.takeSilent(SteadyClock().now());
@@ -746,14 +782,12 @@
         }
     }
 
-    /// Finds out who owns the jobs that a peer believes to own as well.
+    /// Finds out who owns the jobs that are disputed; those with a writer are its business.
     void settleDisputes()
     {
-        const auto disputed = std::exchange(m_disputed, {});
-        for (const auto &id : disputed) {
-            const auto job = find(id);
-            if (job && !job->isWriting)
-                spawnWriter(job, true);
+        for (const auto &[id, job] : m_jobs) {
+            if (job->isDisputed && !job->isWriting)
+                spawnWriter(job);
         }
     }
 
@@ -840,10 +874,10 @@
     std::set<std::string> m_storedEnds;
     /// Ends heard of lately, and when.
     std::unordered_map<std::string, TimePoint> m_recentEnds;
-    std::set<std::string> m_disputed;
     /// Jobs whose submission was in doubt, and until when it stays so.
     std::map<std::string, TimePoint> m_unsettled;
     bool m_mustRecover = false;
+    bool m_wasAlone = false;
     TimePoint m_nextTurn{};
     /// Read by the thread that ends the process.
     std::atomic<std::size_t> m_runningItems{0};
--- a/Libraries/Gateway/PeerTable.cpp
+++ b/Libraries/Gateway/PeerTable.cpp
@@ -1,5 +1,7 @@
 #include <Gateway/PeerTable.h>
 
+#include <algorithm>
+
 namespace Radishplank {
 
 namespace {
@@ -68,6 +70,12 @@
            && now - *found->second.heardAt <= silenceLimit;
 }
 
+bool PeerTable::isAnyHeard(TimePoint now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(),
+                       [&](const auto &peer) { return isHeard(peer.first, now); });
+}
+
 std::vector<NodeId> PeerTable::takeSilent(TimePoint now)
 {
     std::vector<NodeId> silent;
@@ -83,11 +91,15 @@
 std::optional<Endpoint> PeerTable::ownerOf(const std::string &job, TimePoint now) const
 {
     const auto hash = jobHash(job);
+    std::optional<Endpoint> owner;
     for (const auto &[node, peer] : m_peers) {
-        if (peer.jobs.contains(hash) && isHeard(node, now))
-            return peer.control;
+        if (!peer.jobs.contains(hash) || !isHeard(node, now))
+            continue;
+        if (owner)
+            return {};
+        owner = peer.control;
     }
-    return {};
+    return owner;
 }
 
 bool PeerTable::shouldWatch(TimePoint now) const
--- a/Libraries/Gateway/PeerTable.h
+++ b/Libraries/Gateway/PeerTable.h
@@ -30,9 +30,11 @@
     /// Where reports of this process go.
     [[nodiscard]] std::vector<Destination> destinations() const;
     [[nodiscard]] bool isHeard(const NodeId &node, TimePoint now) const;
+    [[nodiscard]] bool isAnyHeard(TimePoint now) const;
     /// Returns peers that were heard once and are not any more, each once for each silence.
     std::vector<NodeId> takeSilent(TimePoint now);
-    /// Returns where the owner of a job takes calls, if a peer that is heard says that it is that.
+    /// Returns where the owner of a job takes calls, if one peer that is heard says that it is
+    /// that. If two say so, one of them has not heard yet that the job was taken over.
     [[nodiscard]] std::optional<Endpoint> ownerOf(const std::string &job, TimePoint now) const;
     /// Tells whether this process is to keep up with the store by itself. One in each zone does,
     /// and three in all at least; the others learn from them.
--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -223,7 +223,8 @@
         "m_unsettled.erase(job.id);",
         "TestGateway", "A job belongs to the process*"),
     "one fiber reads or writes a job": (
-        "Libraries/Gateway/JobService.h", "spawnWriter(job, true);", "reload(job, {});",
+        "Libraries/Gateway/JobService.h", "            if (job->isDisputed && !job->isWriting)\n                spawnWriter(job);",
+        "            if (job->isDisputed && !job->isWriting)\n                reload(job, {});",
         "TestGateway", "A job belongs to the process*"),
     "shares of the room for batch": (
         "Libraries/Gateway/PlaceChooser.cpp",
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -249,22 +249,50 @@
             return true;
         });
         REQUIRE(entry.eventually([&] { return isReading; }));
+        // What is in memory may be older than what the other process has told.
+        CHECK(entry.on([&] { return entry.service.read("job1", 0, Milliseconds(0)); }).isError());
         UpstreamStandin upstream;
         entry.upstreams.put(upstream.info());
         REQUIRE(entry.eventually([&] { return entry.metrics.resultSegments.value() == 1; }));
 
-        SECTION("It is still told afterwards")
+        SECTION("The result is told once the job has been read")
         {
-            entry.on([] {
-                boost::this_fiber::sleep_for(Milliseconds(1'000));
-                return true;
-            });
+            const auto hasPage
+                    = [&] { return !entry.service.read("job1", 0, Milliseconds(0)).isError(); };
+            REQUIRE(entry.eventually(hasPage));
             const auto page
                     = entry.on([&] { return entry.service.read("job1", 0, Milliseconds(0)); });
             REQUIRE_FALSE(page.isError());
             CHECK(page.value().results.size() == 1);
         }
     }
+    SECTION("Another process takes it over while this one gathers results")
+    {
+        UpstreamStandin upstream;
+        entry.upstreams.put(upstream.info());
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(2)); }).isError());
+        REQUIRE(entry.eventually([&] { return entry.metrics.itemsCompleted.value() == 1; }));
+        auto taken = jobWith(2);
+        taken.owner = NodeId("entry2");
+        const auto version = memory.get("radishplank-jobs/job1").value().version;
+        REQUIRE_FALSE(memory.put("radishplank-jobs/job1", serialize(taken), version).isError());
+        PeerReport claim;
+        claim.node = NodeId("entry2");
+        claim.ownedJobs = {jobHash("job1")};
+        entry.on([&] {
+            entry.link.onReport(claim, false);
+            return true;
+        });
+
+        SECTION("It tells nothing more of it, and gives it up before it has gathered all")
+        {
+            CHECK(entry.on([&] {
+                           return entry.service.read("job1", 0, Milliseconds(0));
+                       }).isError());
+            REQUIRE(entry.eventually([&] { return !entry.service.owns("job1"); }));
+            CHECK(entry.metrics.resultSegments.value() == 0);
+        }
+    }
     SECTION("It is ended at another process")
     {
         REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(2)); }).isError());
--- a/Tests/Gateway/TestPeers.cpp
+++ b/Tests/Gateway/TestPeers.cpp
@@ -74,6 +74,15 @@
         CHECK(peers.takeSilent(later).empty());
         CHECK(peers.noteReport(reportOf("entry2"), sender, later));
     }
+    SECTION("While two claim a job, neither is believed")
+    {
+        peers.noteReport(reportOf("entry3"), sender, start);
+        CHECK_FALSE(peers.ownerOf("job1", start));
+        auto corrected = reportOf("entry3");
+        corrected.ownedJobs.clear();
+        peers.noteReport(corrected, sender, start);
+        CHECK(peers.ownerOf("job1", start));
+    }
     SECTION("One that says that it leaves is silent at once")
     {
         auto leaving = reportOf("entry2");
