Limits, Batch: Bound waiting tokens over all processes, and start first what can be in time

Cause: nothing knew a route's limit on the tokens that may wait, and JobQueue started what is due first, also when it could not be done by then any more; under overload each item was started just too late, stopped for the next one and run again.

Ruled out: ConcurrencyLedger, whose slots belong to the process that runs a call, while jobs are taken over by others; and parts that peers lend each other, which need every peer's word before a silent one's part can be used. JobQueue learns run times and puts items that will be late behind those that can be in time; the item with most slack, or one that is late anyway, is the one that gives way to an online call.

--- a/Libraries/Batch/JobLog.h
+++ b/Libraries/Batch/JobLog.h
@@ -45,6 +45,8 @@
     {
     }
 
+    [[nodiscard]] Store &store() const { return m_store; }
+
     /// Makes the job exist; returns it as it is stored, which may be by an earlier submission.
     /// Conflict if the name belongs to a job with other items.
     Result<SmallJob> accept(const SmallJob &job)
@@ -62,6 +64,14 @@
         return existing;
     }
 
+    Result<bool> exists(const std::string &id)
+    {
+        const auto object = m_store.get(jobKey(id));
+        if (object.isError() && object.error().kind != ErrorKind::NotFound)
+            return object.error();
+        return !object.isError();
+    }
+
     Result<LoadedJob> load(const std::string &id)
     {
         const auto object = TRY(m_store.get(jobKey(id)));
--- a/Libraries/Batch/JobQueue.cpp
+++ b/Libraries/Batch/JobQueue.cpp
@@ -15,12 +15,19 @@
 /// An item that upstreams break off at so often in a row may be what breaks them.
 constexpr unsigned breaksToSuspect = 3;
 constexpr Milliseconds suspectPause{15'000};
+/// From an item's last event until its result has been read.
+constexpr Milliseconds deliveryTime{700};
+/// Run times vary, and online calls interrupt them.
+constexpr double runTimeReserve = 1.15;
 
 } // namespace
 
-void JobQueue::add(const std::string &job, std::size_t items, const ItemLimits &limits)
+void JobQueue::add(const std::string &job, std::span<const double> sizes, const ItemLimits &limits)
 {
-    m_jobs[job] = {limits, std::vector<Item>(items)};
+    auto &added = m_jobs[job];
+    added = {limits, std::vector<Item>(sizes.size())};
+    for (std::size_t i = 0; i < sizes.size(); ++i)
+        added.items[i].size = sizes[i];
 }
 
 JobQueue::Item *JobQueue::find(const ItemKey &item)
@@ -48,24 +55,43 @@
 std::optional<ItemKey> JobQueue::takeNext(TimePoint now)
 {
     std::optional<ItemKey> next;
-    TimePoint nextDue{};
+    std::pair<bool, TimePoint> nextRank;
     for (const auto &[name, job] : m_jobs) {
-        if (next && job.limits.due >= nextDue)
-            continue;
-        const auto isReady = [&](const Item &item) {
-            return !item.isRunning && !item.isSettled && item.notBefore <= now;
-        };
-        const auto found = std::find_if(job.items.begin(), job.items.end(), isReady);
-        if (found == job.items.end())
-            continue;
-        next = ItemKey{name, static_cast<std::size_t>(found - job.items.begin())};
-        nextDue = job.limits.due;
+        for (std::size_t index = 0; index < job.items.size(); ++index) {
+            const auto &item = job.items[index];
+            if (!item.isWaiting() || item.notBefore > now)
+                continue;
+            const bool isLate = slackOf(job, item, now) < Duration(0);
+            const std::pair rank(isLate, job.limits.due);
+            if (!next || rank < nextRank) {
+                next = ItemKey{name, index};
+                nextRank = rank;
+            }
+        }
+    }
+    if (next) {
+        auto *item = find(*next);
+        item->isRunning = true;
+        item->startedAt = now;
     }
-    if (next)
-        find(*next)->isRunning = true;
     return next;
 }
 
+Duration JobQueue::slackOf(const Job &job, const Item &item, TimePoint now) const
+{
+    const auto left = std::max(Duration(0), m_runTimes.expected(item.size) - item.ranFor);
+    const auto reserved = std::chrono::duration_cast<Duration>(left * runTimeReserve);
+    return job.limits.due - deliveryTime - now - reserved;
+}
+
+Duration JobQueue::slackOf(const ItemKey &item, TimePoint now) const
+{
+    const auto found = m_jobs.find(item.job);
+    if (found == m_jobs.end() || item.index >= found->second.items.size())
+        return Duration(0);
+    return slackOf(found->second, found->second.items[item.index], now);
+}
+
 void JobQueue::putBack(const ItemKey &item)
 {
     if (auto *state = find(item))
@@ -79,10 +105,13 @@
     if (state == nullptr)
         return Verdict::GivenUp;
     state->isRunning = false;
-    if (hasProgressed)
+    if (hasProgressed) {
         state->breaks = 0;
+        state->ranFor += now - state->startedAt;
+    }
     switch (end) {
     case ItemRunEnd::Completed:
+        m_runTimes.noteDone(state->size, state->ranFor);
         return Verdict::Completed;
     case ItemRunEnd::Impossible:
         return Verdict::GivenUp;
@@ -127,22 +156,28 @@
 std::size_t JobQueue::waiting() const
 {
     std::size_t count = 0;
-    for (const auto &[name, job] : m_jobs)
-        count += waitingItems(job);
+    for (const auto &[name, job] : m_jobs) {
+        count += static_cast<std::size_t>(
+                std::count_if(job.items.begin(), job.items.end(), [](const Item &item) {
+                    return item.isWaiting();
+                }));
+    }
     return count;
 }
 
-std::size_t JobQueue::waitingOf(const std::string &job) const
+JobQueue::Waiting JobQueue::waitingOf(const std::string &job, TimePoint now) const
 {
+    Waiting waiting;
     const auto found = m_jobs.find(job);
-    return found == m_jobs.end() ? 0 : waitingItems(found->second);
-}
-
-std::size_t JobQueue::waitingItems(const Job &job)
-{
-    return static_cast<std::size_t>(
-            std::count_if(job.items.begin(), job.items.end(),
-                          [](const Item &item) { return !item.isRunning && !item.isSettled; }));
+    if (found == m_jobs.end())
+        return waiting;
+    for (const auto &item : found->second.items) {
+        if (!item.isWaiting())
+            continue;
+        const bool isLate = slackOf(found->second, item, now) < Duration(0);
+        (isLate ? waiting.late : waiting.inTime) += 1;
+    }
+    return waiting;
 }
 
 } // namespace Radishplank
--- a/Libraries/Batch/JobQueue.h
+++ b/Libraries/Batch/JobQueue.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <Batch/RunTimeEstimate.h>
 #include <Core/Core.h>
 
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,11 +45,14 @@
 /// Decides which item of all jobs runs next, and what becomes of an item after a run. Pure.
 ///
 /// Answers the load of jobs that come in bunches: the item whose job is due first goes first, so a
-/// job that has just come does not delay one that has waited.
+/// job that has just come does not delay one that has waited. And the load of more jobs than can be
+/// done: an item that would be done too late, by the run times seen so far, goes behind all that
+/// can still be in time; else each item would be started just too late.
 class JobQueue
 {
 public:
-    void add(const std::string &job, std::size_t items, const ItemLimits &limits);
+    /// Adds a job's items; run times are taken to grow with the sizes, which are in any unit.
+    void add(const std::string &job, std::span<const double> sizes, const ItemLimits &limits);
     /// Takes an item out for good, because it has a result.
     void settle(const ItemKey &item);
     void removeJob(const std::string &job);
@@ -64,8 +69,16 @@
     std::vector<ItemKey> takeExpired(TimePoint now);
 
     [[nodiscard]] std::size_t waiting() const;
-    /// Returns how many items of a job neither run nor are settled.
-    [[nodiscard]] std::size_t waitingOf(const std::string &job) const;
+    /// Items of a job that neither run nor are settled.
+    struct Waiting
+    {
+        /// They can be done by the time at which they are due.
+        std::size_t inTime = 0;
+        std::size_t late = 0;
+    };
+    [[nodiscard]] Waiting waitingOf(const std::string &job, TimePoint now) const;
+    /// Returns how much later an item could start and still be in time; negative if it will be late.
+    [[nodiscard]] Duration slackOf(const ItemKey &item, TimePoint now) const;
     [[nodiscard]] bool contains(const std::string &job) const { return m_jobs.contains(job); }
 
 private:
@@ -77,6 +90,12 @@
         /// Runs in a row that broke off without any progress.
         unsigned breaks = 0;
         TimePoint notBefore{};
+        double size = 1;
+        TimePoint startedAt{};
+        /// In all runs that are over.
+        Duration ranFor{};
+
+        [[nodiscard]] bool isWaiting() const { return !isRunning && !isSettled; }
     };
     struct Job
     {
@@ -85,10 +104,10 @@
     };
 
     Item *find(const ItemKey &item);
-
-    [[nodiscard]] static std::size_t waitingItems(const Job &job);
+    [[nodiscard]] Duration slackOf(const Job &job, const Item &item, TimePoint now) const;
 
     std::map<std::string, Job> m_jobs;
+    RunTimeEstimate m_runTimes;
 };
 
 } // namespace Radishplank
--- a/Libraries/Batch/SmallJob.cpp
+++ b/Libraries/Batch/SmallJob.cpp
@@ -19,7 +19,8 @@
     return {{"id", item.id},
             {"path", item.path},
             {"headers", std::move(headers)},
-            {"body", encodeBase64(item.body)}};
+            {"body", encodeBase64(item.body)},
+            {"tokens", item.tokens}};
 }
 
 Result<JobItem> parseItem(const json::value &value)
@@ -32,6 +33,7 @@
     item.id = textField(*fields, "id").value_or("");
     item.path = textField(*fields, "path").value_or("");
     item.body = TRY(decodeBase64(textField(*fields, "body").value_or("")));
+    item.tokens = integerField(*fields, "tokens", 0);
     const auto *headers = fields->if_contains("headers");
     if (headers == nullptr || !headers->is_array())
         return invalid;
@@ -73,6 +75,14 @@
                       isSameItem);
 }
 
+std::int64_t SmallJob::tokens() const
+{
+    std::int64_t sum = 0;
+    for (const auto &item : items)
+        sum += item.tokens;
+    return sum;
+}
+
 std::string serialize(const SmallJob &job)
 {
     json::array items;
--- a/Libraries/Batch/SmallJob.h
+++ b/Libraries/Batch/SmallJob.h
@@ -19,6 +19,8 @@
     HttpHeaders headers;
     /// The bytes that are sent to an upstream.
     std::string body;
+    /// Tokens of the prompt and of the longest output.
+    std::int64_t tokens = 0;
 };
 
 /// A job that lies in one object of the store, items and all.
@@ -36,6 +38,7 @@
 
     /// Tells whether another submission has the same items.
     [[nodiscard]] bool hasSameItems(const SmallJob &other) const;
+    [[nodiscard]] std::int64_t tokens() const;
 };
 
 enum class ItemState {
--- a/Libraries/Core/Result.h
+++ b/Libraries/Core/Result.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -14,6 +16,8 @@
     Conflict,
     TooLarge,
     Refused,
+    /// A limit on all that is accepted leaves no room now.
+    LimitReached,
     Timeout,
     Unavailable,
     Internal,
@@ -24,6 +28,8 @@
 {
     ErrorKind kind = ErrorKind::Internal;
     std::string message;
+    /// When the caller should come again, if that is known.
+    std::optional<std::chrono::milliseconds> retryAfter{};
 };
 
 /// Either a value or the error that prevented it.
--- a/Libraries/Gateway/GatewayMetrics.cpp
+++ b/Libraries/Gateway/GatewayMetrics.cpp
@@ -19,6 +19,7 @@
     renderCounter(text, "radishplank_items_given_up_total", itemsGivenUp);
     renderCounter(text, "radishplank_jobs_adopted_total", jobsAdopted);
     renderCounter(text, "radishplank_jobs_ended_total", jobsEnded);
+    renderCounter(text, "radishplank_jobs_over_limit_total", jobsOverLimit);
     renderCounter(text, "radishplank_result_segments_total", resultSegments);
     renderCounter(text, "radishplank_log_lines_written_total", logLinesWritten());
     renderCounter(text, "radishplank_log_lines_left_out_total", logLinesLeftOut());
--- a/Libraries/Gateway/GatewayMetrics.h
+++ b/Libraries/Gateway/GatewayMetrics.h
@@ -24,6 +24,7 @@
     Counter itemsGivenUp;
     Counter jobsAdopted;
     Counter jobsEnded;
+    Counter jobsOverLimit;
     Counter resultSegments;
     /// From a call's arrival to the first bytes of its answer, and to its last.
     LatencyHistogram firstEvent;
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Batch/Batch.h>
+#include <Gateway/ClaimKeeper.h>
 #include <Gateway/GatewayMetrics.h>
 #include <Gateway/ItemRun.h>
 #include <Gateway/PeerLink.h>
@@ -58,6 +59,8 @@
         : m_context(std::move(context))
         , m_log(std::move(log))
         , m_endsMirror(makeEndsMirror())
+        , m_claims(m_log.store(), Pause(), m_context.self,
+                   [this](const std::string &limit) { return useOf(limit); })
     {
     }
 
@@ -66,14 +69,16 @@
         m_context.link.describeJobs = [this](PeerReport &report) { describeJobs(report); };
         m_context.link.describeWaiting = [this](PeerReport &report) {
             for (const auto &[service, items] : waitingByService()) {
-                report.waiting.push_back(
-                        {serviceHash(service), static_cast<std::uint32_t>(std::ceil(items))});
+                report.waiting.push_back({serviceHash(service),
+                                          static_cast<std::uint32_t>(std::ceil(items.inTime)),
+                                          static_cast<std::uint32_t>(std::ceil(items.late))});
             }
         };
         m_context.link.onReport
                 = [this](const PeerReport &report, bool isNews) { takeReport(report, isNews); };
         m_context.threads.spawnOn(0, [this] { dispatchLoop(); });
         m_context.threads.spawnOn(0, [this] { recoveryLoop(); });
+        m_context.threads.spawnOn(0, [this] { claimLoop(); });
         m_context.threads.spawnOn(0, [this] { m_endsMirror.run(); });
     }
 
@@ -84,6 +89,7 @@
     [[nodiscard]] bool isIdle() const { return m_runningItems == 0 && m_writers == 0; }
 
     /// Makes a job durable. Conflict: the name belongs to another job. Refused: it does not run.
+    /// LimitReached: the same, since its route's limit on waiting tokens leaves no room.
     /// Unavailable or Timeout: it may have been accepted.
     Result<void> submit(SmallJob job)
     {
@@ -97,11 +103,15 @@
         if (m_queue.waiting() + job.items.size() > maxWaitingItems)
             return Error{ErrorKind::Refused, "too many items are waiting"};
         job.owner = m_context.self;
+        const auto limit = limitOf(job);
+        const auto held = limit.empty() ? std::int64_t{0} : TRY(holdRoom(limit, job));
         auto written = m_log.accept(job);
+        if (held > 0)
+            m_limits[limit].submitting -= held;
         if (written.isError()) {
             // The job may exist by now, or soon, with this process as its owner.
             if (isDoubtful(written.error()))
-                m_unsettled[job.id] = SteadyClock().now() + settleTime;
+                m_unsettled[job.id] = {SteadyClock().now() + settleTime, limit, job.tokens()};
             return written.takeError();
         }
         auto accepted = written.takeValue();
@@ -210,6 +220,7 @@
     static constexpr Milliseconds endedMemory{30'000};
     /// Items of an ended job must stop within 3 s; watching and telling takes two intervals.
     static constexpr Milliseconds endsWatchInterval{300};
+    static constexpr Milliseconds claimCheckInterval{100};
     /// Items of services without room that are passed over in one turn.
     static constexpr std::size_t maxPassedOver = 64;
 
@@ -220,6 +231,8 @@
         std::vector<ItemResult> pending;
         std::set<std::shared_ptr<ItemStop>> running;
         std::size_t settled = 0;
+        /// Tokens of the items that have no result yet.
+        std::int64_t openTokens = 0;
         TimePoint due{};
         bool isWriting = false;
         /// Another process owns the job by now.
@@ -232,6 +245,27 @@
     };
     using JobPointer = std::shared_ptr<ActiveJob>;
 
+    /// What this process knows of a limit on waiting tokens, besides its jobs.
+    struct LimitState
+    {
+        /// They lead to the limited route.
+        std::string host;
+        std::string path;
+        /// Tokens of submissions under way.
+        std::int64_t submitting = 0;
+        ReturnSchedule returns;
+    };
+    using Claims = ClaimKeeper<Store, Pause>;
+
+    /// A submission of which it is not known whether the store has taken it.
+    struct Unsettled
+    {
+        TimePoint until;
+        /// What the job would take up of a limit.
+        std::string limit;
+        std::int64_t tokens = 0;
+    };
+
     struct EndedJob
     {
         std::string id;
@@ -258,11 +292,15 @@
         job->stored = std::move(loaded);
         job->progress.resize(job->stored.job.items.size());
         job->due = limitsOf(job->stored.job).due;
+        job->openTokens = job->stored.job.tokens();
         m_jobs[id] = job;
         // The end may have been written after the job was read.
         job->stored.isEnded |= m_recentEnds.contains(id);
         if (!job->stored.isEnded) {
-            m_queue.add(id, job->stored.job.items.size(), limitsOf(job->stored.job));
+            std::vector<double> sizes;
+            for (const auto &item : job->stored.job.items)
+                sizes.push_back(static_cast<double>(std::max<std::int64_t>(1, item.tokens)));
+            m_queue.add(id, sizes, limitsOf(job->stored.job));
             for (std::size_t i = 0; i < job->stored.job.items.size(); ++i) {
                 if (hasResult(*job, job->stored.job.items[i].id))
                     settle(*job, {id, i});
@@ -273,6 +311,8 @@
                                        {"results", std::to_string(job->stored.results.size())},
                                        {"ended", job->stored.isEnded ? "yes" : "no"}});
         m_context.metrics.jobsAdopted.increase();
+        if (const auto limit = limitOf(job->stored.job); !limit.empty())
+            watchLimit(limit, job->stored.job);
         m_context.link.announceJobs();
         wakeDispatcher();
     }
@@ -310,6 +350,108 @@
     {
         m_queue.settle(item);
         job.settled += 1;
+        job.openTokens -= job.stored.job.items[item.index].tokens;
+    }
+
+    /// Returns the name of the limit that a route's jobs are under; empty if there is none.
+    static std::string limitNameOf(const std::shared_ptr<const Route> &route)
+    {
+        return route && route->waitingTokens > 0 ? route->name : std::string();
+    }
+
+    [[nodiscard]] std::string limitOf(const SmallJob &job) const
+    {
+        return limitNameOf(m_context.routes.find(job.host, job.path));
+    }
+
+    /// Returns what this process has of a limit: items without a result, submissions under way and
+    /// those in doubt.
+    [[nodiscard]] LimitUse useOf(const std::string &limit) const
+    {
+        LimitUse use;
+        use.processes = m_context.peers.processCount();
+        use.heard = m_context.peers.heard(SteadyClock().now());
+        const auto state = m_limits.find(limit);
+        if (state == m_limits.end())
+            return use;
+        const auto limited = m_context.routes.find(state->second.host, state->second.path);
+        if (limitNameOf(limited) == limit)
+            use.limit = limited->waitingTokens;
+        use.used = state->second.submitting;
+        for (const auto &[id, job] : m_jobs) {
+            if (job->stored.isEnded || job->openTokens == 0)
+                continue;
+            const auto route = m_context.routes.find(job->stored.job.host, job->stored.job.path);
+            if (limitNameOf(route) != limit)
+                continue;
+            use.used += job->openTokens;
+        }
+        for (const auto &[id, unsettled] : m_unsettled) {
+            if (unsettled.limit == limit && !owns(id))
+                use.used += unsettled.tokens;
+        }
+        return use;
+    }
+
+    /// Holds room for a new job under a limit and returns how much; nothing is held for a job that
+    /// has been accepted before.
+    Result<std::int64_t> holdRoom(const std::string &limit, const SmallJob &job)
+    {
+        if (!m_hasListenedOnce) {
+            return Error{ErrorKind::Refused,
+                         "the jobs from before this process started are not known yet"};
+        }
+        if (m_context.peers.ownerOf(job.id, SteadyClock().now()))
+            return std::int64_t{0};
+        watchLimit(limit, job);
+        auto claimed = m_claims.claim(limit, job.tokens());
+        if (std::holds_alternative<typename Claims::HasRoom>(claimed)) {
+            m_limits[limit].submitting += job.tokens();
+            return job.tokens();
+        }
+        if (auto *error = std::get_if<Error>(&claimed))
+            return std::move(*error);
+        // To a caller whose job has been accepted, its refusal would say that it does not run.
+        const auto exists = m_log.exists(job.id);
+        if (exists.isError())
+            return Error{ErrorKind::Refused, exists.error().message};
+        if (exists.value())
+            return std::int64_t{0};
+        m_context.metrics.jobsOverLimit.increase();
+        const auto missing = std::get<ClaimLedger::Shortage>(claimed).amount;
+        const auto comeAgain = m_limits[limit].returns.schedule(static_cast<double>(missing),
+                                                                SteadyClock().now());
+        return Error{ErrorKind::LimitReached,
+                     "the limit of the route " + limit + " leaves no room for "
+                             + std::to_string(job.tokens()) + " tokens",
+                     comeAgain};
+    }
+
+    void watchLimit(const std::string &limit, const SmallJob &job)
+    {
+        auto &state = m_limits[limit];
+        state.host = job.host;
+        state.path = job.path;
+        m_claims.watch(limit);
+    }
+
+    void noteDone(const ActiveJob &job, std::size_t item)
+    {
+        const auto limit = limitOf(job.stored.job);
+        if (limit.empty())
+            return;
+        // The other processes are taken to get on as fast as this one.
+        const auto processes = std::max<std::size_t>(1, m_context.peers.processCount());
+        const auto tokens = job.stored.job.items[item].tokens * static_cast<std::int64_t>(processes);
+        m_limits[limit].returns.noteDone(static_cast<double>(tokens), SteadyClock().now());
+    }
+
+    void claimLoop()
+    {
+        while (true) {
+            boost::this_fiber::sleep_for(claimCheckInterval);
+            m_claims.renew();
+        }
     }
 
     void wakeDispatcher() { m_work.notify_all(); }
@@ -348,12 +490,13 @@
 
     /// Returns how many items wait for each service; those of a route that divides its calls count
     /// by its weights.
-    [[nodiscard]] std::map<std::string, double> waitingByService() const
+    [[nodiscard]] std::map<std::string, WaitingItems> waitingByService() const
     {
-        std::map<std::string, double> result;
+        std::map<std::string, WaitingItems> result;
+        const auto now = SteadyClock().now();
         for (const auto &[id, job] : m_jobs) {
-            const auto items = static_cast<double>(m_queue.waitingOf(id));
-            if (items == 0)
+            const auto items = m_queue.waitingOf(id, now);
+            if (items.inTime + items.late == 0)
                 continue;
             const auto route = m_context.routes.find(job->stored.job.host, job->stored.job.path);
             if (!route)
@@ -361,8 +504,11 @@
             double whole = 0;
             for (const auto &service : route->services)
                 whole += service.weight;
-            for (const auto &service : route->services)
-                result[service.name] += items * service.weight / std::max(whole, 1.0);
+            for (const auto &service : route->services) {
+                const double part = service.weight / std::max(whole, 1.0);
+                result[service.name] += {part * static_cast<double>(items.inTime),
+                                         part * static_cast<double>(items.late)};
+            }
         }
         return result;
     }
@@ -404,10 +550,11 @@
     void startItem(const JobPointer &job, const ItemKey &item, UpstreamTable::PlacePointer place)
     {
         auto stop = std::make_shared<ItemStop>();
-        place->onPreempt([stop] {
+        const auto preempt = [stop] {
             stop->isPreempted = true;
             stop->cancellation.cancel();
-        });
+        };
+        place->onPreempt(preempt, m_queue.slackOf(item, SteadyClock().now()));
         job->running.insert(stop);
         m_runningItems += 1;
         m_context.metrics.itemRuns.increase();
@@ -491,6 +638,7 @@
         if (hasResult(*job, id))
             return;
         settle(*job, item);
+        noteDone(*job, item.index);
         job->pending.push_back({id, state, std::move(output)});
         if (!job->isWriting)
             spawnWriter(job);
@@ -610,6 +758,7 @@
                 job->pending.push_back(std::move(result));
         }
         job->settled = 0;
+        job->openTokens = job->stored.job.tokens();
         for (std::size_t i = 0; i < job->stored.job.items.size(); ++i) {
             if (hasResult(*job, job->stored.job.items[i].id))
                 settle(*job, {id, i});
@@ -818,14 +967,16 @@
     void takeUpUnsettled()
     {
         const auto unsettled = m_unsettled;
-        for (const auto &[id, until] : unsettled) {
+        for (const auto &[id, submission] : unsettled) {
             auto loaded = m_log.load(id);
             const bool isUnknown = loaded.isError();
-            if (isUnknown && SteadyClock().now() < until)
+            if (isUnknown && SteadyClock().now() < submission.until)
                 continue;
             m_unsettled.erase(id);
-            if (isUnknown && loaded.error().kind != ErrorKind::NotFound)
-                m_unsettled[id] = SteadyClock().now() + settleTime;
+            if (isUnknown && loaded.error().kind != ErrorKind::NotFound) {
+                m_unsettled[id] = submission;
+                m_unsettled[id].until = SteadyClock().now() + settleTime;
+            }
             if (!isUnknown && loaded.value().job.owner == m_context.self)
                 adopt(loaded.takeValue());
         }
@@ -875,7 +1026,10 @@
     /// Ends heard of lately, and when.
     std::unordered_map<std::string, TimePoint> m_recentEnds;
     /// Jobs whose submission was in doubt, and until when it stays so.
-    std::map<std::string, TimePoint> m_unsettled;
+    std::map<std::string, Unsettled> m_unsettled;
+    /// By the names of the limited routes.
+    std::map<std::string, LimitState> m_limits;
+    Claims m_claims;
     bool m_mustRecover = false;
     bool m_wasAlone = false;
     TimePoint m_nextTurn{};
--- a/Libraries/Gateway/MemberRegistry.h
+++ b/Libraries/Gateway/MemberRegistry.h
@@ -64,6 +64,7 @@
         }
         for (const auto &object : listed.value().objects)
             take(object);
+        m_peers.noteMembersListed();
     }
 
     [[nodiscard]] NodeId nodeOf(const StoredObject &object) const
--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -80,9 +80,9 @@
     std::map<std::uint64_t, UpstreamLoad> loads;
     for (const auto &load : report.loads)
         loads[load.upstream] = {load.online, load.batch};
-    std::map<std::uint64_t, std::uint32_t> waiting;
+    std::map<std::uint64_t, WaitingItems> waiting;
     for (const auto &demand : report.waiting)
-        waiting[demand.service] = demand.items;
+        waiting[demand.service] = {double(demand.items), double(demand.lateItems)};
     m_upstreams.notePeerLoads(report.node, std::move(loads), std::move(waiting), now);
     if (onReport)
         onReport(report, isNews);
--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -13,7 +13,8 @@
 # Batch items that wait for a slot of a service at one entry process.
 struct ServiceDemand {
   service @0 :UInt64;    # Hash of the service's name.
-  items @1 :UInt32;
+  items @1 :UInt32;      # Those that can be done in time.
+  lateItems @2 :UInt32;
 }
 
 # What an entry process tells its peers, in one datagram. Each report stands for itself.
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -180,6 +180,8 @@
 
   inline  ::uint32_t getItems() const;
 
+  inline  ::uint32_t getLateItems() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -214,6 +216,9 @@
   inline  ::uint32_t getItems();
   inline void setItems( ::uint32_t value);
 
+  inline  ::uint32_t getLateItems();
+  inline void setLateItems( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -495,6 +500,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ServiceDemand::Reader::getLateItems() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceDemand::Builder::getLateItems() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setLateItems( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerReport::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -25,7 +25,7 @@
     for (const auto load : reader.getLoads())
         report.loads.push_back({load.getUpstream(), load.getOnline(), load.getBatch()});
     for (const auto demand : reader.getWaiting())
-        report.waiting.push_back({demand.getService(), demand.getItems()});
+        report.waiting.push_back({demand.getService(), demand.getItems(), demand.getLateItems()});
     report.hasJobs = reader.getHasJobs();
     for (const auto job : reader.getOwnedJobs())
         report.ownedJobs.push_back(job);
@@ -59,6 +59,7 @@
     for (unsigned i = 0; i < report.waiting.size(); ++i) {
         waiting[i].setService(report.waiting[i].service);
         waiting[i].setItems(report.waiting[i].items);
+        waiting[i].setLateItems(report.waiting[i].lateItems);
     }
     builder.setHasJobs(report.hasJobs);
     auto owned = builder.initOwnedJobs(static_cast<unsigned>(report.ownedJobs.size()));
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -23,7 +23,9 @@
 {
     /// Hash of the service's name, as serviceHash() gives it.
     std::uint64_t service = 0;
+    /// Those that can be done in time.
     std::uint32_t items = 0;
+    std::uint32_t lateItems = 0;
 };
 
 /// Which configuration and which upstreams a process knows.
--- a/Libraries/Gateway/PeerTable.cpp
+++ b/Libraries/Gateway/PeerTable.cpp
@@ -53,6 +53,11 @@
     return isNews;
 }
 
+std::size_t PeerTable::processCount() const
+{
+    return m_areMembersListed ? m_peers.size() + 1 : 0;
+}
+
 std::vector<PeerTable::Destination> PeerTable::destinations() const
 {
     std::vector<Destination> result;
@@ -76,6 +81,16 @@
                        [&](const auto &peer) { return isHeard(peer.first, now); });
 }
 
+std::set<NodeId> PeerTable::heard(TimePoint now) const
+{
+    std::set<NodeId> nodes;
+    for (const auto &[node, peer] : m_peers) {
+        if (isHeard(node, now))
+            nodes.insert(node);
+    }
+    return nodes;
+}
+
 std::vector<NodeId> PeerTable::takeSilent(TimePoint now)
 {
     std::vector<NodeId> silent;
--- a/Libraries/Gateway/PeerTable.h
+++ b/Libraries/Gateway/PeerTable.h
@@ -22,6 +22,11 @@
     /// Takes in a report; returns whether the peer was not heard before, or not for a while.
     bool noteReport(const PeerReport &report, const Endpoint &sender, TimePoint now);
 
+    /// Notes that all members of the store's list have been noted.
+    void noteMembersListed() { m_areMembersListed = true; }
+    /// Returns how many entry processes there are, this one included; 0 if that is not known yet.
+    [[nodiscard]] std::size_t processCount() const;
+
     struct Destination
     {
         Endpoint datagrams;
@@ -31,6 +36,7 @@
     [[nodiscard]] std::vector<Destination> destinations() const;
     [[nodiscard]] bool isHeard(const NodeId &node, TimePoint now) const;
     [[nodiscard]] bool isAnyHeard(TimePoint now) const;
+    [[nodiscard]] std::set<NodeId> heard(TimePoint now) const;
     /// Returns peers that were heard once and are not any more, each once for each silence.
     std::vector<NodeId> takeSilent(TimePoint now);
     /// Returns where the owner of a job takes calls, if one peer that is heard says that it is
@@ -65,6 +71,7 @@
     const NodeId m_self;
     const ZoneName m_zone;
     std::map<NodeId, Peer> m_peers;
+    bool m_areMembersListed = false;
 };
 
 } // namespace Radishplank
--- a/Libraries/Gateway/Route.h
+++ b/Libraries/Gateway/Route.h
@@ -3,6 +3,7 @@
 #include <Core/Core.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -48,6 +49,8 @@
     /// Upstreams on which one call may run.
     unsigned maxUpstreams = 1;
     std::vector<WeightedService> services;
+    /// Tokens of all jobs' items that may wait or run at once; 0 if there is no limit.
+    std::int64_t waitingTokens = 0;
     /// Time from the submission of a job within which its results are due.
     Milliseconds jobTarget{0};
     /// Time from the submission of a job after which its items may be given up.
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -37,12 +37,12 @@
     m_table.release(*this);
 }
 
-void UpstreamTable::Place::onPreempt(std::function<void()> stop)
+void UpstreamTable::Place::onPreempt(std::function<void()> stop, Duration slack)
 {
     const std::scoped_lock lock(m_table.m_mutex);
     const auto found = m_table.m_states.find(m_upstream.id);
     if (found != m_table.m_states.end())
-        found->second.batchHolders.push_back({m_number, std::move(stop)});
+        found->second.batchHolders.push_back({m_number, std::move(stop), slack});
 }
 
 UpstreamTable::UpstreamTable(NodeId self, Position position)
@@ -120,13 +120,22 @@
     return result;
 }
 
-std::function<void()> UpstreamTable::takeNewestStop(State &state) const
+std::function<void()> UpstreamTable::takeCheapestStop(State &state) const
 {
-    if (state.batchHolders.empty())
+    auto &holders = state.batchHolders;
+    // An item that is late anyway loses least, then the one with most time left to run again.
+    // Among equals it is the newest, which has the least to read again elsewhere.
+    const auto isDearer = [](const BatchHolder &left, const BatchHolder &right) {
+        const auto rank = [](const BatchHolder &holder) {
+            return std::pair(holder.slack < Duration(0), holder.slack);
+        };
+        return rank(left) < rank(right);
+    };
+    const auto cheapest = std::max_element(holders.rbegin(), holders.rend(), isDearer);
+    if (cheapest == holders.rend())
         return {};
-    // The newest has the least to read again elsewhere.
-    auto stop = std::move(state.batchHolders.back().stop);
-    state.batchHolders.pop_back();
+    auto stop = std::move(cheapest->stop);
+    holders.erase(std::next(cheapest).base());
     return stop;
 }
 
@@ -149,7 +158,7 @@
         auto &state = *found.states[choice->index];
         state.own.online += 1;
         if (choice->mustPreempt)
-            stop = takeNewestStop(state);
+            stop = takeCheapestStop(state);
         offer.basis = found.views[choice->index];
         offer.expectedWait = choice->wait;
         offer.hasPreempted = static_cast<bool>(stop);
@@ -162,9 +171,9 @@
     return offer;
 }
 
-double UpstreamTable::peersWaiting(std::uint64_t service, TimePoint now) const
+WaitingItems UpstreamTable::peersWaiting(std::uint64_t service, TimePoint now) const
 {
-    double sum = 0;
+    WaitingItems sum;
     for (const auto &[peer, report] : m_peers) {
         const auto found = report.waiting.find(service);
         if (found != report.waiting.end() && now - report.at <= peerLoadLifetime)
@@ -173,7 +182,7 @@
     return sum;
 }
 
-std::size_t UpstreamTable::batchTurn(const std::string &service, double waiting)
+std::size_t UpstreamTable::batchTurn(const std::string &service, WaitingItems waiting)
 {
     const std::scoped_lock lock(m_mutex);
     const auto now = SteadyClock().now();
@@ -182,7 +191,12 @@
         room += batchRoom(view);
     auto &random = threadRandomEngine();
     const double draw = std::uniform_real_distribution<double>(0, 1)(random);
-    return batchShare(room, waiting, waiting + peersWaiting(serviceHash(service), now), draw);
+    auto all = waiting;
+    all += peersWaiting(serviceHash(service), now);
+    // Late items run where nothing waits that can still be in time.
+    const double roomForLate = std::max(0.0, room - all.inTime);
+    return batchShare(room, waiting.inTime, all.inTime, draw)
+           + batchShare(roomForLate, waiting.late, all.late, draw);
 }
 
 UpstreamTable::PlacePointer UpstreamTable::takeBatch(const std::string &service)
@@ -232,7 +246,7 @@
 }
 
 void UpstreamTable::notePeerLoads(const NodeId &peer, std::map<std::uint64_t, UpstreamLoad> loads,
-                                  std::map<std::uint64_t, std::uint32_t> waiting, TimePoint now)
+                                  std::map<std::uint64_t, WaitingItems> waiting, TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
     m_peers[peer] = {now, std::move(loads), std::move(waiting)};
@@ -279,7 +293,7 @@
                 continue;
             const unsigned excess = total - state.info.slots;
             for (unsigned i = 0; i < excess; ++i) {
-                auto stop = takeNewestStop(state);
+                auto stop = takeCheapestStop(state);
                 if (!stop)
                     break;
                 stops.push_back(std::move(stop));
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -25,6 +25,22 @@
     bool operator==(const UpstreamLoad &) const = default;
 };
 
+/// Batch items that wait for a slot, in parts where a route divides its calls by weights.
+struct WaitingItems
+{
+    double inTime = 0;
+    /// They cannot be done by the time at which they are due.
+    double late = 0;
+
+    [[nodiscard]] double sum() const { return inTime + late; }
+    WaitingItems &operator+=(const WaitingItems &other)
+    {
+        inTime += other.inTime;
+        late += other.late;
+        return *this;
+    }
+};
+
 /// Where this process stands; distances are counted from here.
 struct Position
 {
@@ -60,8 +76,9 @@
         [[nodiscard]] const UpstreamInfo &upstream() const { return m_upstream; }
         /// Notes how the attempt has ended.
         void conclude(UpstreamVerdict verdict) { m_verdict = verdict; }
-        /// Sets what stops the batch item that holds this place.
-        void onPreempt(std::function<void()> stop);
+        /// Sets what stops the batch item that holds this place, and how much later the item could
+        /// have started and still be in time.
+        void onPreempt(std::function<void()> stop, Duration slack = Duration(0));
 
     private:
         friend class UpstreamTable;
@@ -98,13 +115,13 @@
     PlacePointer takeBatch(const std::string &service);
     /// Returns how many of its waiting items of a service this process may start now; to be asked
     /// once in a turn.
-    [[nodiscard]] std::size_t batchTurn(const std::string &service, double waiting);
+    [[nodiscard]] std::size_t batchTurn(const std::string &service, WaitingItems waiting);
 
     /// Notes what a peer has at the upstreams, and what waits there; it counts until it is replaced
     /// or has grown old. Loads are by the hashes of the upstreams' names, waiting items by those of
     /// the services'.
     void notePeerLoads(const NodeId &peer, std::map<std::uint64_t, UpstreamLoad> loads,
-                       std::map<std::uint64_t, std::uint32_t> waiting, TimePoint now);
+                       std::map<std::uint64_t, WaitingItems> waiting, TimePoint now);
     [[nodiscard]] std::map<UpstreamId, UpstreamLoad> ownLoads() const;
     /// Stops batch items of this process at upstreams that hold more than their slots.
     void yieldOverfull();
@@ -116,6 +133,7 @@
     {
         std::uint64_t number = 0;
         std::function<void()> stop;
+        Duration slack{};
     };
     struct State
     {
@@ -130,7 +148,7 @@
     {
         TimePoint at;
         std::map<std::uint64_t, UpstreamLoad> loads;
-        std::map<std::uint64_t, std::uint32_t> waiting;
+        std::map<std::uint64_t, WaitingItems> waiting;
     };
 
     struct Candidates
@@ -140,13 +158,13 @@
     };
 
     [[nodiscard]] UpstreamLoad peerLoad(std::uint64_t hash, TimePoint now) const;
-    [[nodiscard]] double peersWaiting(std::uint64_t service, TimePoint now) const;
+    [[nodiscard]] WaitingItems peersWaiting(std::uint64_t service, TimePoint now) const;
     /// Tells whether a peer has to give way at an upstream before this process does.
     [[nodiscard]] bool isOutweighed(const State &state, TimePoint now) const;
     [[nodiscard]] Candidates candidates(const std::string &service,
                                         const std::set<UpstreamId> &excluded, TimePoint now);
     void release(const Place &place);
-    [[nodiscard]] std::function<void()> takeNewestStop(State &state) const;
+    [[nodiscard]] std::function<void()> takeCheapestStop(State &state) const;
 
     const NodeId m_self;
     const Position m_position;
--- a/Libraries/Limits/Limits.h
+++ b/Libraries/Limits/Limits.h
@@ -1,8 +1,11 @@
 #pragma once
 
-/// Public header of the Limits library: owners' rates, shared between entry processes.
+/// Public header of the Limits library: limits that hold over all between entry processes.
 
+#include <Limits/ClaimLedger.h>
+#include <Limits/ClaimSheet.h>
 #include <Limits/ConcurrencyLedger.h>
 #include <Limits/ConcurrencyPart.h>
 #include <Limits/OwnerLimits.h>
 #include <Limits/RateLedger.h>
+#include <Limits/ReturnSchedule.h>
--- a/Services/radishplankd/Entry/ApiAnswer.cpp
+++ b/Services/radishplankd/Entry/ApiAnswer.cpp
@@ -20,6 +20,7 @@
     case ErrorKind::TooLarge:
         return 413;
     case ErrorKind::Refused:
+    case ErrorKind::LimitReached:
         return 429;
     case ErrorKind::Timeout:
     case ErrorKind::Unavailable:
@@ -44,6 +45,7 @@
     case ErrorKind::TooLarge:
         return "too_large";
     case ErrorKind::Refused:
+    case ErrorKind::LimitReached:
         return "limit_exceeded";
     case ErrorKind::Timeout:
     case ErrorKind::Unavailable:
--- a/Tests/Batch/TestJobQueue.cpp
+++ b/Tests/Batch/TestJobQueue.cpp
@@ -8,6 +8,11 @@
 
 const TimePoint start{std::chrono::seconds(1'000)};
 
+std::vector<double> sizesOf(std::size_t items)
+{
+    return std::vector<double>(items, 1);
+}
+
 ItemLimits dueAfter(Milliseconds due)
 {
     ItemLimits limits;
@@ -22,8 +27,8 @@
 TEST_CASE("The job that is due first goes first", "[JobQueue]")
 {
     JobQueue queue;
-    queue.add("late", 2, dueAfter(Milliseconds(20'000)));
-    queue.add("soon", 1, dueAfter(Milliseconds(10'000)));
+    queue.add("late", sizesOf(2), dueAfter(Milliseconds(20'000)));
+    queue.add("soon", sizesOf(1), dueAfter(Milliseconds(10'000)));
     CHECK(queue.waiting() == 3);
     CHECK(queue.takeNext(start) == ItemKey{"soon", 0});
     CHECK(queue.takeNext(start) == ItemKey{"late", 0});
@@ -48,7 +53,7 @@
 TEST_CASE("What becomes of an item follows from its runs", "[JobQueue]")
 {
     JobQueue queue;
-    queue.add("job", 1, dueAfter(Milliseconds(10'000)));
+    queue.add("job", sizesOf(1), dueAfter(Milliseconds(10'000)));
     const ItemKey item{"job", 0};
     auto now = start;
     const auto runOnce = [&](ItemRunEnd end, bool hasProgressed = false) {
--- a/Tests/Gateway/TestUpstreamTable.cpp
+++ b/Tests/Gateway/TestUpstreamTable.cpp
@@ -127,12 +127,12 @@
     for (const auto *name : {"a", "b", "c", "d"})
         table.put(upstreamNamed(name));
     const auto now = SteadyClock().now();
-    CHECK(table.batchTurn("service", 100) >= 4);
-    table.notePeerLoads(NodeId("entry2"), {}, {{serviceHash("other"), 300}}, now);
-    CHECK(table.batchTurn("service", 100) >= 4);
-    table.notePeerLoads(NodeId("entry2"), {}, {{serviceHash("service"), 300}}, now);
-    CHECK(table.batchTurn("service", 100) <= 2);
-    CHECK(table.batchTurn("service", 0) == 0);
+    CHECK(table.batchTurn("service", {100, 0}) >= 4);
+    table.notePeerLoads(NodeId("entry2"), {}, {{serviceHash("other"), {300, 0}}}, now);
+    CHECK(table.batchTurn("service", {100, 0}) >= 4);
+    table.notePeerLoads(NodeId("entry2"), {}, {{serviceHash("service"), {300, 0}}}, now);
+    CHECK(table.batchTurn("service", {100, 0}) <= 2);
+    CHECK(table.batchTurn("service", {0, 0}) == 0);
 }
 
 TEST_CASE("A call that would wait too long is not taken", "[UpstreamTable]")
--- a/Tests/Platform/PlatformDeployment.cpp
+++ b/Tests/Platform/PlatformDeployment.cpp
@@ -89,7 +89,7 @@
                              {"born", 1'700'000'000'000}});
 }
 
-void PlatformDeployment::writeConfiguration(unsigned version)
+void PlatformDeployment::writeConfiguration(unsigned version, unsigned waitingTokens)
 {
     auto plain = route("plain", "/plain/", "streaming");
     plain["max_attempts"] = 1;
@@ -100,6 +100,8 @@
     batch["max_attempts"] = 2;
     batch["completion_target_ms"] = 18'000;
     batch["max_wait_s"] = 60;
+    if (waitingTokens > 0)
+        batch["max_count"] = waitingTokens;
     store.write("config", "main",
                 json::object{{"version", version},
                              {"routes", json::array{plain, resumable, batch}},
--- a/Tests/Platform/PlatformDeployment.h
+++ b/Tests/Platform/PlatformDeployment.h
@@ -31,7 +31,8 @@
     /// Writes a server's entry again, for instance as draining.
     void registerServer(ServerStandin &server, const std::string &state);
     /// Writes a configuration with a resumable, a plain and a batch route.
-    void writeConfiguration(unsigned version);
+    /// `waitingTokens` limits what may wait on the route of batch jobs; each item has 10.
+    void writeConfiguration(unsigned version, unsigned waitingTokens = 0);
     /// Starts an entry process and waits until it listens.
     Process &startEntry(const std::string &name, const std::vector<std::string> &settings = {});
     [[nodiscard]] Endpoint callers(const std::string &name) const;
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -114,12 +114,25 @@
     REQUIRE_FALSE(items.isError());
     REQUIRE(items.value().size() == 1);
     CHECK(items.value()[0].body == "\xab\xcd\xef\x12\x34\x56\x78\x90");
+    CHECK(items.value()[0].tokens == 940);
     CHECK(items.value()[0].headers.value("X-Model") == "m");
     CHECK(decodeItems(R"({"items":[{"id":"x","path":"/p","body":"!"}]})").isError());
     CHECK(decodeItems(R"({"items":[{"path":"/p","body":""}]})").isError());
     CHECK(decodeItems(R"({"items":[{"id":"x","path":"/p","headers":{"a":1}}]})").isError());
     CHECK(decodeItems(R"({"items":{}})").isError());
 
+    SECTION("An item says how many tokens it has")
+    {
+        for (const auto *count : {R"("940")", "0", "-1", "1e18", "null"}) {
+            CAPTURE(count);
+            const auto refused = decodeItems(R"({"items":[{"id":"x","path":"/p","token_count":)"
+                                             + std::string(count) + "}]}");
+            REQUIRE(refused.isError());
+            CHECK(refused.error().message.find("token_count of the item x") != std::string::npos);
+        }
+    }
+
+
     JobPage page{3, {{"x", ItemState::Completed, "one\ntwo"}, {"y", ItemState::DeadLetter, ""}}};
     CHECK(encodePage(page, 1)
           == R"({"total":3,"next":3,"results":[{"id":"x","state":"completed","output":"one\ntwo"},)"
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <set>
+#include <thread>
 #include <unistd.h>
 
 using namespace Radishplank;
@@ -359,6 +360,86 @@
     CHECK(server.served().size() == 2);
 }
 
+TEST_CASE("A route's limit on waiting tokens holds over all entry processes", "[Platform]")
+{
+    // Without servers, all that is accepted waits.
+    PlatformDeployment deployment;
+    constexpr unsigned limit = 200;
+    const std::vector<std::string> bodies{"a", "b", "c", "d", "e"};
+    constexpr unsigned jobTokens = 50;
+    deployment.writeConfiguration(1, limit);
+    auto &first = deployment.startEntry("entry1");
+    deployment.startEntry("entry2");
+    deployment.waitUntilReady("entry1");
+    deployment.waitUntilReady("entry2");
+
+    std::vector<std::string> accepted;
+    std::vector<HttpResponse> refused;
+    for (int i = 0; i < 12; ++i) {
+        const auto job = "job" + std::to_string(i);
+        const auto entry = i % 2 == 0 ? "entry1" : "entry2";
+        HttpResponse response;
+        // A process that has just started says 503 until it knows its jobs.
+        REQUIRE(eventually([&] {
+            response = deployment.submit(entry, job, bodies);
+            return response.status != 503;
+        }));
+        if (response.status == 202)
+            accepted.push_back(job);
+        else
+            refused.push_back(response);
+    }
+
+    SECTION("What fits is accepted, and nothing beyond it")
+    {
+        CHECK(accepted.size() <= limit / jobTokens);
+        CHECK(accepted.size() + 1 >= limit / jobTokens);
+        for (const auto &response : refused) {
+            CHECK(response.status == 429);
+            CHECK(std::stod(response.headers.value("Retry-After")) >= 1);
+        }
+
+        SECTION("A job that has been accepted is not refused when it comes again")
+        {
+            for (const auto &job : accepted) {
+                CHECK(deployment.submit("entry1", job, bodies).status == 202);
+                CHECK(deployment.submit("entry2", job, bodies).status == 202);
+            }
+        }
+        SECTION("What is ended makes room")
+        {
+            for (const auto &job : accepted) {
+                const auto ended = deployment.client.call(
+                        deployment.callers("entry1"),
+                        {"DELETE", "/-/lots/" + job, {{"Host", PlatformDeployment::host}}, ""});
+                CHECK(ended.status == 200);
+            }
+            CHECK(eventually(
+                    [&] { return deployment.submit("entry2", "more", bodies).status == 202; }));
+        }
+        SECTION("A process that takes jobs over counts them")
+        {
+            first.kill();
+            const auto isFull = [&](int number) {
+                const auto job = "later" + std::to_string(number);
+                const auto status = deployment.submit("entry2", job, bodies).status;
+                CHECK(status != 202);
+            };
+            // Until the jobs are taken over, and until the dead process's claim has lapsed.
+            for (int i = 0; i < 20; ++i) {
+                isFull(i);
+                std::this_thread::sleep_for(Milliseconds(500));
+            }
+        }
+        SECTION("A higher limit comes into force")
+        {
+            deployment.writeConfiguration(2, 10 * limit);
+            CHECK(eventually(
+                    [&] { return deployment.submit("entry2", "more", bodies).status == 202; }));
+        }
+    }
+}
+
 TEST_CASE("Batch jobs are run, whichever process is asked", "[Platform]")
 {
     PlatformDeployment deployment;
