JobService: Fence the earlier owner of a job that is taken up, and settle doubts while listening

A process that takes a job over read its results before it became the owner; what the earlier owner wrote in between, or afterwards, was not in its memory, and readers were told fewer results than before until its next write met a conflict. Now ownership is taken first, and an empty segment is written behind the results read after it: the earlier owner's next write conflicts. A job is taken only from the owner that was seen to be silent.

Ruled out: reads of old copies (a copy that lacks a segment is followed by a read of the store) and lost reports (the earlier owner tells nothing of a disputed job).

--- a/Libraries/Batch/JobLog.h
+++ b/Libraries/Batch/JobLog.h
@@ -159,15 +159,40 @@
         return object.key.substr(m_kinds.ends.size());
     }
 
-    /// Makes another process the owner; Conflict if the job has changed since it was read.
-    Result<Version> takeOver(LoadedJob &loaded, const NodeId &owner)
+    /// Makes a process the owner of a job in place of another; Conflict if the job has a third
+    /// owner by now.
+    Result<void> takeOver(const std::string &id, const NodeId &from, const NodeId &to)
     {
-        loaded.job.owner = owner;
+        const auto object = TRY(m_store.get(jobKey(id)));
+        auto job = TRY(parseSmallJob(object.value));
+        if (job.owner == to)
+            return {};
+        if (job.owner != from)
+            return Error{ErrorKind::Conflict, "the job " + id + " belongs to " + job.owner.text()};
+        job.owner = to;
         const auto patience = SteadyClock().now() + m_patience;
-        loaded.version = TRY(putDecided(m_store, jobKey(loaded.job.id), serialize(loaded.job),
-                                        loaded.version, m_pause,
-                                        [patience] { return SteadyClock().now() < patience; }));
-        return loaded.version;
+        (void)TRY(putDecided(m_store, jobKey(id), serialize(job), object.version, m_pause,
+                             [patience] { return SteadyClock().now() < patience; }));
+        return {};
+    }
+
+    /// Reads a job whose results so far are all that any earlier owner can add, this process before
+    /// its restart included: behind them lies an empty segment of this process, if some are
+    /// missing.
+    Result<LoadedJob> loadFenced(const std::string &id, const std::string &writer)
+    {
+        while (true) {
+            auto loaded = TRY(load(id));
+            if (loaded.isEnded || loaded.results.size() >= loaded.job.items.size())
+                return loaded;
+            const auto fenced = append(id, loaded.segments, {writer, {}});
+            if (fenced.isError() && fenced.error().kind != ErrorKind::Conflict)
+                return fenced.error();
+            if (fenced.isError())
+                continue;
+            loaded.segments += 1;
+            return loaded;
+        }
     }
 
     /// Removes all that the store has of a job.
--- a/Libraries/Batch/JobQueue.cpp
+++ b/Libraries/Batch/JobQueue.cpp
@@ -158,9 +158,8 @@
     std::size_t count = 0;
     for (const auto &[name, job] : m_jobs) {
         count += static_cast<std::size_t>(
-                std::count_if(job.items.begin(), job.items.end(), [](const Item &item) {
-                    return item.isWaiting();
-                }));
+                std::count_if(job.items.begin(), job.items.end(),
+                              [](const Item &item) { return item.isWaiting(); }));
     }
     return count;
 }
--- a/Libraries/Batch/JobQueue.h
+++ b/Libraries/Batch/JobQueue.h
@@ -77,7 +77,8 @@
         std::size_t late = 0;
     };
     [[nodiscard]] Waiting waitingOf(const std::string &job, TimePoint now) const;
-    /// Returns how much later an item could start and still be in time; negative if it will be late.
+    /// Returns how much later an item could start and still be in time; negative if it will be
+    /// late.
     [[nodiscard]] Duration slackOf(const ItemKey &item, TimePoint now) const;
     [[nodiscard]] bool contains(const std::string &job) const { return m_jobs.contains(job); }
 
--- a/Libraries/Gateway/ClaimKeeper.h
+++ b/Libraries/Gateway/ClaimKeeper.h
@@ -113,7 +113,8 @@
 
     /// Claims so much more; returns what is missing, 0 if it is claimed. Conflict: another process
     /// has written at the same time.
-    Result<ClaimLedger::Shortage> write(const std::string &limit, ClaimLedger &ledger, std::int64_t amount)
+    Result<ClaimLedger::Shortage> write(const std::string &limit, ClaimLedger &ledger,
+                                        std::int64_t amount)
     {
         const auto begunAt = BootClock::now();
         const auto key = std::string(keyPrefix) + limit;
@@ -133,9 +134,8 @@
             return *shortage;
         const auto &sheet = std::get<ClaimSheet>(plan);
         const auto patience = SteadyClock().now() + claimPatience;
-        const auto written
-                = putDecided(m_store, key, serialize(sheet), version, m_pause,
-                             [patience] { return SteadyClock().now() < patience; });
+        const auto written = putDecided(m_store, key, serialize(sheet), version, m_pause,
+                                        [patience] { return SteadyClock().now() < patience; });
         if (written.isError() && written.error().kind == ErrorKind::Conflict)
             return written.error();
         // A claim in doubt is not used; nothing has been accepted on it.
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -397,7 +397,7 @@
     /// has been accepted before.
     Result<std::int64_t> holdRoom(const std::string &limit, const SmallJob &job)
     {
-        if (!m_hasListenedOnce) {
+        if (!m_areOwnJobsKnown) {
             return Error{ErrorKind::Refused,
                          "the jobs from before this process started are not known yet"};
         }
@@ -442,7 +442,8 @@
             return;
         // The other processes are taken to get on as fast as this one.
         const auto processes = std::max<std::size_t>(1, m_context.peers.processCount());
-        const auto tokens = job.stored.job.items[item].tokens * static_cast<std::int64_t>(processes);
+        const auto tokens
+                = job.stored.job.items[item].tokens * static_cast<std::int64_t>(processes);
         m_limits[limit].returns.noteDone(static_cast<double>(tokens), SteadyClock().now());
     }
 
@@ -914,11 +915,15 @@
     void recoveryLoop()
     {
         recover();
-        boost::this_fiber::sleep_for(m_context.listenTime);
-        recover();
+        m_areOwnJobsKnown = true;
+        const auto listenUntil = SteadyClock().now() + m_context.listenTime;
         while (true) {
             const auto before = BootClock::now();
             boost::this_fiber::sleep_for(recoveryCheckInterval);
+            if (!m_hasListened && SteadyClock().now() >= listenUntil) {
+                m_hasListened = true;
+                m_mustRecover = true;
+            }
             forgetOldEnds();
             doubtAfterAbsence(BootClock::now() - before);
             settleDisputes();
@@ -954,13 +959,12 @@
                 continue;
             const auto now = SteadyClock().now();
             const bool isOwn = listed.job.owner == m_context.self;
-            const bool isOrphan = !isOwn && m_hasListenedOnce
+            const bool isOrphan = !isOwn && m_hasListened
                                   && !m_context.peers.isHeard(listed.job.owner, now)
                                   && m_context.peers.isSuccessor(listed.job.id, now);
             if (isOwn || isOrphan)
-                takeUp(listed.job.id);
+                takeUp(listed.job.id, listed.job.owner);
         }
-        m_hasListenedOnce = true;
     }
 
     /// Takes up jobs that this process owns if they exist.
@@ -988,22 +992,23 @@
     }
 
     /// Makes this process the owner of a job that it does not run yet.
-    void takeUp(const std::string &id)
+    void takeUp(const std::string &id, const NodeId &from)
     {
-        auto loaded = m_log.load(id);
-        if (loaded.isError()) {
-            noteNotTakenUp(id, loaded.error());
-            return;
-        }
-        if (loaded.value().job.owner != m_context.self) {
-            const auto from = loaded.value().job.owner;
-            const auto taken = m_log.takeOver(loaded.value(), m_context.self);
+        if (from != m_context.self) {
+            const auto taken = m_log.takeOver(id, from, m_context.self);
             if (taken.isError()) {
                 noteNotTakenUp(id, taken.error());
                 return;
             }
             logStateChange("job-taken-over", {{"job", id}, {"from", from.text()}});
         }
+        // The earlier owner may have added results since, and may live: what it writes from now on
+        // must not go unnoticed here.
+        auto loaded = m_log.loadFenced(id, makeUniqueId(m_context.self.text()));
+        if (loaded.isError()) {
+            noteNotTakenUp(id, loaded.error());
+            return;
+        }
         adopt(loaded.takeValue());
     }
 
@@ -1037,7 +1042,10 @@
     std::atomic<std::size_t> m_runningItems{0};
     std::atomic<std::size_t> m_writers{0};
     std::atomic<bool> m_isDraining{false};
-    bool m_hasListenedOnce = false;
+    /// The jobs that this process had before its start have been taken up.
+    bool m_areOwnJobsKnown = false;
+    /// The peers that live have been heard.
+    bool m_hasListened = false;
     boost::fibers::mutex m_workMutex;
     boost::fibers::condition_variable m_work;
 };
--- a/Libraries/Limits/ClaimLedger.cpp
+++ b/Libraries/Limits/ClaimLedger.cpp
@@ -64,7 +64,8 @@
 bool ClaimLedger::hasLapsed(const NodeId &node, const Claim &claim, Duration now)
 {
     auto &seen = m_seen[node];
-    // After a time without a look, the work of a process that is gone may be about to be taken over.
+    // After a time without a look, the work of a process that is gone may be about to be taken
+    // over.
     const bool hasLookedLately = now - seen.lastLookAt < claimLease / 2;
     seen.lastLookAt = now;
     if (seen.mark != claim.mark || !hasLookedLately || m_heard.contains(node)) {
@@ -89,8 +90,7 @@
     }
     std::erase_if(m_seen, [&](const auto &seen) { return !current.claims.contains(seen.first); });
 
-    const auto claimable
-            = std::max<std::int64_t>(0, m_limit - m_limit / fixedShare - others);
+    const auto claimable = std::max<std::int64_t>(0, m_limit - m_limit / fixedShare - others);
     const auto wanted = std::max<std::int64_t>(0, m_used + needed - fixedPart());
     if (needed > 0 && wanted > claimable) {
         m_isScarce = true;
--- a/Libraries/Limits/ReturnSchedule.cpp
+++ b/Libraries/Limits/ReturnSchedule.cpp
@@ -37,8 +37,7 @@
     const auto inOrder = std::max(now, m_promisedUntil);
     const std::chrono::duration<double> needed(missing / m_rate);
     const auto longest = std::chrono::duration<double>(latest);
-    m_promisedUntil
-            = inOrder + std::chrono::duration_cast<Duration>(std::min(needed, longest));
+    m_promisedUntil = inOrder + std::chrono::duration_cast<Duration>(std::min(needed, longest));
     m_promisedUntil = std::min<TimePoint>(m_promisedUntil, now + latest);
     return std::clamp(std::chrono::ceil<Milliseconds>(m_promisedUntil - now), soonest, latest);
 }
--- a/Tests/Batch/TestBatchOverload.cpp
+++ b/Tests/Batch/TestBatchOverload.cpp
@@ -15,9 +15,9 @@
 constexpr Milliseconds readTime{500};
 
 enum class Order {
-    Queue,              ///< JobQueue.
+    Queue,                ///< JobQueue.
     FirstComeFirstServed, ///< Baseline.
-    EarliestDue,        ///< Baseline: the order of JobQueue before it knew run times.
+    EarliestDue,          ///< Baseline: the order of JobQueue before it knew run times.
 };
 
 struct SimulatedItem
@@ -143,8 +143,8 @@
         for (auto &item : m_items) {
             if (item.isRunning || item.isDone)
                 continue;
-            const bool isBetter = best != nullptr && m_order == Order::EarliestDue
-                                  && item.due < best->due;
+            const bool isBetter
+                    = best != nullptr && m_order == Order::EarliestDue && item.due < best->due;
             if (best == nullptr || isBetter)
                 best = &item;
         }
--- a/Tests/Batch/TestJobLog.cpp
+++ b/Tests/Batch/TestJobLog.cpp
@@ -118,20 +118,29 @@
     }
     SECTION("The next owner goes on behind them")
     {
-        auto loaded = log.load("job1").takeValue();
-        REQUIRE_FALSE(log.takeOver(loaded, NodeId("entry2")).isError());
+        REQUIRE_FALSE(log.takeOver("job1", NodeId("entry1"), NodeId("entry2")).isError());
+        const auto loaded = log.loadFenced("job1", "fence").takeValue();
         REQUIRE_FALSE(log.append("job1", loaded.segments, segmentOf("w", "item1")).isError());
         const auto results = log.load("job1").value().results;
         REQUIRE(results.size() == 2);
         CHECK(results[0].item == "item2");
         CHECK(results[1].item == "item1");
     }
+    SECTION("Behind a fence, an earlier owner can add nothing")
+    {
+        const auto loaded = log.loadFenced("job1", "fence");
+        REQUIRE_FALSE(loaded.isError());
+        CHECK(loaded.value().segments == 2);
+        CHECK(log.append("job1", 1, segmentOf("writer1", "item1")).error().kind
+              == ErrorKind::Conflict);
+        REQUIRE_FALSE(log.append("job1", 2, segmentOf("w", "item1")).isError());
+        CHECK(log.load("job1").value().results.size() == 2);
+    }
     SECTION("Of two that take the job over, one does")
     {
-        auto first = log.load("job1").takeValue();
-        auto second = first;
-        CHECK_FALSE(log.takeOver(first, NodeId("entry2")).isError());
-        CHECK(log.takeOver(second, NodeId("entry3")).error().kind == ErrorKind::Conflict);
+        CHECK_FALSE(log.takeOver("job1", NodeId("entry1"), NodeId("entry2")).isError());
+        CHECK(log.takeOver("job1", NodeId("entry1"), NodeId("entry3")).error().kind
+              == ErrorKind::Conflict);
         CHECK(log.load("job1").value().job.owner == NodeId("entry2"));
     }
     SECTION("An end is final and may be repeated")
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -20,7 +20,8 @@
 /// An entry process without upstreams; its jobs wait.
 struct EntryProcess
 {
-    explicit EntryProcess(MemoryObjectStore &memory, const std::string &name = "entry1")
+    explicit EntryProcess(MemoryObjectStore &memory, const std::string &name = "entry1",
+                          Milliseconds listenTime = Milliseconds(100))
         : store(memory)
         , node(name)
         , upstreams(node, {})
@@ -35,7 +36,7 @@
                    node,
                    metrics,
                    Milliseconds(600'000),
-                   Milliseconds(100)},
+                   listenTime},
                   {store, FiberSleep(), Milliseconds(150)})
     {
         Route route;
@@ -195,6 +196,52 @@
             CHECK(loaded.value().job.owner == NodeId("entry2"));
         }
     }
+    SECTION("Its owner writes a result while another process takes it over")
+    {
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(2)); }).isError());
+        auto &second = *new EntryProcess(memory, "entry2");
+        const ResultSegment late{"entry1-1", {{"item0", ItemState::Completed, "0"}}};
+        // The end of a job is read last, after its results.
+        second.store.beforeGet = [&](std::string_view key) {
+            if (key.starts_with("radishplank-job-ends/"))
+                (void)memory.put("radishplank-results/job1.0", serialize(late), noVersion);
+        };
+        second.service.start();
+        REQUIRE(second.eventually([&] { return second.service.owns("job1"); }));
+
+        SECTION("The result is told at once, and the earlier owner can add no more")
+        {
+            const auto page
+                    = second.on([&] { return second.service.read("job1", 0, Milliseconds(0)); });
+            REQUIRE_FALSE(page.isError());
+            CHECK(page.value().results == late.results);
+            const ResultSegment later{"entry1-2", {{"item1", ItemState::Completed, "1"}}};
+            CHECK(memory.put("radishplank-results/job1.1", serialize(later), noVersion).isError());
+        }
+    }
+    SECTION("A peer claims it while this process has only just started")
+    {
+        auto &restarted = *new EntryProcess(memory, "entry1", Milliseconds(60'000));
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(jobWith(2)); }).isError());
+        restarted.service.start();
+        REQUIRE(restarted.eventually([&] { return restarted.service.owns("job1"); }));
+        auto taken = jobWith(2);
+        taken.owner = NodeId("entry2");
+        const auto version = memory.get("radishplank-jobs/job1").value().version;
+        REQUIRE_FALSE(memory.put("radishplank-jobs/job1", serialize(taken), version).isError());
+        PeerReport claim;
+        claim.node = NodeId("entry2");
+        claim.ownedJobs = {jobHash("job1")};
+        restarted.on([&] {
+            restarted.link.onReport(claim, false);
+            return true;
+        });
+
+        SECTION("It gives the job up, though it still listens for its peers")
+        {
+            CHECK(restarted.eventually([&] { return !restarted.service.owns("job1"); }));
+        }
+    }
     SECTION("Another process goes on with it while this one cannot write its results")
     {
         UpstreamStandin upstream;
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -132,7 +132,6 @@
         }
     }
 
-
     JobPage page{3, {{"x", ItemState::Completed, "one\ntwo"}, {"y", ItemState::DeadLetter, ""}}};
     CHECK(encodePage(page, 1)
           == R"({"total":3,"next":3,"results":[{"id":"x","state":"completed","output":"one\ntwo"},)"
