UpstreamTable: Send nothing more to an upstream whose answers say that it leaves

The start that leaves is remembered apart from the list of upstreams, so that learning the list anew forgets nothing; peers are told of all that are known, so a process that restarts hears it again. A new start of the upstream is used.

Tests: TestUpstreamTable, and TestPlatform with a server that the store still calls ready.

--- a/Libraries/Gateway/CallDialect.h
+++ b/Libraries/Gateway/CallDialect.h
@@ -15,6 +15,8 @@
     std::string expectedUpstream;
     /// Present in the answer of an upstream that has not run the request.
     std::string notExecuted;
+    /// Present in all answers of an upstream that is about to leave.
+    std::string upstreamLeaves;
     /// The identifier of the last event received of a stream that goes on.
     std::string resumeAfter;
 };
--- a/Libraries/Gateway/ItemRun.cpp
+++ b/Libraries/Gateway/ItemRun.cpp
@@ -86,6 +86,8 @@
                                                           : ItemRunEnd::Interrupted;
     }
     auto &answer = *std::get<std::unique_ptr<HttpAnswer>>(opened);
+    if (answer.headers().find(dialect.upstreamLeaves))
+        place.noteLeaving();
     constexpr unsigned misdirected = 421;
     if (answer.status() == misdirected || answer.headers().find(dialect.notExecuted)) {
         if (answer.status() == misdirected)
--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -84,6 +84,8 @@
     for (const auto &demand : report.waiting)
         waiting[demand.service] = {double(demand.items), double(demand.lateItems)};
     m_upstreams.notePeerLoads(report.node, std::move(loads), std::move(waiting), now);
+    for (const auto &leaving : report.leaving)
+        m_upstreams.noteLeaving(leaving);
     if (onReport)
         onReport(report, isNews);
 }
@@ -157,6 +159,7 @@
         describeFleet(report);
     for (const auto &[id, load] : m_upstreams.ownLoads())
         report.loads.push_back({upstreamHash(id), load.online, load.batch});
+    report.leaving = m_upstreams.leaving();
     if (describeWaiting)
         describeWaiting(report);
     return report;
--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -17,6 +17,12 @@
   lateItems @2 :UInt32;
 }
 
+# An upstream whose answers say that it is about to leave.
+struct LeavingUpstream {
+  upstream @0 :UInt64;   # Hash of the upstream's name.
+  startedAt @1 :Int64;   # The start that leaves.
+}
+
 # What an entry process tells its peers, in one datagram. Each report stands for itself.
 struct PeerReport {
   node @0 :Text;
@@ -34,4 +40,5 @@
   upstreamDigest @12 :UInt64;        # and a hash of its content.
   isStoreReachable @13 :Bool;        # Whether the store answered when the sender last called it.
   waiting @14 :List(ServiceDemand);
+  leaving @15 :List(LeavingUpstream);
 }
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(833c2538e2f6e422);
 CAPNP_DECLARE_SCHEMA(aee4fa194d61b53b);
+CAPNP_DECLARE_SCHEMA(b936efe46a5d9c00);
 CAPNP_DECLARE_SCHEMA(904a47b5c1f7db18);
 
 }  // namespace schemas
@@ -56,6 +57,21 @@
   };
 };
 
+struct LeavingUpstream {
+  LeavingUpstream() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b936efe46a5d9c00, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerReport {
   PeerReport() = delete;
 
@@ -64,7 +80,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -245,6 +261,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class LeavingUpstream::Reader {
+public:
+  typedef LeavingUpstream Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeavingUpstream::Builder {
+public:
+  typedef LeavingUpstream Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream();
+  inline void setUpstream( ::uint64_t value);
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeavingUpstream::Pipeline {
+public:
+  typedef LeavingUpstream Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerReport::Reader {
 public:
   typedef PeerReport Reads;
@@ -299,6 +396,9 @@
   inline bool hasWaiting() const;
   inline  ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getWaiting() const;
 
+  inline bool hasLeaving() const;
+  inline  ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -402,6 +502,13 @@
   inline void adoptWaiting(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::ServiceDemand,  ::capnp::Kind::STRUCT>> disownWaiting();
 
+  inline bool hasLeaving();
+  inline  ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>::Builder getLeaving();
+  inline void setLeaving( ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>::Builder initLeaving(unsigned int size);
+  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>> disownLeaving();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -514,6 +621,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t LeavingUpstream::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingUpstream::Builder::getUpstream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingUpstream::Builder::setUpstream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LeavingUpstream::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LeavingUpstream::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeavingUpstream::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerReport::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -872,6 +1007,40 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::hasLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setLeaving( ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initLeaving(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptLeaving(
+    ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -26,6 +26,8 @@
         report.loads.push_back({load.getUpstream(), load.getOnline(), load.getBatch()});
     for (const auto demand : reader.getWaiting())
         report.waiting.push_back({demand.getService(), demand.getItems(), demand.getLateItems()});
+    for (const auto upstream : reader.getLeaving())
+        report.leaving.push_back({upstream.getUpstream(), upstream.getStartedAt()});
     report.hasJobs = reader.getHasJobs();
     for (const auto job : reader.getOwnedJobs())
         report.ownedJobs.push_back(job);
@@ -61,6 +63,11 @@
         waiting[i].setItems(report.waiting[i].items);
         waiting[i].setLateItems(report.waiting[i].lateItems);
     }
+    auto leaving = builder.initLeaving(static_cast<unsigned>(report.leaving.size()));
+    for (unsigned i = 0; i < report.leaving.size(); ++i) {
+        leaving[i].setUpstream(report.leaving[i].upstream);
+        leaving[i].setStartedAt(report.leaving[i].startedAt);
+    }
     builder.setHasJobs(report.hasJobs);
     auto owned = builder.initOwnedJobs(static_cast<unsigned>(report.ownedJobs.size()));
     for (unsigned i = 0; i < report.ownedJobs.size(); ++i)
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -28,6 +28,17 @@
     std::uint32_t lateItems = 0;
 };
 
+/// An upstream whose answers say that it is about to leave.
+struct LeavingUpstream
+{
+    /// Hash of the upstream's name, as upstreamHash() gives it.
+    std::uint64_t upstream = 0;
+    /// The start that leaves.
+    std::int64_t startedAt = 0;
+
+    bool operator==(const LeavingUpstream &) const = default;
+};
+
 /// Which configuration and which upstreams a process knows.
 struct FleetVersion
 {
@@ -55,6 +66,7 @@
     Endpoint control;
     std::vector<UpstreamStreams> loads;
     std::vector<ServiceDemand> waiting;
+    std::vector<LeavingUpstream> leaving;
     /// The jobs that the sender runs, as hashes of their names; nothing is said if `hasJobs` is
     /// false.
     bool hasJobs = false;
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -110,6 +110,8 @@
 RelayCall::AttemptEnd RelayCall::takeAnswer(UpstreamTable::Place &place, HttpAnswer &answer)
 {
     const auto &upstream = place.upstream();
+    if (answer.headers().find(m_dialect.upstreamLeaves))
+        place.noteLeaving();
     constexpr unsigned misdirected = 421;
     if (answer.status() == misdirected || answer.headers().find(m_dialect.notExecuted)) {
         // An upstream that is another one by now gets nothing more; a full one is asked again.
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -11,6 +11,7 @@
 /// Time without calls after the first failure; doubles with each further one.
 constexpr Milliseconds firstDistrust{250};
 constexpr Milliseconds longestDistrust{2'000};
+constexpr std::size_t maxLeavingNotes = 4'096;
 
 } // namespace
 
@@ -45,6 +46,11 @@
         found->second.batchHolders.push_back({m_number, std::move(stop), slack});
 }
 
+void UpstreamTable::Place::noteLeaving()
+{
+    m_table.noteLeaving({upstreamHash(m_upstream.id), m_upstream.startedAt});
+}
+
 UpstreamTable::UpstreamTable(NodeId self, Position position)
     : m_self(std::move(self))
     , m_position(std::move(position))
@@ -83,6 +89,46 @@
     return result;
 }
 
+void UpstreamTable::noteLeaving(const LeavingUpstream &leaving)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto [known, isNew] = m_leaving.try_emplace(leaving.upstream, leaving.startedAt);
+    if (!isNew && known->second >= leaving.startedAt)
+        return;
+    known->second = leaving.startedAt;
+    // An upstream that comes back bears the time of its new start, so old notes do no harm; those
+    // of upstreams that are gone for good need not stay for ever.
+    if (m_leaving.size() > maxLeavingNotes) {
+        std::erase_if(m_leaving, [&](const auto &note) {
+            return note.first != leaving.upstream
+                   && std::none_of(m_states.begin(), m_states.end(), [&](const auto &entry) {
+                          return entry.second.hash == note.first;
+                      });
+        });
+    }
+    logStateChange("upstream-leaving", {{"hash", std::to_string(leaving.upstream)},
+                                        {"startedAt", std::to_string(leaving.startedAt)}});
+}
+
+std::vector<LeavingUpstream> UpstreamTable::leaving() const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::vector<LeavingUpstream> result;
+    for (const auto &[id, state] : m_states) {
+        if (isLeaving(state))
+            result.push_back({state.hash, state.info.startedAt});
+    }
+    return result;
+}
+
+bool UpstreamTable::isLeaving(const State &state) const
+{
+    if (m_leaving.empty())
+        return false;
+    const auto found = m_leaving.find(state.hash);
+    return found != m_leaving.end() && found->second >= state.info.startedAt;
+}
+
 UpstreamLoad UpstreamTable::peerLoad(std::uint64_t hash, TimePoint now) const
 {
     UpstreamLoad sum;
@@ -104,7 +150,8 @@
 {
     Candidates result;
     for (auto &[id, state] : m_states) {
-        if (state.info.service != service || state.info.isDraining || excluded.contains(id))
+        if (state.info.service != service || state.info.isDraining || isLeaving(state)
+            || excluded.contains(id))
             continue;
         const auto peers = peerLoad(state.hash, now);
         PlaceView view;
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -76,6 +76,8 @@
         [[nodiscard]] const UpstreamInfo &upstream() const { return m_upstream; }
         /// Notes how the attempt has ended.
         void conclude(UpstreamVerdict verdict) { m_verdict = verdict; }
+        /// Notes that the upstream has said in its answer that it is about to leave.
+        void noteLeaving();
         /// Sets what stops the batch item that holds this place, and how much later the item could
         /// have started and still be in time.
         void onPreempt(std::function<void()> stop, Duration slack = Duration(0));
@@ -97,6 +99,10 @@
     bool put(const UpstreamInfo &upstream);
     void remove(const UpstreamId &id);
     [[nodiscard]] std::set<UpstreamId> ids() const;
+    /// Notes that this start of an upstream is about to leave: it gets nothing more.
+    void noteLeaving(const LeavingUpstream &leaving);
+    /// Returns the upstreams of the table that are known to be about to leave.
+    [[nodiscard]] std::vector<LeavingUpstream> leaving() const;
 
     /// Takes a place for an online call, and makes batch work of this process give way to it.
     /// Returns nothing if the wait for a slot would be longer than allowed.
@@ -157,6 +163,7 @@
         std::vector<State *> states;
     };
 
+    [[nodiscard]] bool isLeaving(const State &state) const;
     [[nodiscard]] UpstreamLoad peerLoad(std::uint64_t hash, TimePoint now) const;
     [[nodiscard]] WaitingItems peersWaiting(std::uint64_t service, TimePoint now) const;
     /// Tells whether a peer has to give way at an upstream before this process does.
@@ -171,6 +178,8 @@
     mutable std::mutex m_mutex;
     std::map<UpstreamId, State> m_states;
     std::map<NodeId, PeerLoads> m_peers;
+    /// By hash: the latest start that is known to leave, also while it is not in the table.
+    std::map<std::uint64_t, std::int64_t> m_leaving;
     std::uint64_t m_nextNumber = 1;
 };
 
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -32,7 +32,7 @@
                    upstreams,
                    peers,
                    link,
-                   {"Attempt", "Time-Left", "Upstream", "Not-Executed", "Resume-After"},
+                   {"Attempt", "Time-Left", "Upstream", "Not-Executed", "Leaves", "Resume-After"},
                    node,
                    metrics,
                    Milliseconds(600'000),
--- a/Tests/Gateway/TestUpstreamTable.cpp
+++ b/Tests/Gateway/TestUpstreamTable.cpp
@@ -65,6 +65,40 @@
         CHECK_FALSE(table.takeOnline("service", {}, anyWait).place);
         CHECK_FALSE(table.takeBatch("service"));
     }
+    SECTION("One that says in an answer that it leaves gets nothing more")
+    {
+        table.takeOnline("service", {}, anyWait).place->noteLeaving();
+        CHECK_FALSE(table.takeOnline("service", {}, anyWait).place);
+        CHECK_FALSE(table.takeBatch("service"));
+        CHECK(table.leaving() == std::vector<LeavingUpstream>{{upstreamHash(UpstreamId("a")), 10}});
+
+        SECTION("also when the list of upstreams is learnt anew")
+        {
+            table.remove(UpstreamId("a"));
+            CHECK(table.leaving().empty());
+            CHECK(table.put(upstreamNamed("a", 10)));
+            CHECK_FALSE(table.takeOnline("service", {}, anyWait).place);
+        }
+        SECTION("until it has started again")
+        {
+            CHECK(table.put(upstreamNamed("a", 11)));
+            CHECK(table.takeOnline("service", {}, anyWait).place);
+            CHECK(table.leaving().empty());
+
+            SECTION("whatever a peer says of the start before")
+            {
+                table.noteLeaving({upstreamHash(UpstreamId("a")), 10});
+                CHECK(table.takeOnline("service", {}, anyWait).place);
+            }
+        }
+    }
+    SECTION("A peer knows that it leaves before it is in the table")
+    {
+        table.noteLeaving({upstreamHash(UpstreamId("b")), 20});
+        table.put(upstreamNamed("b", 20));
+        table.remove(UpstreamId("a"));
+        CHECK_FALSE(table.takeOnline("service", {}, anyWait).place);
+    }
     SECTION("A late report of an earlier start changes nothing")
     {
         auto earlier = upstreamNamed("a", 9);
--- a/Tests/Platform/ServerStandin.cpp
+++ b/Tests/Platform/ServerStandin.cpp
@@ -49,9 +49,12 @@
 
 HttpHeaders ServerStandin::answerHeaders(const HttpRequest &request) const
 {
-    return {{"X-Attempt-Id", request.headers.value("X-Attempt-Id")},
-            {"X-Response-Seal", "seal-of-" + m_id},
-            {"X-Weight-Versions", "1"}};
+    HttpHeaders headers{{"X-Attempt-Id", request.headers.value("X-Attempt-Id")},
+                        {"X-Response-Seal", "seal-of-" + m_id},
+                        {"X-Weight-Versions", "1"}};
+    if (m_isLeaving)
+        headers.add("Server-Leaving", "1");
+    return headers;
 }
 
 void ServerStandin::handle(HttpExchange &exchange)
--- a/Tests/Platform/ServerStandin.h
+++ b/Tests/Platform/ServerStandin.h
@@ -39,6 +39,8 @@
     [[nodiscard]] const std::string &id() const { return m_id; }
     /// Sets the deeds of the next requests; further ones are served.
     void plan(std::vector<ServerDeed> deeds);
+    /// From now on, all answers say that the server is about to leave.
+    void leave() { m_isLeaving = true; }
     void setEventInterval(Milliseconds interval) { m_eventInterval = interval; }
     [[nodiscard]] std::vector<ServedRequest> served();
 
@@ -56,6 +58,7 @@
     [[nodiscard]] HttpHeaders answerHeaders(const HttpRequest &request) const;
 
     const std::string m_id;
+    std::atomic<bool> m_isLeaving{false};
     std::atomic<Milliseconds> m_eventInterval{Milliseconds(2)};
     std::mutex m_mutex;
     std::deque<ServerDeed> m_planned;
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -360,6 +360,50 @@
     CHECK(server.served().size() == 2);
 }
 
+TEST_CASE("A server that says in its answers that it leaves gets nothing more", "[Platform]")
+{
+    PlatformDeployment deployment;
+    auto &leaving = deployment.addServer("i-1");
+    deployment.writeConfiguration(1);
+    deployment.startEntry("entry1");
+    deployment.startEntry("entry2");
+    deployment.waitUntilReady("entry1");
+    deployment.waitUntilReady("entry2");
+    // The store still calls it ready.
+    leaving.leave();
+    CHECK(deployment.post("entry1", "/plain/x", "hello", "a0").status == 200);
+    auto &second = deployment.addServer("i-2");
+    const auto answer = [&](const std::string &entry, const std::string &id) {
+        return deployment.post(entry, "/plain/x", "hello", id).status;
+    };
+    REQUIRE(eventually([&] { return answer("entry1", "a1") == 200; }));
+    const auto before = leaving.served().size();
+
+    SECTION("from the process that has heard it")
+    {
+        for (int i = 0; i < 20; ++i)
+            CHECK(answer("entry1", "b" + std::to_string(i)) == 200);
+        CHECK(leaving.served().size() == before);
+        CHECK(second.served().size() >= 20);
+    }
+    SECTION("nor from its peers")
+    {
+        REQUIRE(eventually([&] { return answer("entry2", "c") == 200; }));
+        const auto afterNews = leaving.served().size();
+        for (int i = 0; i < 20; ++i)
+            CHECK(answer("entry2", "d" + std::to_string(i)) == 200);
+        CHECK(leaving.served().size() == afterNews);
+        CHECK(afterNews == before);
+    }
+    SECTION("nor while the store is out")
+    {
+        deployment.store.setMood(StoreMood::Refusing);
+        for (int i = 0; i < 20; ++i)
+            CHECK(answer("entry1", "e" + std::to_string(i)) == 200);
+        CHECK(leaving.served().size() == before);
+    }
+}
+
 TEST_CASE("A route's limit on waiting tokens holds over all entry processes", "[Platform]")
 {
     // Without servers, all that is accepted waits.
