Gateway: Keep sums of the peers' loads, and report as often as the fleet's size allows

Each choice of a place added up the reports of 57 peers for each of 74 upstreams, each report woke the dispatcher, which did the same again, and each process sent and got about 850 reports a second.

--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -205,8 +205,7 @@
     static constexpr Milliseconds storeRetryPause{200};
     static constexpr Milliseconds busyDispatchInterval{20};
     static constexpr Milliseconds idleDispatchInterval{200};
-    /// What peers of the region have started is known by the next turn; see PeerLink.
-    static constexpr Milliseconds turnInterval{60};
+    static constexpr Milliseconds shortestTurn{60};
     static constexpr Milliseconds recoveryCheckInterval{500};
     /// Peers take over a process's jobs after 2.5 s of silence.
     static constexpr Milliseconds longestPause{2'000};
@@ -480,7 +479,8 @@
         const auto now = SteadyClock().now();
         if (m_isDraining || now < m_nextTurn)
             return;
-        m_nextTurn = now + turnInterval;
+        // What peers of the region have started is known by the next turn.
+        m_nextTurn = now + std::max(shortestTurn, m_context.link.loadNewsTime());
         std::map<std::string, std::size_t> quotas;
         for (const auto &[service, items] : waitingByService()) {
             if (const auto quota = m_context.upstreams.batchTurn(service, items); quota > 0)
@@ -887,7 +887,6 @@
         }
         if (isNews)
             logStateChange("peer-heard", {{"peer", report.node.text()}});
-        wakeDispatcher();
     }
 
     static void dispute(ActiveJob &job)
--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -1,5 +1,6 @@
 #include <Gateway/PeerLink.h>
 
+#include <Gateway/ReportPace.h>
 #include <Net/Await.h>
 
 #include <boost/fiber/operations.hpp>
@@ -10,14 +11,7 @@
 
 namespace {
 
-/// A slot can be held for a few hundred milliseconds, so loads must be known much sooner than that.
 constexpr Milliseconds sendInterval{20};
-constexpr Milliseconds sameZoneInterval{20};
-constexpr Milliseconds sameRegionInterval{60};
-/// Few calls cross regions, and bytes between them are dear.
-constexpr Milliseconds otherRegionInterval{250};
-/// Full reports go to everyone, as the sign of life.
-constexpr Milliseconds fullReportInterval{500};
 constexpr std::size_t maxDatagramBytes = 65'000;
 constexpr std::size_t maxJobsTold = 2'000;
 
@@ -77,13 +71,7 @@
     const auto now = SteadyClock().now();
     const bool isNews
             = m_peers.noteReport(report, {sender.address().to_string(), sender.port()}, now);
-    std::map<std::uint64_t, UpstreamLoad> loads;
-    for (const auto &load : report.loads)
-        loads[load.upstream] = {load.online, load.batch};
-    std::map<std::uint64_t, WaitingItems> waiting;
-    for (const auto &demand : report.waiting)
-        waiting[demand.service] = {double(demand.items), double(demand.lateItems)};
-    m_upstreams.notePeerLoads(report.node, std::move(loads), std::move(waiting), now);
+    m_upstreams.notePeerLoads(report.node, report.loads, report.waiting, now);
     for (const auto &leaving : report.leaving)
         m_upstreams.noteLeaving(leaving);
     if (onReport)
@@ -101,19 +89,6 @@
     }
 }
 
-Milliseconds PeerLink::intervalTo(const ZoneName &zone) const
-{
-    switch (m_settings.position.distanceTo(zone)) {
-    case Distance::SameZone:
-        return sameZoneInterval;
-    case Distance::SameRegion:
-        return sameRegionInterval;
-    case Distance::OtherRegion:
-        return otherRegionInterval;
-    }
-    return otherRegionInterval;
-}
-
 void PeerLink::sendReports(TimePoint now)
 {
     m_hasLoadChanged = false;
@@ -130,9 +105,15 @@
     }
     const auto bytes = encodePeerReport(report);
     const auto destinations = m_peers.destinations();
+    PeerCounts counts;
+    for (const auto &destination : destinations)
+        counts.at(m_settings.position.distanceTo(destination.zone)) += 1;
+    m_loadNewsTime = reportInterval(Distance::SameRegion, counts);
     for (const auto &destination : destinations) {
         auto &sentAt = m_sentAt[destination.datagrams];
-        if (!isFull && now - sentAt < intervalTo(destination.zone)) {
+        if (!isFull
+            && now - sentAt
+                       < reportInterval(m_settings.position.distanceTo(destination.zone), counts)) {
             // It is told with the next report.
             m_hasLoadChanged = true;
             continue;
--- a/Libraries/Gateway/PeerLink.h
+++ b/Libraries/Gateway/PeerLink.h
@@ -40,6 +40,8 @@
     std::function<void(const PeerReport &, bool isNews)> onReport;
 
     Result<void> start();
+    /// Returns how long it takes until peers of the region know of a change of loads.
+    [[nodiscard]] Milliseconds loadNewsTime() const { return m_loadNewsTime; }
     /// Sends a full report soon.
     void announceJobs() { m_mustSendJobs = true; }
     /// Sends a full report soon, because this process knows more of the fleet.
@@ -56,7 +58,6 @@
     void sendReports(TimePoint now);
     [[nodiscard]] PeerReport loadReport() const;
     void sendTo(const Endpoint &destination, const std::string &bytes);
-    [[nodiscard]] Milliseconds intervalTo(const ZoneName &zone) const;
 
     FiberThreads &m_threads;
     PeerTable &m_peers;
@@ -65,6 +66,7 @@
     boost::asio::ip::udp::socket m_socket;
     std::map<Endpoint, TimePoint> m_sentAt;
     TimePoint m_jobsSentAt{};
+    Milliseconds m_loadNewsTime{};
     bool m_mustSendJobs = true;
     std::atomic<bool> m_hasLoadChanged{true};
 };
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// Reports come several times a second; one that is older says nothing of the present.
-constexpr Milliseconds peerLoadLifetime{1'500};
 /// Time without calls after the first failure; doubles with each further one.
 constexpr Milliseconds firstDistrust{250};
 constexpr Milliseconds longestDistrust{2'000};
@@ -129,31 +127,17 @@
     return found != m_leaving.end() && found->second >= state.info.startedAt;
 }
 
-UpstreamLoad UpstreamTable::peerLoad(std::uint64_t hash, TimePoint now) const
-{
-    UpstreamLoad sum;
-    for (const auto &[peer, report] : m_peers) {
-        if (now - report.at > peerLoadLifetime)
-            continue;
-        const auto found = report.loads.find(hash);
-        if (found == report.loads.end())
-            continue;
-        sum.online += found->second.online;
-        sum.batch += found->second.batch;
-    }
-    return sum;
-}
-
 UpstreamTable::Candidates UpstreamTable::candidates(const std::string &service,
                                                     const std::set<UpstreamId> &excluded,
                                                     TimePoint now)
 {
     Candidates result;
+    m_peers.expire(now);
     for (auto &[id, state] : m_states) {
         if (state.info.service != service || state.info.isDraining || isLeaving(state)
             || excluded.contains(id))
             continue;
-        const auto peers = peerLoad(state.hash, now);
+        const auto peers = m_peers.at(state.hash);
         PlaceView view;
         view.distance = m_position.distanceTo(state.info.zone);
         view.slots = std::max(1U, state.info.slots);
@@ -218,17 +202,6 @@
     return offer;
 }
 
-WaitingItems UpstreamTable::peersWaiting(std::uint64_t service, TimePoint now) const
-{
-    WaitingItems sum;
-    for (const auto &[peer, report] : m_peers) {
-        const auto found = report.waiting.find(service);
-        if (found != report.waiting.end() && now - report.at <= peerLoadLifetime)
-            sum += found->second;
-    }
-    return sum;
-}
-
 std::size_t UpstreamTable::batchTurn(const std::string &service, WaitingItems waiting)
 {
     const std::scoped_lock lock(m_mutex);
@@ -239,7 +212,7 @@
     auto &random = threadRandomEngine();
     const double draw = std::uniform_real_distribution<double>(0, 1)(random);
     auto all = waiting;
-    all += peersWaiting(serviceHash(service), now);
+    all += m_peers.waiting(serviceHash(service));
     // Late items run where nothing waits that can still be in time.
     const double roomForLate = std::max(0.0, room - all.inTime);
     return batchShare(room, waiting.inTime, all.inTime, draw)
@@ -292,11 +265,11 @@
         onLoadChange();
 }
 
-void UpstreamTable::notePeerLoads(const NodeId &peer, std::map<std::uint64_t, UpstreamLoad> loads,
-                                  std::map<std::uint64_t, WaitingItems> waiting, TimePoint now)
+void UpstreamTable::notePeerLoads(const NodeId &peer, std::span<const UpstreamStreams> loads,
+                                  std::span<const ServiceDemand> waiting, TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
-    m_peers[peer] = {now, std::move(loads), std::move(waiting)};
+    m_peers.note(peer, loads, waiting, now);
 }
 
 std::map<UpstreamId, UpstreamLoad> UpstreamTable::ownLoads() const
@@ -310,33 +283,18 @@
     return loads;
 }
 
-bool UpstreamTable::isOutweighed(const State &state, TimePoint now) const
-{
-    // Whoever has most batch items there gives way, so that not all do at once.
-    for (const auto &[peer, report] : m_peers) {
-        if (now - report.at > peerLoadLifetime)
-            continue;
-        const auto found = report.loads.find(state.hash);
-        if (found == report.loads.end())
-            continue;
-        const auto batch = found->second.batch;
-        if (batch > state.own.batch || (batch == state.own.batch && batch > 0 && peer > m_self))
-            return true;
-    }
-    return false;
-}
-
 void UpstreamTable::yieldOverfull()
 {
     std::vector<std::function<void()>> stops;
     {
         const std::scoped_lock lock(m_mutex);
-        const auto now = SteadyClock().now();
+        m_peers.expire(SteadyClock().now());
         for (auto &entry : m_states) {
             auto &state = entry.second;
-            const auto peers = peerLoad(state.hash, now);
+            const auto peers = m_peers.at(state.hash);
             const unsigned total = state.own.online + state.own.batch + peers.online + peers.batch;
-            if (total <= state.info.slots || isOutweighed(state, now))
+            if (state.batchHolders.empty() || total <= state.info.slots
+                || m_peers.isOutweighed(state.hash, state.own.batch, m_self))
                 continue;
             const unsigned excess = total - state.info.slots;
             for (unsigned i = 0; i < excess; ++i) {
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <Catalogue/Catalogue.h>
-#include <Gateway/PeerReport.h>
+#include <Gateway/PeerLoads.h>
 #include <Gateway/PlaceChooser.h>
 #include <Gateway/UpstreamInfo.h>
 
@@ -11,36 +11,12 @@
 #include <mutex>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
 namespace Radishplank {
 
-/// Streams of one process at one upstream.
-struct UpstreamLoad
-{
-    unsigned online = 0;
-    unsigned batch = 0;
-
-    bool operator==(const UpstreamLoad &) const = default;
-};
-
-/// Batch items that wait for a slot, in parts where a route divides its calls by weights.
-struct WaitingItems
-{
-    double inTime = 0;
-    /// They cannot be done by the time at which they are due.
-    double late = 0;
-
-    [[nodiscard]] double sum() const { return inTime + late; }
-    WaitingItems &operator+=(const WaitingItems &other)
-    {
-        inTime += other.inTime;
-        late += other.late;
-        return *this;
-    }
-};
-
 /// Where this process stands; distances are counted from here.
 struct Position
 {
@@ -124,10 +100,9 @@
     [[nodiscard]] std::size_t batchTurn(const std::string &service, WaitingItems waiting);
 
     /// Notes what a peer has at the upstreams, and what waits there; it counts until it is replaced
-    /// or has grown old. Loads are by the hashes of the upstreams' names, waiting items by those of
-    /// the services'.
-    void notePeerLoads(const NodeId &peer, std::map<std::uint64_t, UpstreamLoad> loads,
-                       std::map<std::uint64_t, WaitingItems> waiting, TimePoint now);
+    /// or has grown old.
+    void notePeerLoads(const NodeId &peer, std::span<const UpstreamStreams> loads,
+                       std::span<const ServiceDemand> waiting, TimePoint now);
     [[nodiscard]] std::map<UpstreamId, UpstreamLoad> ownLoads() const;
     /// Stops batch items of this process at upstreams that hold more than their slots.
     void yieldOverfull();
@@ -150,13 +125,6 @@
         unsigned failures = 0;
         TimePoint distrustedUntil{};
     };
-    struct PeerLoads
-    {
-        TimePoint at;
-        std::map<std::uint64_t, UpstreamLoad> loads;
-        std::map<std::uint64_t, WaitingItems> waiting;
-    };
-
     struct Candidates
     {
         std::vector<PlaceView> views;
@@ -164,10 +132,6 @@
     };
 
     [[nodiscard]] bool isLeaving(const State &state) const;
-    [[nodiscard]] UpstreamLoad peerLoad(std::uint64_t hash, TimePoint now) const;
-    [[nodiscard]] WaitingItems peersWaiting(std::uint64_t service, TimePoint now) const;
-    /// Tells whether a peer has to give way at an upstream before this process does.
-    [[nodiscard]] bool isOutweighed(const State &state, TimePoint now) const;
     [[nodiscard]] Candidates candidates(const std::string &service,
                                         const std::set<UpstreamId> &excluded, TimePoint now);
     void release(const Place &place);
@@ -177,7 +141,7 @@
     const Position m_position;
     mutable std::mutex m_mutex;
     std::map<UpstreamId, State> m_states;
-    std::map<NodeId, PeerLoads> m_peers;
+    PeerLoads m_peers;
     /// By hash: the latest start that is known to leave, also while it is not in the table.
     std::map<std::uint64_t, std::int64_t> m_leaving;
     std::uint64_t m_nextNumber = 1;
--- a/Tests/Gateway/TestUpstreamTable.cpp
+++ b/Tests/Gateway/TestUpstreamTable.cpp
@@ -31,9 +31,14 @@
     return position;
 }
 
-std::map<std::uint64_t, UpstreamLoad> loadAt(const std::string &id, UpstreamLoad load)
+std::vector<UpstreamStreams> loadAt(const std::string &id, UpstreamLoad load)
 {
-    return {{upstreamHash(UpstreamId(id)), load}};
+    return {{upstreamHash(UpstreamId(id)), load.online, load.batch}};
+}
+
+std::vector<ServiceDemand> waitingFor(const std::string &service, std::uint32_t items)
+{
+    return {{serviceHash(service), items, 0}};
 }
 
 } // namespace
@@ -162,9 +167,9 @@
         table.put(upstreamNamed(name));
     const auto now = SteadyClock().now();
     CHECK(table.batchTurn("service", {100, 0}) >= 4);
-    table.notePeerLoads(NodeId("entry2"), {}, {{serviceHash("other"), {300, 0}}}, now);
+    table.notePeerLoads(NodeId("entry2"), {}, waitingFor("other", 300), now);
     CHECK(table.batchTurn("service", {100, 0}) >= 4);
-    table.notePeerLoads(NodeId("entry2"), {}, {{serviceHash("service"), {300, 0}}}, now);
+    table.notePeerLoads(NodeId("entry2"), {}, waitingFor("service", 300), now);
     CHECK(table.batchTurn("service", {100, 0}) <= 2);
     CHECK(table.batchTurn("service", {0, 0}) == 0);
 }
