PeerTable: Let only the heirs of a silent peer's jobs read the list of jobs

Cause: whenever a peer fell silent, each process listed all jobs with their values, to find those that fall to it; a planned restart of 18 of 58 machines made some thousand calls of several pages each. A peer's reports name its jobs, so those that inherit one know it; one more, chosen by the peer's name, looks for jobs that had not been told of. A process that leaves names its jobs in its last report, which had cleared them.

Ruled out: doing without the list altogether (a job accepted just before its owner's death may have been told to nobody).

--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -921,7 +921,8 @@
             boost::this_fiber::sleep_for(recoveryCheckInterval);
             if (!m_hasListened && SteadyClock().now() >= listenUntil) {
                 m_hasListened = true;
-                m_mustRecover = true;
+                // Among members that are not known, any may have left jobs.
+                m_mustRecover |= m_context.peers.processCount() == 0;
             }
             forgetOldEnds();
             doubtAfterAbsence(BootClock::now() - before);
@@ -930,7 +931,10 @@
             const auto silent = m_context.peers.takeSilent(SteadyClock().now());
             for (const auto &node : silent)
                 logStateChange("peer-silent", {{"peer", node.text()}});
-            if (!silent.empty() || std::exchange(m_mustRecover, false))
+            // A list of all jobs is large: only those read it that something may fall to.
+            const bool mayInherit
+                    = m_hasListened && !m_context.peers.takeBequests(SteadyClock().now()).empty();
+            if (mayInherit || std::exchange(m_mustRecover, false))
                 recover();
         }
     }
@@ -959,8 +963,7 @@
             const auto now = SteadyClock().now();
             const bool isOwn = listed.job.owner == m_context.self;
             const bool isOrphan = !isOwn && m_hasListened
-                                  && !m_context.peers.isHeard(listed.job.owner, now)
-                                  && m_context.peers.isSuccessor(listed.job.id, now);
+                                  && m_context.peers.isHeir(listed.job.owner, listed.job.id, now);
             if (isOwn || isOrphan)
                 takeUp(listed.job.id, listed.job.owner);
         }
--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -155,7 +155,10 @@
 {
     m_threads.spawnOn(0, [this] {
         auto report = loadReport();
+        // The peers share the jobs among themselves.
         report.hasJobs = true;
+        if (describeJobs)
+            describeJobs(report);
         report.isLeaving = true;
         const auto bytes = encodePeerReport(report);
         for (const auto &destination : m_peers.destinations())
--- a/Libraries/Gateway/PeerTable.cpp
+++ b/Libraries/Gateway/PeerTable.cpp
@@ -41,6 +41,7 @@
     peer.control = report.control;
     peer.heardAt = now;
     peer.isSilenceTold = false;
+    peer.bequestsTold = 0;
     peer.isWatching = report.isWatching && !report.isLeaving;
     peer.isStoreReachable = report.isStoreReachable && !report.isLeaving;
     peer.fleet = report.fleet;
@@ -162,15 +163,39 @@
     return best == nullptr ? std::optional<Endpoint>() : best->control;
 }
 
-bool PeerTable::isSuccessor(const std::string &job, TimePoint now) const
+bool PeerTable::isChosen(std::uint64_t hash, TimePoint now) const
 {
-    const auto weight = [&](const NodeId &node) { return stableHash(node.text(), jobHash(job)); };
+    const auto weight = [&](const NodeId &node) { return stableHash(node.text(), hash); };
     const auto own = weight(m_self);
-    for (const auto &[node, peer] : m_peers) {
-        if (isHeard(node, now) && weight(node) > own)
-            return false;
+    return std::none_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        return isHeard(entry.first, now) && weight(entry.first) > own;
+    });
+}
+
+bool PeerTable::isHeir(const NodeId &owner, const std::string &job, TimePoint now) const
+{
+    if (isHeard(owner, now))
+        return false;
+    const auto peer = m_peers.find(owner);
+    const bool hasToldOf = peer != m_peers.end() && peer->second.jobs.contains(jobHash(job));
+    return isChosen(hasToldOf ? jobHash(job) : stableHash(owner.text()), now);
+}
+
+std::vector<NodeId> PeerTable::takeBequests(TimePoint now)
+{
+    std::vector<NodeId> owners;
+    for (auto &[node, peer] : m_peers) {
+        if (isHeard(node, now))
+            continue;
+        auto bequests = static_cast<std::size_t>(
+                std::count_if(peer.jobs.begin(), peer.jobs.end(),
+                              [&](auto hash) { return isChosen(hash, now); }));
+        bequests += isChosen(stableHash(node.text()), now) ? 1 : 0;
+        if (bequests > peer.bequestsTold)
+            owners.push_back(node);
+        peer.bequestsTold = bequests;
     }
-    return true;
+    return owners;
 }
 
 } // namespace Radishplank
--- a/Libraries/Gateway/PeerTable.h
+++ b/Libraries/Gateway/PeerTable.h
@@ -51,8 +51,12 @@
     /// Returns where a peer takes calls that can make calls to the store for this process; one that
     /// watches the store first, then one in the same zone.
     [[nodiscard]] std::optional<Endpoint> storeProxy(TimePoint now) const;
-    /// Tells whether this process is the one, of all that are heard, that takes over a job.
-    [[nodiscard]] bool isSuccessor(const std::string &job, TimePoint now) const;
+    /// Tells whether a job of a peer that is not heard falls to this process: one of all that are
+    /// heard for each job that the peer has told of, and one for all its others.
+    [[nodiscard]] bool isHeir(const NodeId &owner, const std::string &job, TimePoint now) const;
+    /// Returns the peers that are not heard and of whose jobs more may fall to this process than
+    /// when they were last returned.
+    std::vector<NodeId> takeBequests(TimePoint now);
 
 private:
     struct Peer
@@ -62,12 +66,17 @@
         Endpoint control;
         std::optional<TimePoint> heardAt;
         bool isSilenceTold = false;
+        /// How many of its jobs, and the rest as one, fell to this process when that was told.
+        std::size_t bequestsTold = 0;
         bool isWatching = false;
         bool isStoreReachable = false;
         FleetVersion fleet;
         std::set<std::uint64_t> jobs;
     };
 
+    /// Tells whether this process is the one, of all that are heard, that a hash falls to.
+    [[nodiscard]] bool isChosen(std::uint64_t hash, TimePoint now) const;
+
     const NodeId m_self;
     const ZoneName m_zone;
     std::map<NodeId, Peer> m_peers;
--- a/Tests/Gateway/TestPeers.cpp
+++ b/Tests/Gateway/TestPeers.cpp
@@ -90,13 +90,96 @@
         peers.noteReport(leaving, sender, start + Milliseconds(600));
         CHECK(peers.takeSilent(start + Milliseconds(600)).size() == 1);
     }
-    SECTION("Exactly one of those that are heard succeeds to a job")
+    SECTION("Exactly one of those that are heard inherits a job, told of or not")
     {
         PeerTable others(NodeId("entry2"), ZoneName("zone1"));
         others.noteReport(reportOf("entry1"), sender, start);
+        const NodeId gone("entry9");
         for (int i = 0; i < 50; ++i) {
             const auto job = "job" + std::to_string(i);
-            CHECK(peers.isSuccessor(job, start) != others.isSuccessor(job, start));
+            auto report = reportOf("entry9");
+            report.ownedJobs = {jobHash("job" + std::to_string(i % 10))};
+            report.isLeaving = true;
+            peers.noteReport(report, sender, start);
+            others.noteReport(report, sender, start);
+            CHECK(peers.isHeir(gone, job, start) != others.isHeir(gone, job, start));
         }
     }
 }
+
+TEST_CASE("When a peer falls silent, few look for its jobs", "[Peers]")
+{
+    constexpr std::size_t jobsEach = 4;
+    const TimePoint start{std::chrono::seconds(1'000)};
+    const auto later = start + std::chrono::seconds(5);
+    for (const std::size_t count : {30, 58, 100}) {
+        CAPTURE(count);
+        std::vector<NodeId> nodes;
+        for (std::size_t i = 0; i < count; ++i)
+            nodes.emplace_back("entry" + std::to_string(i));
+        const auto reportWithJobs = [&](std::size_t index) {
+            auto report = reportOf(nodes[index].text());
+            report.ownedJobs.clear();
+            for (std::size_t job = 0; job < jobsEach; ++job)
+                report.ownedJobs.push_back(jobHash(nodes[index].text() + std::to_string(job)));
+            return report;
+        };
+        std::vector<PeerTable> tables;
+        for (const auto &node : nodes)
+            tables.emplace_back(node, ZoneName("zone1"));
+        const auto hearAll = [&](std::size_t but, TimePoint now) {
+            for (auto &table : tables) {
+                for (std::size_t i = 0; i < count; ++i) {
+                    if (i >= but)
+                        table.noteReport(reportWithJobs(i), sender, now);
+                }
+            }
+        };
+        const auto countHeirs = [&](std::size_t from) {
+            std::size_t heirs = 0;
+            for (std::size_t i = from; i < count; ++i)
+                heirs += tables[i].takeBequests(later).empty() ? 0 : 1;
+            return heirs;
+        };
+        hearAll(0, start);
+        hearAll(1, later);
+        const auto heirs = countHeirs(1);
+        CHECK(heirs >= 1);
+        CHECK(heirs <= jobsEach + 1);
+        CHECK(countHeirs(1) == 0);
+
+        for (std::size_t job = 0; job <= jobsEach; ++job) {
+            // The last one has not been told of.
+            const auto id = nodes[0].text() + std::to_string(job);
+            std::size_t takers = 0;
+            for (std::size_t i = 1; i < count; ++i)
+                takers += tables[i].isHeir(nodes[0], id, later) ? 1 : 0;
+            CHECK(takers == 1);
+        }
+    }
+}
+
+TEST_CASE("The jobs of an heir that falls silent as well fall to others", "[Peers]")
+{
+    const TimePoint start{std::chrono::seconds(1'000)};
+    const auto later = start + std::chrono::seconds(5);
+    const NodeId gone("entry1");
+    std::size_t told = 0;
+    for (int i = 0; i < 40; ++i) {
+        const auto job = "job" + std::to_string(i);
+        PeerTable peers(NodeId("entry2"), ZoneName("zone1"));
+        auto report = reportOf("entry1");
+        report.ownedJobs = {jobHash(job)};
+        peers.noteReport(report, sender, start);
+        peers.noteReport(reportOf("entry3"), sender, later);
+        const bool isFirst = peers.isHeir(gone, job, later);
+        (void)peers.takeBequests(later);
+        const auto evenLater = later + std::chrono::seconds(5);
+        CHECK(peers.isHeir(gone, job, evenLater));
+        const auto owners = peers.takeBequests(evenLater);
+        if (!isFirst)
+            CHECK(std::count(owners.begin(), owners.end(), gone) == 1);
+        told += isFirst ? 0 : 1;
+    }
+    CHECK(told > 0);
+}
