Gateway: Leave answers that go on without progress

Cause: a server whose answer to a batch item never ends, with bytes that are no event, with events that belong to no stream, or with a byte now and then, held the item for ever: only the pause between two reads was bounded, and the bytes of an event that does not end were kept. A stream that may be resumed was held until its deadline.

--- a/Libraries/Gateway/ItemRun.cpp
+++ b/Libraries/Gateway/ItemRun.cpp
@@ -46,16 +46,24 @@
 EventsEnd readEvents(HttpAnswer &answer, ItemProgress &progress)
 {
     EventFramer framer;
+    auto progressAt = SteadyClock().now();
     while (true) {
         const auto piece = answer.readPiece();
         if (piece.isError())
             return EventsEnd::Broken;
         if (piece.value().empty())
             return framer.partial().empty() ? EventsEnd::Whole : EventsEnd::Broken;
+        const auto before = progress.lastEvent;
         for (const auto &event : framer.feed(piece.value())) {
             if (!addEvent(event, progress))
                 return EventsEnd::Broken;
         }
+        // Bytes alone are no progress: they may go on for ever.
+        const auto now = SteadyClock().now();
+        if (progress.lastEvent != before)
+            progressAt = now;
+        if (framer.isOverlong() || now - progressAt > silenceLimit)
+            return EventsEnd::Broken;
     }
 }
 
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -168,6 +168,7 @@
     }
     const bool isResumable = m_call.route->resumption == Resumption::Allowed;
     EventFramer framer;
+    auto progressAt = SteadyClock().now();
     while (true) {
         const auto piece = answer.readPiece();
         if (piece.isError())
@@ -179,8 +180,16 @@
             written = m_exchange.writeStream(piece.value());
         else if (isEnd)
             written = m_exchange.writeStream(framer.partial());
-        else
+        else {
+            const auto before = m_lastEvent;
             written = writeEvents(framer.feed(piece.value()));
+            // Bytes alone are no progress: they may go on for ever.
+            const auto now = SteadyClock().now();
+            if (m_lastEvent != before)
+                progressAt = now;
+            if (framer.isOverlong() || now - progressAt > silenceLimit())
+                return AttemptEnd::Interrupted;
+        }
         if (!written.isError() && isEnd)
             written = m_exchange.endStream();
         if (written.isError()) {
--- a/Tests/Platform/SpoiltServer.cpp
+++ b/Tests/Platform/SpoiltServer.cpp
@@ -69,7 +69,17 @@
                       boost::asio::transfer_exactly(missing), code);
     m_requests += 1;
     boost::asio::write(socket, boost::asio::buffer(m_script(fieldOf(head, "X-Attempt-Id"))), code);
+    while (!m_repeated.empty() && !code && !m_isStopping) {
+        m_repeatedBytes += boost::asio::write(socket, boost::asio::buffer(m_repeated), code);
+        std::this_thread::sleep_for(m_repeatPause);
+    }
     socket.shutdown(tcp::socket::shutdown_send, code);
 }
 
+void SpoiltServer::repeatUntilClosed(std::string piece, Milliseconds pause)
+{
+    m_repeated = std::move(piece);
+    m_repeatPause = pause;
+}
+
 } // namespace Radishplank::Test
--- a/Tests/Platform/SpoiltServer.h
+++ b/Tests/Platform/SpoiltServer.h
@@ -22,6 +22,10 @@
     SpoiltServer(const std::string &address, Script script);
     ~SpoiltServer();
 
+    /// Sends the piece behind each answer again and again, until the caller closes.
+    void repeatUntilClosed(std::string piece, Milliseconds pause = Milliseconds(0));
+    /// Bytes sent behind answers, over all connections.
+    [[nodiscard]] std::size_t repeatedBytes() const { return m_repeatedBytes; }
     [[nodiscard]] Endpoint endpoint() const { return m_endpoint; }
     [[nodiscard]] unsigned requests() const { return m_requests; }
 
@@ -34,6 +38,9 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     const Endpoint m_endpoint;
     std::atomic<unsigned> m_requests{0};
+    std::string m_repeated;
+    Milliseconds m_repeatPause{};
+    std::atomic<std::size_t> m_repeatedBytes{0};
     std::atomic<bool> m_isStopping{false};
     std::thread m_thread;
 };
--- a/Tests/Platform/TestSpoiltAnswers.cpp
+++ b/Tests/Platform/TestSpoiltAnswers.cpp
@@ -74,6 +74,56 @@
     CHECK_FALSE(sound.served().empty());
 }
 
+TEST_CASE("An answer without end is left after a bounded time and number of bytes", "[Platform]")
+{
+    PlatformDeployment deployment;
+    std::string begin;
+    SpoiltServer server(deployment.freeAddress(), [&](const std::string &attempt) {
+        return begin.empty() ? answer(attempt, "", "") : begin;
+    });
+    // Far more than a head or an event of a sound server.
+    constexpr std::size_t mostBytes = std::size_t{16} * 1024 * 1024;
+
+    SECTION("Bytes without end in the head")
+    {
+        begin = "HTTP/1.1 200 OK\r\nX-Long: ";
+        server.repeatUntilClosed(std::string(65'536, 'x'));
+    }
+    SECTION("Bytes without end in the body")
+    {
+        server.repeatUntilClosed(std::string(65'536, 'x'));
+    }
+    SECTION("Lines without end that are no event")
+    {
+        server.repeatUntilClosed("data: x\n");
+    }
+    SECTION("Events without end that belong to no stream")
+    {
+        server.repeatUntilClosed("data: x\n\n");
+    }
+    SECTION("A byte now and then")
+    {
+        server.repeatUntilClosed("x", Milliseconds(100));
+    }
+    deployment.registerAt("i-9", server.endpoint(), "ready");
+    deployment.writeConfiguration(1);
+    deployment.startEntry("entry1");
+    deployment.waitUntilReady("entry1");
+
+    // The items' first runs are at the spoilt server.
+    REQUIRE(deployment.submit("entry1", "job1", {"a", "b"}).status == 202);
+    REQUIRE(eventually([&] { return server.requests() > 0; }));
+    auto &sound = deployment.addServer("i-1");
+    CHECK(deployment.waitForResults("entry1", "job1", 2).size() == 2);
+    const auto whole = ServerStandin::answerBytes("hello");
+    REQUIRE(eventually([&] {
+        const auto resumed = deployment.post("entry1", "/resume/x", "hello", "a1");
+        return resumed.status == 200 && resumed.body == whole;
+    }));
+    CHECK_FALSE(sound.served().empty());
+    CHECK(server.repeatedBytes() < mostBytes * server.requests());
+}
+
 TEST_CASE("Bytes behind a whole answer belong to no request", "[Platform]")
 {
     PlatformDeployment deployment;
