PeerTable: Spread the processes that lag behind over the peers that know more

Each process ranks the peers by a hash of both names now. The list itself, sent whole, still grows with the fleet.

TestPeers, "Processes that lag behind ...": with the choice by name, one of ten peers gets all requests (not run; follows from the loop that was replaced).

--- a/Libraries/Gateway/PeerTable.cpp
+++ b/Libraries/Gateway/PeerTable.cpp
@@ -136,18 +136,20 @@
 
 std::optional<Endpoint> PeerTable::betterInformed(const FleetVersion &own, TimePoint now) const
 {
-    std::optional<Endpoint> best;
-    bool isBestNear = false;
+    const Peer *best = nullptr;
+    std::pair<bool, std::uint64_t> bestRank;
     for (const auto &[node, peer] : m_peers) {
         if (!isHeard(node, now) || !own.isBehind(peer.fleet))
             continue;
-        const bool isNear = peer.zone == m_zone;
-        if (best && (isBestNear || !isNear))
+        // Each asks another one, so that none has to answer all.
+        const std::pair rank(peer.zone == m_zone,
+                             stableHash(node.text(), stableHash(m_self.text())));
+        if (best != nullptr && rank <= bestRank)
             continue;
-        best = peer.control;
-        isBestNear = isNear;
+        best = &peer;
+        bestRank = rank;
     }
-    return best;
+    return best == nullptr ? std::optional<Endpoint>() : best->control;
 }
 
 std::optional<Endpoint> PeerTable::storeProxy(TimePoint now) const
--- a/Tests/Gateway/TestPeers.cpp
+++ b/Tests/Gateway/TestPeers.cpp
@@ -215,3 +215,30 @@
     }
     CHECK(told > 0);
 }
+
+TEST_CASE("Processes that lag behind do not all ask the same peer", "[Peers]")
+{
+    constexpr std::size_t informed = 10;
+    constexpr std::size_t lagging = 100;
+    const TimePoint now{std::chrono::seconds(1'000)};
+    std::map<std::string, std::size_t> asked;
+    for (std::size_t i = 0; i < lagging; ++i) {
+        PeerTable peers(NodeId("lagging" + std::to_string(i)), ZoneName("zone1"));
+        for (std::size_t j = 0; j < informed; ++j) {
+            auto report = reportOf("informed" + std::to_string(j));
+            report.fleet.configuration = 2;
+            report.control.port = static_cast<std::uint16_t>(1'000 + j);
+            peers.noteReport(report, sender, now);
+        }
+        auto far = reportOf("afar");
+        far.zone = ZoneName("zone2");
+        far.fleet.configuration = 2;
+        peers.noteReport(far, sender, now);
+        const auto peer = peers.betterInformed({}, now);
+        REQUIRE(peer);
+        asked[peer->text()] += 1;
+    }
+    CHECK(asked.size() == informed);
+    for (const auto &[peer, count] : asked)
+        CHECK(count <= 3 * lagging / informed);
+}
