JobService: Keep the claim of before a restart until all own jobs are known

A process that had restarted renewed its claim while it was still reading its jobs, so the claim shrank to those read so far and others took the rest. Now it renews nothing, and takes no job under a limit, before all of its own jobs have been taken up.

Ruled out: the lapse of the dead process's claim (QUOTA was broken 1.1 s after the kill, a claim lapses after 6.6 s). TestJobService, "A process that restarts keeps its claim ...": claim of 6,500 for 8,000 tokens before the change, passes after.

--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -450,7 +450,9 @@
     {
         while (true) {
             boost::this_fiber::sleep_for(claimCheckInterval);
-            m_claims.renew();
+            // Before that, the claim from before the start covers jobs that are not counted yet.
+            if (m_areOwnJobsKnown)
+                m_claims.renew();
         }
     }
 
@@ -914,7 +916,6 @@
     void recoveryLoop()
     {
         recover();
-        m_areOwnJobsKnown = true;
         const auto listenUntil = SteadyClock().now() + m_context.listenTime;
         while (true) {
             const auto before = BootClock::now();
@@ -936,6 +937,7 @@
                     = m_hasListened && !m_context.peers.takeBequests(SteadyClock().now()).empty();
             if (mayInherit || std::exchange(m_mustRecover, false))
                 recover();
+            m_areOwnJobsKnown |= !m_mustRecover;
         }
     }
 
--- a/Meta/make_days.py
+++ b/Meta/make_days.py
@@ -29,6 +29,16 @@
         {"kind": "burst", "for_s": 3.0, "x": 6.0, "class": "@c2"},
         {"kind": "burst", "for_s": 4.0, "x": 2.0, "zone": "@z0"},
     ]),
+    ("links-lossy", "faults", [
+        {"kind": "lossy", "for_s": 6.0, "x": 0.03},
+        {"kind": "lossy", "for_s": 4.0, "x": 0.15},
+    ]),
+    ("disk-slow", "faults", [
+        {"kind": "disk_slow", "count": 1, "for_s": 5.0, "x": 30.0},
+    ]),
+    ("connections-forgotten", "faults", [
+        {"kind": "idle_race", "share": 0.5, "for_s": 6.0, "x": 300.0},
+    ]),
     ("server-crash", "faults", [
         {"kind": "srv_crash", "share": 0.17, "for_s": 4.5, "how": how}
         for how in ("", "dark", "gone", "domain")
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -38,6 +38,11 @@
                    Milliseconds(600'000),
                    listenTime},
                   {store, FiberSleep(), Milliseconds(150)})
+    {
+        publishRoute(1, 0);
+    }
+
+    void publishRoute(std::uint64_t version, std::int64_t waitingTokens)
     {
         Route route;
         route.name = "batch";
@@ -46,8 +51,9 @@
         route.kind = RouteKind::Batch;
         route.services = {{"service", 1}};
         route.jobPatience = Milliseconds(60'000);
-        routes.publish(
-                std::make_unique<const RouteTable>(1, std::vector<Route>{route}, CallerLimits()));
+        route.waitingTokens = waitingTokens;
+        routes.publish(std::make_unique<const RouteTable>(version, std::vector<Route>{route},
+                                                          CallerLimits()));
     }
 
     /// Runs a function on the process's thread and returns its result.
@@ -355,3 +361,54 @@
         }
     }
 }
+
+TEST_CASE("A process that restarts keeps its claim until it knows all of its jobs", "[JobService]")
+{
+    auto &memory = *new MemoryObjectStore;
+    constexpr std::int64_t limit = 10'000;
+    constexpr std::int64_t itemTokens = 400;
+    constexpr std::int64_t allTokens = 2 * 10 * itemTokens;
+    for (const auto *id : {"job1", "job2"}) {
+        auto job = jobWith(10);
+        job.id = id;
+        job.owner = NodeId("entry1");
+        for (auto &item : job.items)
+            item.tokens = itemTokens;
+        REQUIRE_FALSE(
+                memory.put("radishplank-jobs/" + job.id, serialize(job), noVersion).isError());
+    }
+    ClaimSheet sheet;
+    sheet.claims[NodeId("entry1")] = {allTokens, "before"};
+    REQUIRE_FALSE(memory.put("radishplank-claims/batch", serialize(sheet), noVersion).isError());
+    const auto claimed = [&] {
+        const auto stored = parseClaimSheet(memory.get("radishplank-claims/batch").value().value);
+        return stored.value().claims.at(NodeId("entry1")).amount;
+    };
+
+    auto &entry = *new EntryProcess(memory);
+    entry.publishRoute(2, limit);
+    bool isSecondRead = false;
+    entry.store.beforeGet = [&](std::string_view key) {
+        if (key != "radishplank-jobs/job2" || isSecondRead)
+            return;
+        isSecondRead = true;
+        boost::this_fiber::sleep_for(Milliseconds(1'000));
+    };
+    entry.service.start();
+    REQUIRE(entry.eventually([&] { return entry.service.owns("job1") && isSecondRead; }));
+    auto more = jobWith(1);
+    more.id = "job3";
+    more.items[0].tokens = itemTokens;
+    const auto early = entry.on([&] { return entry.service.submit(more); });
+    REQUIRE(early.isError());
+    CHECK(early.error().kind == ErrorKind::Refused);
+    entry.on([] {
+        boost::this_fiber::sleep_for(Milliseconds(500));
+        return true;
+    });
+    CHECK(claimed() >= allTokens);
+
+    REQUIRE(entry.eventually([&] { return entry.service.owns("job2"); }));
+    REQUIRE(entry.eventually([&] { return !entry.service.submit(more).isError(); }));
+    CHECK(claimed() >= allTokens);
+}
