--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -65,8 +65,8 @@
         "TestIntegration", "A request that crashes upstreams*"),
     "leaving upstreams": (
         DAEMON + "Fleet/Upstream.cpp",
-        "return m_hasReported && m_report.isAccepting && m_member.state == MemberState::Live",
-        "return m_hasReported",
+        "return m_report.isAccepting && m_member.state == MemberState::Live",
+        "return m_report.isAccepting",
         "TestIntegration", "An upstream that leaves gets no new work*"),
     "draining at a planned stop": (
         DAEMON + "Entry/EntryDaemon.cpp", "&& (callerServer.activeExchanges() > 0",
@@ -189,8 +189,8 @@
         "readPieceUntil(std::max(until, SteadyClock().now() + m_limits.bodyTimeout)));",
         "TestNet", "Slow and greedy callers*"),
     "a bound on all bodies together": (
-        "Libraries/Net/HttpConnection.cpp", "<= m_limits.totalBodyBytes)",
-        "<= m_limits.totalBodyBytes * 100)",
+        "Libraries/Net/HttpConnection.cpp", "<= m_limits->totalBodyBytes)",
+        "<= m_limits->totalBodyBytes * 100)",
         "TestNet", "Slow and greedy callers*"),
     "closing silent strangers": (
         "Libraries/Control/ControlListener.cpp", "        if (current.isOpened)\n",
@@ -219,7 +219,7 @@
         "Libraries/Gateway/JobService.h", "m_endsMirror.run(); }", "(void)m_endsMirror; }",
         "TestGateway", "A job belongs to the process*"),
     "looking for jobs in doubt": (
-        "Libraries/Gateway/JobService.h", "m_unsettled[job.id] = SteadyClock().now() + settleTime;",
+        "Libraries/Gateway/JobService.h", "m_unsettled[job.id] = {SteadyClock().now() + settleTime, limit, job.tokens()};",
         "m_unsettled.erase(job.id);",
         "TestGateway", "A job belongs to the process*"),
     "one fiber reads or writes a job": (
@@ -272,6 +272,38 @@
     "budget of log lines": (
         "Libraries/Core/LogBudget.cpp", "    if (bucket.lines < 1) {", "    if (bucket.lines < -1e9) {",
         "TestLog", "Each event has a budget of lines"),
+    "room under a limit": (
+        "Libraries/Limits/ClaimLedger.cpp", "if (needed > 0 && wanted > claimable) {",
+        "if (needed > 0 && wanted > 2 * m_limit) {",
+        "TestLimits", "Claims on a limit never add up to more than it"),
+    "lease of a claim": (
+        "Libraries/Limits/ClaimLedger.cpp", "now - *m_confirmedAt < claimLease;",
+        "now - *m_confirmedAt < 1'000 * claimLease;",
+        "TestLimits", "A claim is used only while it certainly holds"),
+    "claim kept over a restart": (
+        "Libraries/Gateway/JobService.h", "            if (m_areOwnJobsKnown)\n", "",
+        "TestGateway", "A process that restarts keeps its claim*"),
+    "late items behind the others": (
+        "Libraries/Batch/JobQueue.cpp", "const std::pair rank(isLate, job.limits.due);",
+        "const std::pair rank(isLate && item.size < 0, job.limits.due);",
+        "TestBatch", "More jobs than can be done*"),
+    "fence of an earlier owner": (
+        "Libraries/Gateway/JobService.h",
+        "m_log.loadFenced(id, makeUniqueId(m_context.self.text()));", "m_log.load(id);",
+        "TestGateway", "A job belongs to the process that took it"),
+    "what is left of a silent peer's jobs": (
+        "Libraries/Gateway/PeerTable.cpp", "(isChosen(jobHash(job), now) || isExecutor(owner, now));",
+        "isChosen(jobHash(job), now);",
+        "TestGateway", "Someone inherits a job*"),
+    "upstreams that say that they leave": (
+        "Libraries/Gateway/UpstreamTable.cpp",
+        "|| state.info.isDraining || isLeaving(state)", "|| state.info.isDraining",
+        "TestGateway", "Upstreams come and go"),
+    "progress of an item": (
+        "Libraries/Gateway/ItemRun.cpp",
+        "if (framer.isOverlong() || now - progressAt > silenceLimit)",
+        "if (framer.isOverlong() && now < progressAt)",
+        "TestPlatform", "An answer without end*"),
 }
 
 
