HttpConnection: Send nothing on an exchange that is abandoned

Callers saw: a 500 from a server that had given the exchange up, where the connection should have ended. Found while our stand-in of a model server was made to crash: its callers got an answer. The stand-in of the store answered 500 after its silence for the same reason. Cause: the end of an exchange answers 500 if nothing was sent, and did not ask whether the exchange had been abandoned. Test 'An exchange that is abandoned ends without an answer' failed before.

--- a/Libraries/Net/HttpConnection.cpp
+++ b/Libraries/Net/HttpConnection.cpp
@@ -63,7 +63,7 @@
         *m_callerGoneNotice = {};
     m_callerGoneNotice.reset();
     releaseBodyBytes();
-    if (!m_hasResponded)
+    if (!m_hasResponded && !m_isAbandoned)
         (void)respond({500, {}, ""});
     m_stream.expires_never();
     if (m_mustClose)
--- a/Libraries/Net/HttpConnection.h
+++ b/Libraries/Net/HttpConnection.h
@@ -37,7 +37,11 @@
     Result<void> beginStream(unsigned status, HttpHeaders headers) override;
     Result<void> writeStream(std::string_view piece) override;
     Result<void> endStream() override;
-    void abandon() override { m_mustClose = true; }
+    void abandon() override
+    {
+        m_isAbandoned = true;
+        m_mustClose = true;
+    }
     bool isCallerGone() override;
     void notifyWhenCallerGone(std::function<void()> notify) override;
 
@@ -72,6 +76,7 @@
     HttpRequest m_request;
     bool m_hasResponded = false;
     bool m_mustClose = false;
+    bool m_isAbandoned = false;
     bool m_mustContinue = false;
     bool m_isIdle = false;
     /// Shared with the wait for the caller's close, which can end after the exchange.
--- a/Tests/Net/TestHttpServer.cpp
+++ b/Tests/Net/TestHttpServer.cpp
@@ -134,3 +134,15 @@
             CHECK(answerTo(400).find("taken") != std::string::npos);
     }
 }
+
+TEST_CASE("An exchange that is abandoned ends without an answer")
+{
+    auto &threads = *new FiberThreads(1); // Its fibers run until the test program ends.
+    const auto server
+            = HttpServer::listen(threads, {"127.0.0.1", 0}, {}, [](HttpExchange &exchange) {
+                  exchange.abandon();
+              }).takeValue();
+    RawCaller caller(server->endpoint());
+    REQUIRE(caller.send("GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n"));
+    CHECK(caller.readToEnd() == "");
+}
