--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -3,6 +3,7 @@
 /// Public header of the Gateway library: calls that pass through to upstreams unchanged.
 
 #include <Gateway/CallDialect.h>
+#include <Gateway/CallFingerprint.h>
 #include <Gateway/CallForwarder.h>
 #include <Gateway/EventFramer.h>
 #include <Gateway/GatewayMetrics.h>
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -1,5 +1,6 @@
 #include <Gateway/RelayCall.h>
 
+#include <Gateway/CallFingerprint.h>
 #include <Gateway/HeaderRules.h>
 
 #include <algorithm>
@@ -45,6 +46,7 @@
     , m_upstreams(upstreams)
     , m_dialect(dialect)
     , m_call(std::move(call))
+    , m_fingerprint(callFingerprint(exchange.request(), m_call.body))
     , m_metrics(metrics)
     , m_watch(exchange, m_call.deadline)
 {
@@ -338,6 +340,7 @@
                 {{"id", id()},
                  {"route", m_call.route->name},
                  {"configuration", std::to_string(m_call.configuration)},
+                 {"leftMs", std::to_string(timeLeft().count())},
                  {"upstream", offer.place->upstream().id.text()},
                  {"online", std::to_string(offer.basis.online)},
                  {"batch", std::to_string(offer.basis.batch)},
@@ -352,6 +355,7 @@
 {
     m_metrics.attemptsFailed.increase();
     logFailure("attempt-failed", {{"id", id()},
+                                  {"request", fingerprintText(m_fingerprint)},
                                   {"upstream", upstream.id.text()},
                                   {"reason", reason},
                                   {"ageMs", std::to_string(age().count())}});
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -71,6 +71,7 @@
     UpstreamTable &m_upstreams;
     const CallDialect &m_dialect;
     IncomingCall m_call;
+    const std::uint64_t m_fingerprint;
     GatewayMetrics &m_metrics;
     CallWatch m_watch;
     std::set<UpstreamId> m_tried;
