--- a/Tests/Platform/PlatformDeployment.cpp
+++ b/Tests/Platform/PlatformDeployment.cpp
@@ -66,7 +66,22 @@
 
 void PlatformDeployment::registerServer(ServerStandin &server, const std::string &state)
 {
-    registerAt(server.id(), server.endpoint(), state);
+    constexpr std::int64_t timeBetweenStarts = 1'000;
+    registerAt(server.id(), server.endpoint(), state,
+               firstStart + (server.starts() - 1) * timeBetweenStarts);
+}
+
+unsigned PlatformDeployment::restartCrashedServers()
+{
+    unsigned restarted = 0;
+    for (auto *server : m_servers) {
+        if (!server->isDown())
+            continue;
+        server->startAgain();
+        registerServer(*server, "ready");
+        restarted += 1;
+    }
+    return restarted;
 }
 
 std::string PlatformDeployment::freeAddress() const
@@ -75,7 +90,7 @@
 }
 
 void PlatformDeployment::registerAt(const std::string &id, const Endpoint &endpoint,
-                                    const std::string &state)
+                                    const std::string &state, std::int64_t startedAt)
 {
     store.write("servers", id,
                 json::object{{"service", "assist"},
@@ -86,7 +101,7 @@
                              {"state", state},
                              {"cold_left_ms", 0},
                              {"seq_no", 1},
-                             {"born", 1'700'000'000'000}});
+                             {"born", startedAt}});
 }
 
 void PlatformDeployment::writeConfiguration(unsigned version, unsigned waitingTokens)
--- a/Tests/Platform/PlatformDeployment.h
+++ b/Tests/Platform/PlatformDeployment.h
@@ -24,8 +24,11 @@
 
     /// Starts a server and registers it.
     ServerStandin &addServer(const std::string &id);
-    /// Registers a server that a test runs by itself.
-    void registerAt(const std::string &id, const Endpoint &endpoint, const std::string &state);
+    /// Starts the servers again that have crashed, and returns how many there were.
+    unsigned restartCrashedServers();
+    /// Registers a server that a test runs by itself; `startedAt` is in Unix milliseconds.
+    void registerAt(const std::string &id, const Endpoint &endpoint, const std::string &state,
+                    std::int64_t startedAt = firstStart);
     /// An address for such a server.
     [[nodiscard]] std::string freeAddress() const;
     /// Writes a server's entry again, for instance as draining.
@@ -55,6 +58,8 @@
     static constexpr const char *host = "shop.example";
     /// Where entry processes take each other's datagrams.
     static constexpr std::uint16_t peerPort = 21'364;
+    /// When servers are first started, in Unix milliseconds.
+    static constexpr std::int64_t firstStart = 1'700'000'000'000;
 
 private:
     [[nodiscard]] std::string addressOf(const std::string &name) const;
--- a/Tests/Platform/ServerStandin.cpp
+++ b/Tests/Platform/ServerStandin.cpp
@@ -7,10 +7,26 @@
 ServerStandin::ServerStandin(const Endpoint &listen, std::string id)
     : m_id(std::move(id))
     , m_threads(*new FiberThreads(1)) // Its fibers run until the test program ends.
-    , m_server(HttpServer::listen(m_threads, listen, {}, [this](HttpExchange &exchange) {
+{
+    this->listen(listen);
+}
+
+void ServerStandin::listen(const Endpoint &address)
+{
+    m_server = HttpServer::listen(m_threads, address, {}, [this](HttpExchange &exchange) {
                    handle(exchange);
-               }).takeValue())
+               }).takeValue();
+    m_endpoint = m_server->endpoint();
+}
+
+void ServerStandin::crash(HttpExchange &exchange)
 {
+    // Nobody who sees his connection end may still find the port open.
+    constexpr Milliseconds closingTime{50};
+    m_isDown = true;
+    m_server->closeIdle();
+    boost::this_fiber::sleep_for(closingTime);
+    exchange.abandon();
 }
 
 void ServerStandin::plan(std::vector<ServerDeed> deeds)
@@ -19,6 +35,19 @@
     m_planned = {deeds.begin(), deeds.end()};
 }
 
+void ServerStandin::crashOn(std::string body)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_crashBody = std::move(body);
+}
+
+void ServerStandin::startAgain()
+{
+    m_starts += 1;
+    m_isDown = false;
+    listen(m_endpoint);
+}
+
 std::vector<ServedRequest> ServerStandin::served()
 {
     const std::scoped_lock lock(m_mutex);
@@ -59,6 +88,8 @@
 
 void ServerStandin::handle(HttpExchange &exchange)
 {
+    if (m_isDown)
+        return exchange.abandon();
     const auto body = exchange.readBody();
     const auto &request = exchange.request();
     const auto expected = request.headers.find("X-Expect-Instance");
@@ -67,6 +98,7 @@
         return;
     }
     ServerDeed deed = ServerDeed::Serve;
+    bool mustCrash = false;
     {
         const std::scoped_lock lock(m_mutex);
         if (!m_planned.empty()) {
@@ -75,7 +107,10 @@
         }
         m_served.push_back({request, deed});
         m_served.back().request.body = body.isError() ? "" : body.value();
+        mustCrash = !m_crashBody.empty() && m_served.back().request.body == m_crashBody;
     }
+    if (mustCrash)
+        return crash(exchange);
     serve(exchange, body.isError() ? "" : body.value(), deed);
 }
 
@@ -113,6 +148,8 @@
             exchange.abandon();
             return;
         }
+        if (m_isDown)
+            return exchange.abandon();
         if (exchange.writeStream(bytes).isError())
             return;
         boost::this_fiber::sleep_for(m_eventInterval.load());
--- a/Tests/Platform/ServerStandin.h
+++ b/Tests/Platform/ServerStandin.h
@@ -35,12 +35,20 @@
 public:
     ServerStandin(const Endpoint &listen, std::string id);
 
-    [[nodiscard]] Endpoint endpoint() const { return m_server->endpoint(); }
+    [[nodiscard]] Endpoint endpoint() const { return m_endpoint; }
     [[nodiscard]] const std::string &id() const { return m_id; }
     /// Sets the deeds of the next requests; further ones are served.
     void plan(std::vector<ServerDeed> deeds);
     /// From now on, all answers say that the server is about to leave.
     void leave() { m_isLeaving = true; }
+    /// A request with this body ends the server that begins to run it: all its connections are
+    /// closed, and it takes none until it is started again.
+    void crashOn(std::string body);
+    [[nodiscard]] bool isDown() const { return m_isDown; }
+    /// Starts a server again that has crashed, under the same id.
+    void startAgain();
+    /// How many times the server has been started.
+    [[nodiscard]] unsigned starts() const { return m_starts; }
     void setEventInterval(Milliseconds interval) { m_eventInterval = interval; }
     [[nodiscard]] std::vector<ServedRequest> served();
 
@@ -53,18 +61,24 @@
     static std::string answerData(const std::string &body);
 
 private:
+    void listen(const Endpoint &address);
     void handle(HttpExchange &exchange);
+    void crash(HttpExchange &exchange);
     void serve(HttpExchange &exchange, const std::string &body, ServerDeed deed);
     [[nodiscard]] HttpHeaders answerHeaders(const HttpRequest &request) const;
 
     const std::string m_id;
     std::atomic<bool> m_isLeaving{false};
+    std::atomic<bool> m_isDown{false};
+    std::atomic<unsigned> m_starts{1};
+    std::string m_crashBody;
     std::atomic<Milliseconds> m_eventInterval{Milliseconds(2)};
     std::mutex m_mutex;
     std::deque<ServerDeed> m_planned;
     std::vector<ServedRequest> m_served;
     FiberThreads &m_threads;
     std::unique_ptr<HttpServer> m_server;
+    Endpoint m_endpoint;
 };
 
 } // namespace Radishplank::Test
