Gateway: Refuse a request under which three upstreams have ended, at every process

Callers saw: a request that ends each server that runs it was sent to one server after the other, each time it came again; the streams that ran there were cut off. Cause: what is known of a call ended with the call. RelayCall knew the upstreams that it had tried itself; the same request with a new id, at this process or another, began from nothing. radishplankd has a quarantine for this, but entry processes in front of upstreams without agents had none. Change: CrashLedger remembers which upstreams ended under which call (hash of host, method, target and body), tells peers in full reports, at once from the second end on, and refuses the call after three: 503 with Retry-After, as it has not run. A broken connection counts only if the upstream takes no new one. A whole answer clears the call everywhere. Batch items are not counted. Why it works: whoever may send the request knows of three ends within a report's time, also when it has just started; the third end is the latest that no process can know of before.

--- a/Libraries/Gateway/GatewayMetrics.cpp
+++ b/Libraries/Gateway/GatewayMetrics.cpp
@@ -6,6 +6,7 @@
 {
     renderCounter(text, "radishplank_calls_answered_total", callsAnswered);
     renderCounter(text, "radishplank_calls_refused_total", callsRefused);
+    renderCounter(text, "radishplank_calls_refused_as_crashing_total", callsRefusedAsCrashing);
     renderCounter(text, "radishplank_calls_failed_total", callsFailed);
     renderCounter(text, "radishplank_calls_cut_off_total", callsCutOff);
     renderCounter(text, "radishplank_calls_abandoned_total", callsAbandoned);
@@ -13,6 +14,7 @@
     renderCounter(text, "radishplank_attempts_sent_total", attemptsSent);
     renderCounter(text, "radishplank_attempts_not_run_total", attemptsNotRun);
     renderCounter(text, "radishplank_attempts_failed_total", attemptsFailed);
+    renderCounter(text, "radishplank_crashes_suspected_total", crashesSuspected);
     renderCounter(text, "radishplank_item_runs_total", itemRuns);
     renderCounter(text, "radishplank_items_preempted_total", itemsPreempted);
     renderCounter(text, "radishplank_items_completed_total", itemsCompleted);
--- a/Libraries/Gateway/GatewayMetrics.h
+++ b/Libraries/Gateway/GatewayMetrics.h
@@ -13,11 +13,14 @@
     Counter callsRefused;
     Counter callsFailed;
     Counter callsCutOff;
+    Counter callsRefusedAsCrashing;
     Counter callsAbandoned;
     Counter callsResumed;
     Counter attemptsSent;
     Counter attemptsNotRun;
     Counter attemptsFailed;
+    /// Attempts under which upstreams ended.
+    Counter crashesSuspected;
     Counter itemRuns;
     Counter itemsPreempted;
     Counter itemsCompleted;
--- a/Libraries/Gateway/PeerLink.h
+++ b/Libraries/Gateway/PeerLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Gateway/CrashLedger.h>
 #include <Gateway/PeerTable.h>
 #include <Gateway/UpstreamTable.h>
 #include <Net/Net.h>
@@ -28,7 +29,7 @@
 {
 public:
     PeerLink(FiberThreads &threads, PeerTable &peers, UpstreamTable &upstreams,
-             PeerLinkSettings settings);
+             CrashLedger &crashes, PeerLinkSettings settings);
 
     /// Fills in the jobs of a full report.
     std::function<void(PeerReport &)> describeJobs;
@@ -62,12 +63,13 @@
     FiberThreads &m_threads;
     PeerTable &m_peers;
     UpstreamTable &m_upstreams;
+    CrashLedger &m_crashes;
     PeerLinkSettings m_settings;
     boost::asio::ip::udp::socket m_socket;
     std::map<Endpoint, TimePoint> m_sentAt;
     TimePoint m_jobsSentAt{};
     Milliseconds m_loadNewsTime{};
-    bool m_mustSendJobs = true;
+    std::atomic<bool> m_mustSendJobs{true};
     std::atomic<bool> m_hasLoadChanged{true};
 };
 
--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -23,6 +23,13 @@
   startedAt @1 :Int64;   # The start that leaves.
 }
 
+# An upstream that ended while it ran a call.
+struct UpstreamCrash {
+  call @0 :UInt64;           # Fingerprint of the call.
+  upstreamStart @1 :UInt64;  # Hash of the upstream's name and start.
+  ageMs @2 :UInt32;
+}
+
 # What an entry process tells its peers, in one datagram. Each report stands for itself.
 struct PeerReport {
   node @0 :Text;
@@ -41,4 +48,6 @@
   isStoreReachable @13 :Bool;        # Whether the store answered when the sender last called it.
   waiting @14 :List(ServiceDemand);
   leaving @15 :List(LeavingUpstream);
+  crashes @16 :List(UpstreamCrash);
+  answeredCalls @17 :List(UInt64);   # Fingerprints of calls that end no upstreams after all.
 }
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(833c2538e2f6e422);
 CAPNP_DECLARE_SCHEMA(aee4fa194d61b53b);
 CAPNP_DECLARE_SCHEMA(b936efe46a5d9c00);
+CAPNP_DECLARE_SCHEMA(ed63e63dc91e7af2);
 CAPNP_DECLARE_SCHEMA(904a47b5c1f7db18);
 
 }  // namespace schemas
@@ -72,6 +73,21 @@
   };
 };
 
+struct UpstreamCrash {
+  UpstreamCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ed63e63dc91e7af2, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerReport {
   PeerReport() = delete;
 
@@ -80,7 +96,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 4, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 4, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -342,6 +358,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class UpstreamCrash::Reader {
+public:
+  typedef UpstreamCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getCall() const;
+
+  inline  ::uint64_t getUpstreamStart() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamCrash::Builder {
+public:
+  typedef UpstreamCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getCall();
+  inline void setCall( ::uint64_t value);
+
+  inline  ::uint64_t getUpstreamStart();
+  inline void setUpstreamStart( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamCrash::Pipeline {
+public:
+  typedef UpstreamCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerReport::Reader {
 public:
   typedef PeerReport Reads;
@@ -399,6 +501,12 @@
   inline bool hasLeaving() const;
   inline  ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasAnsweredCalls() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getAnsweredCalls() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -509,6 +617,21 @@
   inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::LeavingUpstream,  ::capnp::Kind::STRUCT>> disownLeaving();
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasAnsweredCalls();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getAnsweredCalls();
+  inline void setAnsweredCalls( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAnsweredCalls(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initAnsweredCalls(unsigned int size);
+  inline void adoptAnsweredCalls(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownAnsweredCalls();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -649,6 +772,48 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t UpstreamCrash::Reader::getCall() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamCrash::Builder::getCall() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamCrash::Builder::setCall( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UpstreamCrash::Reader::getUpstreamStart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamCrash::Builder::getUpstreamStart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamCrash::Builder::setUpstreamStart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UpstreamCrash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamCrash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamCrash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerReport::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1041,6 +1206,78 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setCrashes( ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasAnsweredCalls() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasAnsweredCalls() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getAnsweredCalls() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getAnsweredCalls() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setAnsweredCalls( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline void PeerReport::Builder::setAnsweredCalls(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initAnsweredCalls(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptAnsweredCalls(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownAnsweredCalls() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -28,6 +28,12 @@
         report.waiting.push_back({demand.getService(), demand.getItems(), demand.getLateItems()});
     for (const auto upstream : reader.getLeaving())
         report.leaving.push_back({upstream.getUpstream(), upstream.getStartedAt()});
+    for (const auto crash : reader.getCrashes()) {
+        report.crashNews.crashes.push_back(
+                {crash.getCall(), crash.getUpstreamStart(), Milliseconds(crash.getAgeMs())});
+    }
+    for (const auto call : reader.getAnsweredCalls())
+        report.crashNews.answered.push_back(call);
     report.hasJobs = reader.getHasJobs();
     for (const auto job : reader.getOwnedJobs())
         report.ownedJobs.push_back(job);
@@ -68,6 +74,16 @@
         leaving[i].setUpstream(report.leaving[i].upstream);
         leaving[i].setStartedAt(report.leaving[i].startedAt);
     }
+    const auto &news = report.crashNews;
+    auto crashes = builder.initCrashes(static_cast<unsigned>(news.crashes.size()));
+    for (unsigned i = 0; i < news.crashes.size(); ++i) {
+        crashes[i].setCall(news.crashes[i].call);
+        crashes[i].setUpstreamStart(news.crashes[i].upstreamStart);
+        crashes[i].setAgeMs(static_cast<std::uint32_t>(news.crashes[i].age.count()));
+    }
+    auto answered = builder.initAnsweredCalls(static_cast<unsigned>(news.answered.size()));
+    for (unsigned i = 0; i < news.answered.size(); ++i)
+        answered.set(i, news.answered[i]);
     builder.setHasJobs(report.hasJobs);
     auto owned = builder.initOwnedJobs(static_cast<unsigned>(report.ownedJobs.size()));
     for (unsigned i = 0; i < report.ownedJobs.size(); ++i)
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Core/Core.h>
+#include <Gateway/CrashLedger.h>
 
 #include <cstdint>
 #include <string>
@@ -67,6 +68,7 @@
     std::vector<UpstreamStreams> loads;
     std::vector<ServiceDemand> waiting;
     std::vector<LeavingUpstream> leaving;
+    CrashNews crashNews;
     /// The jobs that the sender runs, as hashes of their names; nothing is said if `hasJobs` is
     /// false.
     bool hasJobs = false;
--- a/Libraries/Gateway/Relay.cpp
+++ b/Libraries/Gateway/Relay.cpp
@@ -26,10 +26,11 @@
 
 } // namespace
 
-Relay::Relay(const RouteDirectory &routes, UpstreamTable &upstreams, GatewayMetrics &metrics,
-             CallDialect dialect)
+Relay::Relay(const RouteDirectory &routes, UpstreamTable &upstreams, CrashLedger &crashes,
+             GatewayMetrics &metrics, CallDialect dialect)
     : m_routes(routes)
     , m_upstreams(upstreams)
+    , m_crashes(crashes)
     , m_metrics(metrics)
     , m_dialect(std::move(dialect))
 {
@@ -47,7 +48,7 @@
     if (const auto left = millisecondsOf(exchange.request().headers.value(m_dialect.timeLeft)))
         longest = std::min(longest, *left);
     const double draw = std::uniform_real_distribution<double>(0, 1)(threadRandomEngine());
-    RelayCall call(exchange, m_upstreams, m_dialect, m_metrics,
+    RelayCall call(exchange, m_upstreams, m_crashes, m_dialect, m_metrics,
                    {route, chooseService(*route, draw), body.takeValue(), arrived,
                     arrived + longest, m_routes.version()});
     call.run();
--- a/Libraries/Gateway/Relay.h
+++ b/Libraries/Gateway/Relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Gateway/CallDialect.h>
+#include <Gateway/CrashLedger.h>
 #include <Gateway/GatewayMetrics.h>
 #include <Gateway/RouteTable.h>
 #include <Gateway/UpstreamTable.h>
@@ -12,8 +13,8 @@
 class Relay
 {
 public:
-    Relay(const RouteDirectory &routes, UpstreamTable &upstreams, GatewayMetrics &metrics,
-          CallDialect dialect);
+    Relay(const RouteDirectory &routes, UpstreamTable &upstreams, CrashLedger &crashes,
+          GatewayMetrics &metrics, CallDialect dialect);
 
     /// Answers a call; `route` is what the directory finds for it.
     void serve(HttpExchange &exchange, const std::shared_ptr<const Route> &route);
@@ -21,6 +22,7 @@
 private:
     const RouteDirectory &m_routes;
     UpstreamTable &m_upstreams;
+    CrashLedger &m_crashes;
     GatewayMetrics &m_metrics;
     const CallDialect m_dialect;
 };
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -14,6 +14,8 @@
 constexpr unsigned maxRefusals = 3;
 /// A connection within the deployment takes a round trip of 16 ms at most.
 constexpr Milliseconds connectTimeout{250};
+/// A process that has ended refuses connections at once; a lost VM answers nothing.
+constexpr Milliseconds crashCheckTimeout{100};
 /// Part of the target that a call may wait for a slot; the rest is for reading its prompt, the
 /// first event and the way back.
 constexpr double waitShareOfTarget = 0.6;
@@ -40,10 +42,11 @@
     return text;
 }
 
-RelayCall::RelayCall(HttpExchange &exchange, UpstreamTable &upstreams, const CallDialect &dialect,
-                     GatewayMetrics &metrics, IncomingCall call)
+RelayCall::RelayCall(HttpExchange &exchange, UpstreamTable &upstreams, CrashLedger &crashes,
+                     const CallDialect &dialect, GatewayMetrics &metrics, IncomingCall call)
     : m_exchange(exchange)
     , m_upstreams(upstreams)
+    , m_crashes(crashes)
     , m_dialect(dialect)
     , m_call(std::move(call))
     , m_fingerprint(callFingerprint(exchange.request(), m_call.body))
@@ -56,6 +59,8 @@
 {
     const auto longestWait = longestWaitFor(*m_call.route);
     while (!m_watch.isStopped()) {
+        if (const auto refused = m_crashes.refusedFor(m_fingerprint, SteadyClock().now()))
+            return refuseCrashing(*refused);
         // What has begun goes on wherever it can: its caller cannot come back for the rest.
         const auto wait = m_runs > 0 ? timeLeft() : longestWait;
         auto offer = m_upstreams.takeOnline(m_call.service, m_tried, wait);
@@ -73,10 +78,10 @@
         const auto end = attempt(*offer.place);
         if (end == AttemptEnd::Answered)
             return;
-        if (end == AttemptEnd::Interrupted)
-            m_runs += 1;
-        else
+        if (end == AttemptEnd::NotRun)
             m_refusals += 1;
+        else
+            m_runs += 1;
         if (!mayTryAgain())
             break;
     }
@@ -103,8 +108,12 @@
             place.conclude(UpstreamVerdict::Failed);
             logFailedAttempt(upstream, failure->error.message);
         }
-        return failure->progress == CallProgress::NotSent ? AttemptEnd::NotRun
-                                                          : AttemptEnd::Interrupted;
+        if (failure->progress == CallProgress::NotSent)
+            return AttemptEnd::NotRun;
+        const auto end = endOf(failure->error);
+        if (end == AttemptEnd::BrokenOff)
+            noteBrokenOff(upstream);
+        return end;
     }
     return takeAnswer(place, *std::get<std::unique_ptr<HttpAnswer>>(opened));
 }
@@ -134,6 +143,8 @@
         place.conclude(UpstreamVerdict::Failed);
         logFailedAttempt(upstream, "its answer broke off");
     }
+    if (end == AttemptEnd::BrokenOff)
+        noteBrokenOff(upstream);
     return end;
 }
 
@@ -149,7 +160,9 @@
         return passEvents(answer);
     auto body = answer.readBody();
     if (body.isError())
-        return AttemptEnd::Interrupted;
+        return endOf(body.error());
+    if (isSuccess)
+        m_crashes.noteAnswered(m_fingerprint, SteadyClock().now());
     noteFirstBytes();
     auto headers = endToEndHeaders(answer.headers());
     if (m_exchange.respond({answer.status(), std::move(headers), body.takeValue()}).isError())
@@ -174,8 +187,10 @@
     while (true) {
         const auto piece = answer.readPiece();
         if (piece.isError())
-            return AttemptEnd::Interrupted;
+            return endOf(piece.error());
         const bool isEnd = piece.value().empty();
+        if (isEnd)
+            m_crashes.noteAnswered(m_fingerprint, SteadyClock().now());
         noteFirstBytes();
         Result<void> written;
         if (!isResumable)
@@ -264,6 +279,34 @@
     return pause + longestWaitFor(route);
 }
 
+RelayCall::AttemptEnd RelayCall::endOf(const Error &error) const
+{
+    const bool isUpstreamsDoing = error.kind == ErrorKind::Unavailable && !m_watch.isStopped();
+    return isUpstreamsDoing ? AttemptEnd::BrokenOff : AttemptEnd::Interrupted;
+}
+
+void RelayCall::noteBrokenOff(const UpstreamInfo &upstream)
+{
+    const auto at = SteadyClock().now();
+    // A broken connection to an upstream that goes on says nothing of the call.
+    if (HttpClient::isListening(upstream.endpoint, crashCheckTimeout))
+        return;
+    m_metrics.crashesSuspected.increase();
+    m_crashes.noteCrash(m_fingerprint, upstream, at);
+    logStateChange("upstream-ended-under-call", {{"id", id()},
+                                                 {"request", fingerprintText(m_fingerprint)},
+                                                 {"upstream", upstream.id.text()}});
+}
+
+void RelayCall::refuseCrashing(Duration wait)
+{
+    constexpr std::string_view reason = "upstreams have ended under it";
+    if (m_runs > 0)
+        return giveUp(reason);
+    m_metrics.callsRefusedAsCrashing.increase();
+    refuse(std::chrono::duration_cast<Milliseconds>(wait), reason);
+}
+
 void RelayCall::giveUp(std::string_view reason)
 {
     if (m_watch.stopReason() == StopReason::CallerLeft) {
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -2,6 +2,7 @@
 
 #include <Gateway/CallDialect.h>
 #include <Gateway/CallWatch.h>
+#include <Gateway/CrashLedger.h>
 #include <Gateway/EventFramer.h>
 #include <Gateway/GatewayMetrics.h>
 #include <Gateway/Route.h>
@@ -31,8 +32,8 @@
 class RelayCall
 {
 public:
-    RelayCall(HttpExchange &exchange, UpstreamTable &upstreams, const CallDialect &dialect,
-              GatewayMetrics &metrics, IncomingCall call);
+    RelayCall(HttpExchange &exchange, UpstreamTable &upstreams, CrashLedger &crashes,
+              const CallDialect &dialect, GatewayMetrics &metrics, IncomingCall call);
 
     void run();
 
@@ -41,9 +42,12 @@
         Answered,    ///< The caller has the whole answer.
         NotRun,      ///< The upstream has not run the call, and never will.
         Interrupted, ///< The upstream may have run the call, or a part of it.
+        BrokenOff,   ///< As Interrupted, and it was the upstream that ended the connection.
     };
 
     AttemptEnd attempt(UpstreamTable::Place &place);
+    /// Tells how an attempt ended whose request was sent, and whose answer could not be read.
+    [[nodiscard]] AttemptEnd endOf(const Error &error) const;
     /// Passes on what an upstream has answered, unless it says that it has not run the call.
     AttemptEnd takeAnswer(UpstreamTable::Place &place, HttpAnswer &answer);
     AttemptEnd passAnswer(HttpAnswer &answer);
@@ -56,6 +60,10 @@
     [[nodiscard]] Milliseconds silenceLimit() const;
     [[nodiscard]] bool mayTryAgain() const;
 
+    /// Notes that the call's upstream has ended the connection, and whether it has ended itself.
+    void noteBrokenOff(const UpstreamInfo &upstream);
+    /// Refuses the call, which is known to end the upstreams that run it.
+    void refuseCrashing(Duration wait);
     /// Gives the final answer of a call that no upstream has answered.
     void giveUp(std::string_view reason);
     void refuse(Milliseconds retryAfter, std::string_view reason);
@@ -69,6 +77,7 @@
 
     HttpExchange &m_exchange;
     UpstreamTable &m_upstreams;
+    CrashLedger &m_crashes;
     const CallDialect &m_dialect;
     IncomingCall m_call;
     const std::uint64_t m_fingerprint;
--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -404,6 +404,19 @@
     return sendOn(std::move(connection), endpoint, message, options);
 }
 
+bool HttpClient::isListening(const Endpoint &endpoint, Milliseconds timeout)
+{
+    HttpCallOptions options;
+    options.connectTimeout = timeout;
+    auto connected = connect(endpoint, options);
+    auto *connection = std::get_if<ConnectionPointer>(&connected);
+    if (connection == nullptr)
+        return false;
+    (*connection)->stream.expires_never();
+    ConnectionPool::ofThread().give(endpoint, std::move(*connection));
+    return true;
+}
+
 std::variant<HttpResponse, HttpCallError> HttpClient::call(const Endpoint &endpoint,
                                                            const HttpRequest &request,
                                                            const HttpCallOptions &options)
--- a/Libraries/Net/HttpClient.h
+++ b/Libraries/Net/HttpClient.h
@@ -77,6 +77,8 @@
     /// Sends the request and waits for the answer's headers.
     static OpenResult open(const Endpoint &endpoint, const HttpRequest &request,
                            const HttpCallOptions &options);
+    /// Tells whether the peer takes connections; one that it has taken is kept for later calls.
+    static bool isListening(const Endpoint &endpoint, Milliseconds timeout);
     /// Sends the request and reads the whole answer.
     static std::variant<HttpResponse, HttpCallError>
     call(const Endpoint &endpoint, const HttpRequest &request, const HttpCallOptions &options);
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -26,7 +26,7 @@
         , node(name)
         , upstreams(node, {})
         , peers(node, ZoneName("zone1"))
-        , link(threads, peers, upstreams, {})
+        , link(threads, peers, upstreams, crashes, {})
         , service({threads,
                    routes,
                    upstreams,
@@ -83,6 +83,7 @@
     RouteDirectory &routes = *new RouteDirectory;
     UpstreamTable upstreams;
     PeerTable peers;
+    CrashLedger crashes{std::chrono::minutes(10), 100};
     PeerLink link;
     GatewayMetrics metrics;
     Service service;
--- a/Tests/Gateway/TestPeers.cpp
+++ b/Tests/Gateway/TestPeers.cpp
@@ -17,6 +17,7 @@
     report.hasJobs = true;
     report.ownedJobs = {jobHash("job1")};
     report.endedJobs = {"job2"};
+    report.crashNews = {{{21, 22, Milliseconds(23)}}, {24}};
     return report;
 }
 
@@ -38,6 +39,12 @@
     CHECK(decoded.value().waiting[0].items == 70'000);
     CHECK(decoded.value().ownedJobs == std::vector<std::uint64_t>{jobHash("job1")});
     CHECK(decoded.value().endedJobs == std::vector<std::string>{"job2"});
+    const auto &news = decoded.value().crashNews;
+    REQUIRE(news.crashes.size() == 1);
+    CHECK(news.crashes[0].call == 21);
+    CHECK(news.crashes[0].upstreamStart == 22);
+    CHECK(news.crashes[0].age == Milliseconds(23));
+    CHECK(news.answered == std::vector<std::uint64_t>{24});
 
     SECTION("and what is no report is refused")
     {
