ShardRunner: Keep an item owed, however many upstreams were lost under it

Callers saw: a sound item of a batch ended as failed after its upstream had crashed three times, or after two crashes that it was blamed for. Cause: losses of upstreams counted as tries of the item (three), and items took part in the quarantine of requests that crash upstreams (two). Change: a lost upstream makes the item wait, 100 ms doubling up to 2 s; it is ended by an upstream's rejection or by its submitter only. Items neither become suspects nor shield real ones from blame.

--- a/Services/radishplankd/Entry/EntryDaemon.cpp
+++ b/Services/radishplankd/Entry/EntryDaemon.cpp
@@ -153,7 +153,7 @@
     CallRunner runner(context);
     runner.onCrash = [&sync] { sync.announceCrashes(); };
     KeyedCalls keyedCalls(context, runner);
-    BatchScheduler batch(context, runner, settings.lease);
+    BatchScheduler batch(context, settings.lease);
     controlHandler.demandMeter = &demand;
     controlHandler.batch = &batch;
     PlacementController placement(context,
--- a/Services/radishplankd/Jobs/BatchScheduler.cpp
+++ b/Services/radishplankd/Jobs/BatchScheduler.cpp
@@ -20,9 +20,8 @@
 
 } // namespace
 
-BatchScheduler::BatchScheduler(EntryContext &context, CallRunner &runner, Milliseconds lease)
+BatchScheduler::BatchScheduler(EntryContext &context, Milliseconds lease)
     : m_context(context)
-    , m_runner(runner)
     , m_jobs(context.store, FiberPause{}, storePatience)
     , m_lease(lease)
     , m_observer(lease)
@@ -293,8 +292,8 @@
         return false;
     m_context.metrics.shardsClaimed.increase();
     m_observer.forget(job.shardKey(shard));
-    const auto runner = std::make_shared<ShardRunner>(m_context, m_runner, *this, lease.takeValue(),
-                                                      manifest, m_lease);
+    const auto runner
+            = std::make_shared<ShardRunner>(m_context, *this, lease.takeValue(), manifest, m_lease);
     {
         const std::scoped_lock lock(m_mutex);
         m_shards.insert(runner);
--- a/Services/radishplankd/Jobs/BatchScheduler.h
+++ b/Services/radishplankd/Jobs/BatchScheduler.h
@@ -14,7 +14,7 @@
 class BatchScheduler
 {
 public:
-    BatchScheduler(EntryContext &context, CallRunner &runner, Milliseconds lease);
+    BatchScheduler(EntryContext &context, Milliseconds lease);
     ~BatchScheduler();
 
     void start();
@@ -64,7 +64,6 @@
     void runShard(const std::shared_ptr<ShardRunner> &shard);
 
     EntryContext &m_context;
-    CallRunner &m_runner;
     FiberJobStore m_jobs;
     std::atomic<bool> m_isDraining{false};
     std::mutex m_mutex;
--- a/Services/radishplankd/Jobs/ShardRunner.cpp
+++ b/Services/radishplankd/Jobs/ShardRunner.cpp
@@ -1,12 +1,15 @@
 #include "Jobs/ShardRunner.h"
 
+#include <algorithm>
 #include <boost/fiber/operations.hpp>
 
 namespace Radishplank {
 
 namespace {
 
-constexpr int maxTries = 3;
+/// Pause after an item's upstream was lost; doubles with each further one.
+constexpr Milliseconds firstLossPause{100};
+constexpr Milliseconds longestLossPause{2'000};
 constexpr std::size_t groupItems = 400;
 constexpr std::size_t groupBytes = 400'000;
 constexpr Milliseconds firstCommitInterval{500};
@@ -26,10 +29,9 @@
 
 } // namespace
 
-ShardRunner::ShardRunner(EntryContext &context, CallRunner &runner, BatchScheduler &scheduler,
-                         FiberShardLease lease, JobManifest manifest, Milliseconds leaseDuration)
+ShardRunner::ShardRunner(EntryContext &context, BatchScheduler &scheduler, FiberShardLease lease,
+                         JobManifest manifest, Milliseconds leaseDuration)
     : m_context(context)
-    , m_runner(runner)
     , m_scheduler(scheduler)
     , m_lease(std::move(lease))
     , m_manifest(std::move(manifest))
@@ -115,8 +117,6 @@
     const bool isMarked = idempotent != nullptr && idempotent->is_bool() && !idempotent->as_bool();
     spec.mayRepeat = !isMarked && m_entry->mayRepeat(spec.method, spec.target);
     spec.prefixKey = prefixKeyOf(spec.request);
-    spec.fingerprint = sha256Hex(job().owner.text() + "\n" + spec.target + "\n"
-                                 + boost::json::serialize(body));
     if (m_lease.progress().started.contains(number)) {
         // An earlier holder handed it out, and nobody can tell any more what came of it.
         complete(*item, "unknown", "the item may have run, and must not run twice");
@@ -141,16 +141,10 @@
 
 bool ShardRunner::startNext()
 {
-    ItemPointer item;
-    {
-        const std::scoped_lock lock(m_mutex);
-        if (m_waiting.empty())
-            return false;
-        item = m_waiting.front();
-    }
-    if (!m_scheduler.takeItem(job().owner))
-        return false;
     const auto now = SteadyClock().now();
+    const auto item = nextItem(now);
+    if (!item || !m_scheduler.takeItem(job().owner))
+        return false;
     const auto upstream = m_context.fleet.takeBatchPlace(m_entry->pool, reachOf(*item, now), now,
                                                          item->avoided);
     if (!upstream) {
@@ -162,7 +156,7 @@
     }
     {
         const std::scoped_lock lock(m_mutex);
-        m_waiting.pop_front();
+        m_waiting.erase(std::find(m_waiting.begin(), m_waiting.end(), item));
         m_waitingCount = m_waiting.size();
         m_inFlight += 1;
     }
@@ -171,11 +165,18 @@
     return true;
 }
 
+ShardRunner::ItemPointer ShardRunner::nextItem(TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto next = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                   [&](const auto &item) { return item->notBefore <= now; });
+    return next == m_waiting.end() ? nullptr : *next;
+}
+
 BatchReach ShardRunner::reachOf(const Item &item, TimePoint now) const
 {
-    // The link fails more often than engines do, and its failures must not use up the tries of an
-    // item: once lost, it stays in its own region.
-    const bool mayCross = item.tries == 0 && m_context.batchLink.mayUse(now);
+    // The link fails more often than engines do: once lost, an item stays in its own region.
+    const bool mayCross = item.losses == 0 && m_context.batchLink.mayUse(now);
     return mayCross ? BatchReach::AnyRegion : BatchReach::OwnRegion;
 }
 
@@ -216,25 +217,16 @@
     AttemptResult result;
     result.status = AttemptStatus::Stopped;
     const auto now = SteadyClock().now();
-    if (m_context.quarantine.barredFor(item.spec.fingerprint, now)) {
-        result.status = AttemptStatus::Rejected;
-        result.detail = "the item has crashed upstreams and is not run again";
-        return result;
-    }
     if (m_command != Command::Run || !markStarted(item))
         return result;
-    const bool isSuspect = m_context.quarantine.isSuspect(item.spec.fingerprint, now);
-    const auto suspicion = isSuspect ? Suspicion::Suspect : Suspicion::None;
     item.spec.deadline = now + itemTime;
     const AttemptId id(makeUniqueId(m_context.node.text()));
-    const auto request = makeAttempt(item.spec, WorkClass::Batch, id, item.tokens, suspicion);
+    const auto request = makeAttempt(item.spec, WorkClass::Batch, id, item.tokens, Suspicion::None);
     result = m_context.attempts.run(upstream, request, [&](std::string_view token) {
         item.text += token;
         item.tokens += 1;
         return m_command != Command::Drop;
     });
-    if (result.isBlamed)
-        m_runner.noteCrash(item.spec, id);
     if (result.status == AttemptStatus::UpstreamLost || result.status == AttemptStatus::Lost)
         item.avoided.push_back(upstream.member().id);
     return result;
@@ -244,7 +236,6 @@
 {
     switch (result.status) {
     case AttemptStatus::Complete: {
-        m_context.quarantine.noteSuccess(item->spec.fingerprint);
         m_context.usage.note(job().owner, WorkClass::Batch, item->tokens);
         boost::json::object response;
         if (m_entry->kind == EntryKind::Model) {
@@ -272,13 +263,17 @@
     case AttemptStatus::Lost:
         break;
     }
-    item->tries += 1;
-    if (!item->spec.mayRepeat)
+    if (!item->spec.mayRepeat) {
         complete(*item, "unknown", boost::json::value("the item may have run: " + result.detail));
-    else if (item->tries >= maxTries)
-        complete(*item, "failed", boost::json::value("gave up: " + result.detail));
-    else
-        requeue(item);
+        return;
+    }
+    // Upstreams crash for many reasons; the item is owed, however many were lost under it.
+    constexpr unsigned maxDoublings = 10;
+    const auto factor = 1U << std::min(item->losses, maxDoublings);
+    item->losses += 1;
+    item->notBefore = SteadyClock().now()
+                      + std::min<Milliseconds>(firstLossPause * factor, longestLossPause);
+    requeue(item);
 }
 
 void ShardRunner::requeue(const ItemPointer &item)
--- a/Services/radishplankd/Jobs/ShardRunner.h
+++ b/Services/radishplankd/Jobs/ShardRunner.h
@@ -12,8 +12,8 @@
 class ShardRunner : public std::enable_shared_from_this<ShardRunner>
 {
 public:
-    ShardRunner(EntryContext &context, CallRunner &runner, BatchScheduler &scheduler,
-                FiberShardLease lease, JobManifest manifest, Milliseconds leaseDuration);
+    ShardRunner(EntryContext &context, BatchScheduler &scheduler, FiberShardLease lease,
+                JobManifest manifest, Milliseconds leaseDuration);
 
     /// Works until the shard is complete, lost, dropped or handed back.
     void run();
@@ -37,7 +37,10 @@
         std::size_t number = 0;
         std::string id;
         CallSpec spec;
-        int tries = 0;
+        /// Runs in a row that ended with their upstream, or with its agent.
+        unsigned losses = 0;
+        /// When the item may run again after such a run.
+        TimePoint notBefore{};
         /// Tokens made before the item was preempted, which a resumed attempt skips.
         std::string text;
         std::uint64_t tokens = 0;
@@ -49,6 +52,8 @@
     Result<void> parseItem(std::size_t number, std::string_view line);
     void startItems();
     bool startNext();
+    /// Returns the item that runs next, if one may run now.
+    ItemPointer nextItem(TimePoint now);
     [[nodiscard]] BatchReach reachOf(const Item &item, TimePoint now) const;
     bool markStarted(const Item &item);
     void runItem(const ItemPointer &item, const UpstreamPointer &upstream);
@@ -62,7 +67,6 @@
     void end();
 
     EntryContext &m_context;
-    CallRunner &m_runner;
     BatchScheduler &m_scheduler;
     FiberShardLease m_lease;
     JobManifest m_manifest;
--- a/Tests/Integration/Deployment.cpp
+++ b/Tests/Integration/Deployment.cpp
@@ -289,6 +289,11 @@
             == 200);
 }
 
+std::int64_t running(Deployment &deployment, const std::string &engine)
+{
+    return integerField(deployment.engineStats(engine), "running", 0);
+}
+
 HttpRequest completion(const std::string &prompt, std::size_t tokens, bool isStreamed)
 {
     const boost::json::object body{{"model", "captions"},
--- a/Tests/Integration/Deployment.h
+++ b/Tests/Integration/Deployment.h
@@ -130,6 +130,8 @@
 };
 
 /// Returns a completion request; the stand-in's answer has `tokens` tokens.
+/// Returns how many requests an engine runs.
+std::int64_t running(Deployment &deployment, const std::string &engine);
 HttpRequest completion(const std::string &prompt, std::size_t tokens, bool isStreamed = false);
 /// Returns a booking request to the plain service.
 HttpRequest booking(const std::string &body, const std::string &key = "");
--- a/Tests/Integration/TestOnlinePromises.cpp
+++ b/Tests/Integration/TestOnlinePromises.cpp
@@ -10,11 +10,6 @@
 
 namespace {
 
-std::int64_t running(Deployment &deployment, const std::string &engine)
-{
-    return integerField(deployment.engineStats(engine), "running", 0);
-}
-
 std::int64_t executionsOf(Deployment &deployment, const std::string &service,
                           const std::string &body)
 {
