RelayCall: Count an upstream that falls silent for good as ended under the call

A server whose VM is lost ends without closing its connections: the caller leaves after 2 s of silence, and the call was not counted, so that the same request could end any number of servers in this way. Change: when a call ends after a second of silence, whoever ended it, the upstream is asked for a connection; one that takes none has ended. So has one whose stream we left for its silence. A caller that leaves sooner, or an upstream that is slow or hangs, condemns nothing. Ruled out: counting silence without asking; streams of frozen servers would count.

--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds connectTimeout{250};
 /// A process that has ended refuses connections at once; a lost VM answers nothing.
 constexpr Milliseconds crashCheckTimeout{100};
+/// Callers that leave sooner do so for reasons of their own.
+constexpr Milliseconds suspectSilence{1'000};
 /// Part of the target that a call may wait for a slot; the rest is for reading its prompt, the
 /// first event and the way back.
 constexpr double waitShareOfTarget = 0.6;
@@ -58,6 +60,7 @@
 void RelayCall::run()
 {
     const auto longestWait = longestWaitFor(*m_call.route);
+    std::optional<UpstreamInfo> silentUpstream;
     while (!m_watch.isStopped()) {
         if (const auto refused = m_crashes.refusedFor(m_fingerprint, SteadyClock().now()))
             return refuseCrashing(*refused);
@@ -78,6 +81,8 @@
         const auto end = attempt(*offer.place);
         if (end == AttemptEnd::Answered)
             return;
+        if (m_watch.isStopped() && SteadyClock().now() - m_heardAt >= suspectSilence)
+            silentUpstream = offer.place->upstream();
         if (end == AttemptEnd::NotRun)
             m_refusals += 1;
         else
@@ -86,6 +91,8 @@
             break;
     }
     giveUp("no further attempt is allowed");
+    if (silentUpstream)
+        checkForCrash(*silentUpstream);
 }
 
 bool RelayCall::mayTryAgain() const
@@ -101,6 +108,7 @@
 RelayCall::AttemptEnd RelayCall::attempt(UpstreamTable::Place &place)
 {
     m_metrics.attemptsSent.increase();
+    m_heardAt = SteadyClock().now();
     const auto &upstream = place.upstream();
     auto opened = HttpClient::open(upstream.endpoint, requestFor(upstream), attemptOptions());
     if (const auto *failure = std::get_if<HttpCallError>(&opened)) {
@@ -112,7 +120,7 @@
             return AttemptEnd::NotRun;
         const auto end = endOf(failure->error);
         if (end == AttemptEnd::BrokenOff)
-            noteBrokenOff(upstream);
+            checkForCrash(upstream);
         return end;
     }
     return takeAnswer(place, *std::get<std::unique_ptr<HttpAnswer>>(opened));
@@ -144,7 +152,7 @@
         logFailedAttempt(upstream, "its answer broke off");
     }
     if (end == AttemptEnd::BrokenOff)
-        noteBrokenOff(upstream);
+        checkForCrash(upstream);
     return end;
 }
 
@@ -163,7 +171,7 @@
         return endOf(body.error());
     if (isSuccess)
         m_crashes.noteAnswered(m_fingerprint, SteadyClock().now());
-    noteFirstBytes();
+    noteBytes();
     auto headers = endToEndHeaders(answer.headers());
     if (m_exchange.respond({answer.status(), std::move(headers), body.takeValue()}).isError())
         m_watch.noteCallerLeft();
@@ -191,7 +199,7 @@
         const bool isEnd = piece.value().empty();
         if (isEnd)
             m_crashes.noteAnswered(m_fingerprint, SteadyClock().now());
-        noteFirstBytes();
+        noteBytes();
         Result<void> written;
         if (!isResumable)
             written = m_exchange.writeStream(piece.value());
@@ -281,14 +289,14 @@
 
 RelayCall::AttemptEnd RelayCall::endOf(const Error &error) const
 {
-    const bool isUpstreamsDoing = error.kind == ErrorKind::Unavailable && !m_watch.isStopped();
-    return isUpstreamsDoing ? AttemptEnd::BrokenOff : AttemptEnd::Interrupted;
+    const bool isLost = error.kind == ErrorKind::Unavailable || error.kind == ErrorKind::Timeout;
+    return isLost && !m_watch.isStopped() ? AttemptEnd::BrokenOff : AttemptEnd::Interrupted;
 }
 
-void RelayCall::noteBrokenOff(const UpstreamInfo &upstream)
+void RelayCall::checkForCrash(const UpstreamInfo &upstream)
 {
     const auto at = SteadyClock().now();
-    // A broken connection to an upstream that goes on says nothing of the call.
+    // A broken or silent connection to an upstream that goes on says nothing of the call.
     if (HttpClient::isListening(upstream.endpoint, crashCheckTimeout))
         return;
     m_metrics.crashesSuspected.increase();
@@ -353,8 +361,9 @@
     return std::chrono::duration_cast<Milliseconds>(SteadyClock().now() - m_call.arrived);
 }
 
-void RelayCall::noteFirstBytes()
+void RelayCall::noteBytes()
 {
+    m_heardAt = SteadyClock().now();
     if (m_firstBytesAge)
         return;
     m_firstBytesAge = age();
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -42,7 +42,7 @@
         Answered,    ///< The caller has the whole answer.
         NotRun,      ///< The upstream has not run the call, and never will.
         Interrupted, ///< The upstream may have run the call, or a part of it.
-        BrokenOff,   ///< As Interrupted, and it was the upstream that ended the connection.
+        BrokenOff,   ///< As Interrupted; the upstream ended the connection or fell silent.
     };
 
     AttemptEnd attempt(UpstreamTable::Place &place);
@@ -60,8 +60,8 @@
     [[nodiscard]] Milliseconds silenceLimit() const;
     [[nodiscard]] bool mayTryAgain() const;
 
-    /// Notes that the call's upstream has ended the connection, and whether it has ended itself.
-    void noteBrokenOff(const UpstreamInfo &upstream);
+    /// Notes that an upstream has ended under the call, if it takes no connections any more.
+    void checkForCrash(const UpstreamInfo &upstream);
     /// Refuses the call, which is known to end the upstreams that run it.
     void refuseCrashing(Duration wait);
     /// Gives the final answer of a call that no upstream has answered.
@@ -71,7 +71,7 @@
     void logFailedAttempt(const UpstreamInfo &upstream, const std::string &reason);
     void logEnd(std::string_view event, std::string_view reason) const;
     void noteAnswered(const UpstreamInfo &upstream, unsigned status);
-    void noteFirstBytes();
+    void noteBytes();
     [[nodiscard]] std::string id() const;
     [[nodiscard]] Milliseconds age() const;
 
@@ -88,6 +88,8 @@
     unsigned m_runs = 0;
     bool m_hasBegun = false;
     std::optional<Milliseconds> m_firstBytesAge;
+    /// When the upstream was last heard, or the request was sent to it.
+    TimePoint m_heardAt{};
     std::optional<std::uint64_t> m_lastEvent;
 };
 
--- a/Tests/Platform/ServerStandin.cpp
+++ b/Tests/Platform/ServerStandin.cpp
@@ -23,9 +23,11 @@
 {
     // Nobody who sees his connection end may still find the port open.
     constexpr Milliseconds closingTime{50};
+    constexpr Milliseconds silence{30'000};
     m_isDown = true;
     m_server->closeIdle();
-    boost::this_fiber::sleep_for(closingTime);
+    boost::this_fiber::sleep_for(m_crashManner.load() == CrashManner::Silence ? silence
+                                                                              : closingTime);
     exchange.abandon();
 }
 
@@ -35,8 +37,9 @@
     m_planned = {deeds.begin(), deeds.end()};
 }
 
-void ServerStandin::crashOn(std::string body)
+void ServerStandin::crashOn(std::string body, CrashManner manner)
 {
+    m_crashManner = manner;
     const std::scoped_lock lock(m_mutex);
     m_crashBody = std::move(body);
 }
--- a/Tests/Platform/ServerStandin.h
+++ b/Tests/Platform/ServerStandin.h
@@ -21,6 +21,12 @@
     LoseAnswer, ///< Runs the request and closes the connection without an answer.
 };
 
+/// What those who are connected to a server see of its crash.
+enum class CrashManner {
+    ConnectionsEnd,
+    Silence, ///< As when its VM has lost its power.
+};
+
 /// A request that has reached a server.
 struct ServedRequest
 {
@@ -41,9 +47,9 @@
     void plan(std::vector<ServerDeed> deeds);
     /// From now on, all answers say that the server is about to leave.
     void leave() { m_isLeaving = true; }
-    /// A request with this body ends the server that begins to run it: all its connections are
-    /// closed, and it takes none until it is started again.
-    void crashOn(std::string body);
+    /// A request with this body ends the server that begins to run it: nothing more comes on its
+    /// connections, and it takes none until it is started again.
+    void crashOn(std::string body, CrashManner manner = CrashManner::ConnectionsEnd);
     [[nodiscard]] bool isDown() const { return m_isDown; }
     /// Starts a server again that has crashed, under the same id.
     void startAgain();
@@ -72,6 +78,7 @@
     std::atomic<bool> m_isDown{false};
     std::atomic<unsigned> m_starts{1};
     std::string m_crashBody;
+    std::atomic<CrashManner> m_crashManner{CrashManner::ConnectionsEnd};
     std::atomic<Milliseconds> m_eventInterval{Milliseconds(2)};
     std::mutex m_mutex;
     std::deque<ServerDeed> m_planned;
