CrashLedger: Tell ends of upstreams apart by who saw them, not by the upstream's start

Cause (read from the code, and shown by a test of the ledger): a start of an upstream could end once. A server that starts again under its id can end again before the process knows of its new start; both ends were taken for one, so one more server was lost. By time alone ends cannot be told apart either: a process that was frozen reads old reports late, and would count one end several times. Change: each observation has a random name that goes with it to the peers; observations of one start within 250 ms are one end, seen by two calls or processes.

--- a/Libraries/Gateway/CrashLedger.cpp
+++ b/Libraries/Gateway/CrashLedger.cpp
@@ -11,13 +11,9 @@
 /// way between regions and the time until a process has read all that it was sent.
 constexpr Milliseconds commonCauseWindow{250};
 
-/// Forgets the entry that ranks lowest.
-template<typename Map, typename RankOf>
-void eraseLowest(Map &map, const RankOf &rankOf)
+Duration timeBetween(TimePoint left, TimePoint right)
 {
-    map.erase(std::min_element(map.begin(), map.end(), [&](const auto &left, const auto &right) {
-        return rankOf(left.second) < rankOf(right.second);
-    }));
+    return left < right ? right - left : left - right;
 }
 
 } // namespace
@@ -27,6 +23,13 @@
     return stableHash(upstream.id.text(), static_cast<std::uint64_t>(upstream.startedAt));
 }
 
+bool CrashLedger::Crash::isSameEnd(const Crash &other) const
+{
+    return observation == other.observation
+           || (upstreamStart == other.upstreamStart
+               && timeBetween(at, other.at) <= commonCauseWindow);
+}
+
 CrashLedger::CrashLedger(Duration memory, std::size_t maxCalls)
     : m_memory(memory)
     , m_maxCalls(maxCalls)
@@ -40,42 +43,48 @@
         const std::scoped_lock lock(m_mutex);
         forgetOld(at);
         // One more at a process that has not heard of these would be one too many.
-        isUrgent = add(call, upstreamStartHash(upstream), {at, true}) + 1 >= loneCrashesToRefuse;
+        const Crash crash{upstreamStartHash(upstream), threadRandomEngine()(), at, true};
+        isUrgent = add(call, crash) + 1 >= loneCrashesToRefuse;
     }
     if (isUrgent && onUrgentNews)
         onUrgentNews();
 }
 
-std::size_t CrashLedger::add(std::uint64_t call, std::uint64_t upstreamStart, Crash crash)
+std::size_t CrashLedger::add(std::uint64_t call, const Crash &crash)
 {
-    noteEnd(upstreamStart, crash.at);
-    if (!m_records.contains(call) && m_records.size() >= m_maxCalls) {
-        eraseLowest(m_records, [](const Record &record) {
-            return std::pair(record.crashes.size(), record.lastUse());
-        });
+    const auto isSame = [&](const Crash &known) { return known.isSameEnd(crash); };
+    if (std::none_of(m_ends.begin(), m_ends.end(), isSame)) {
+        if (m_ends.size() >= m_maxCalls)
+            m_ends.erase(m_ends.begin());
+        m_ends.push_back(crash);
     }
+    if (!m_records.contains(call) && m_records.size() >= m_maxCalls)
+        forgetLeastSuspect();
     auto &record = m_records[call];
     if (record.answeredAt)
         return 0;
-    auto &known = record.crashes.try_emplace(upstreamStart, crash).first->second;
-    known.at = std::min(known.at, crash.at);
-    record.lastCrash = std::max(record.lastCrash, known.at);
+    if (std::none_of(record.crashes.begin(), record.crashes.end(), isSame))
+        record.crashes.push_back(crash);
+    record.lastCrash = std::max(record.lastCrash, crash.at);
     return record.crashes.size();
 }
 
-void CrashLedger::noteEnd(std::uint64_t upstreamStart, TimePoint at)
+void CrashLedger::forgetLeastSuspect()
 {
-    if (!m_ends.contains(upstreamStart) && m_ends.size() >= m_maxCalls)
-        eraseLowest(m_ends, [](TimePoint endedAt) { return endedAt; });
-    auto &endedAt = m_ends.try_emplace(upstreamStart, at).first->second;
-    endedAt = std::min(endedAt, at);
+    const auto rank = [](const Record &record) {
+        return std::pair(record.crashes.size(), record.lastUse());
+    };
+    m_records.erase(std::min_element(m_records.begin(), m_records.end(),
+                                     [&](const auto &left, const auto &right) {
+                                         return rank(left.second) < rank(right.second);
+                                     }));
 }
 
 void CrashLedger::forgetOld(TimePoint now)
 {
     std::erase_if(m_records,
                   [&](const auto &entry) { return entry.second.lastUse() + m_memory <= now; });
-    std::erase_if(m_ends, [&](const auto &entry) { return entry.second + m_memory <= now; });
+    std::erase_if(m_ends, [&](const Crash &end) { return end.at + m_memory <= now; });
 }
 
 void CrashLedger::noteAnswered(std::uint64_t call, TimePoint at)
@@ -118,17 +127,19 @@
         return false;
     if (crashes.size() >= crashesToRefuse)
         return true;
-    const auto lone = std::count_if(crashes.begin(), crashes.end(), [&](const auto &crash) {
-        return isLone(record, crash.second.at);
-    });
+    const auto lone = std::count_if(crashes.begin(), crashes.end(),
+                                    [&](const Crash &crash) { return isLone(record, crash); });
     return static_cast<std::size_t>(lone) >= loneCrashesToRefuse;
 }
 
-bool CrashLedger::isLone(const Record &record, TimePoint at) const
+bool CrashLedger::isLone(const Record &record, const Crash &crash) const
 {
-    return std::none_of(m_ends.begin(), m_ends.end(), [&](const auto &end) {
-        const auto apart = end.second > at ? end.second - at : at - end.second;
-        return apart <= commonCauseWindow && !record.crashes.contains(end.first);
+    const auto isElsewhere = [&](const Crash &end) {
+        return std::none_of(record.crashes.begin(), record.crashes.end(),
+                            [&](const Crash &own) { return own.isSameEnd(end); });
+    };
+    return std::none_of(m_ends.begin(), m_ends.end(), [&](const Crash &end) {
+        return timeBetween(end.at, crash.at) <= commonCauseWindow && isElsewhere(end);
     });
 }
 
@@ -149,10 +160,10 @@
             news.answered.push_back(it->first);
     }
     const auto tell = [&](Records::const_iterator entry, bool tellsPeers) {
-        for (const auto &[upstreamStart, crash] : entry->second.crashes) {
+        for (const auto &crash : entry->second.crashes) {
             const auto age = std::chrono::duration_cast<Milliseconds>(now - crash.at);
             if (crash.isOwn || tellsPeers)
-                news.crashes.push_back({entry->first, upstreamStart, age});
+                news.crashes.push_back({entry->first, crash.upstreamStart, crash.observation, age});
         }
     };
     // A process that starts learns from any other what is refused; by turns, if that is much.
@@ -182,7 +193,7 @@
     const std::scoped_lock lock(m_mutex);
     for (const auto &notice : news.crashes) {
         if (notice.age >= Milliseconds(0) && notice.age < m_memory)
-            add(notice.call, notice.upstreamStart, {now - notice.age, false});
+            add(notice.call, {notice.upstreamStart, notice.observation, now - notice.age, false});
     }
     for (const auto call : news.answered)
         clear(call, now, false);
--- a/Libraries/Gateway/CrashLedger.h
+++ b/Libraries/Gateway/CrashLedger.h
@@ -20,6 +20,8 @@
     std::uint64_t call = 0;
     /// As upstreamStartHash() gives it.
     std::uint64_t upstreamStart = 0;
+    /// Names what one process has seen, so that hearing of it again counts once.
+    std::uint64_t observation = 0;
     Milliseconds age{0};
 };
 
@@ -72,13 +74,17 @@
 private:
     struct Crash
     {
+        std::uint64_t upstreamStart = 0;
+        std::uint64_t observation = 0;
         TimePoint at;
         bool isOwn = false;
+
+        /// Tells whether two processes, or two calls, have seen the same end.
+        [[nodiscard]] bool isSameEnd(const Crash &other) const;
     };
     struct Record
     {
-        /// By start of the upstream; each start can end once.
-        std::map<std::uint64_t, Crash> crashes;
+        std::vector<Crash> crashes;
         TimePoint lastCrash{};
         /// Set if the call has been found not to end upstreams.
         std::optional<TimePoint> answeredAt;
@@ -92,20 +98,20 @@
     using Records = std::map<std::uint64_t, Record>;
 
     /// Returns how many upstreams the call has ended by now.
-    std::size_t add(std::uint64_t call, std::uint64_t upstreamStart, Crash crash);
-    void noteEnd(std::uint64_t upstreamStart, TimePoint at);
+    std::size_t add(std::uint64_t call, const Crash &crash);
     void clear(std::uint64_t call, TimePoint at, bool isOwn);
     void forgetOld(TimePoint now);
+    void forgetLeastSuspect();
     [[nodiscard]] bool isRefused(const Record &record, TimePoint now) const;
     /// Tells whether no upstream on which the call did not run ended at about that time.
-    [[nodiscard]] bool isLone(const Record &record, TimePoint at) const;
+    [[nodiscard]] bool isLone(const Record &record, const Crash &crash) const;
 
     const Duration m_memory;
     const std::size_t m_maxCalls;
     mutable std::mutex m_mutex;
     Records m_records;
-    /// When each start of an upstream ended.
-    std::map<std::uint64_t, TimePoint> m_ends;
+    /// All ends of upstreams, of calls that are no longer suspected as well.
+    std::vector<Crash> m_ends;
     /// The call that was told last of those that are refused.
     std::uint64_t m_lastRefusedTold = 0;
 };
--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -28,6 +28,7 @@
   call @0 :UInt64;           # Fingerprint of the call.
   upstreamStart @1 :UInt64;  # Hash of the upstream's name and start.
   ageMs @2 :UInt32;
+  observation @3 :UInt64;    # Names what one process has seen.
 }
 
 # What an entry process tells its peers, in one datagram. Each report stands for itself.
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -81,7 +81,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed63e63dc91e7af2, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ed63e63dc91e7af2, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -381,6 +381,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline  ::uint64_t getObservation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -418,6 +420,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline  ::uint64_t getObservation();
+  inline void setObservation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -814,6 +819,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t UpstreamCrash::Reader::getObservation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamCrash::Builder::getObservation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamCrash::Builder::setObservation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerReport::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -29,8 +29,9 @@
     for (const auto upstream : reader.getLeaving())
         report.leaving.push_back({upstream.getUpstream(), upstream.getStartedAt()});
     for (const auto crash : reader.getCrashes()) {
-        report.crashNews.crashes.push_back(
-                {crash.getCall(), crash.getUpstreamStart(), Milliseconds(crash.getAgeMs())});
+        report.crashNews.crashes.push_back({crash.getCall(), crash.getUpstreamStart(),
+                                            crash.getObservation(),
+                                            Milliseconds(crash.getAgeMs())});
     }
     for (const auto call : reader.getAnsweredCalls())
         report.crashNews.answered.push_back(call);
@@ -79,6 +80,7 @@
     for (unsigned i = 0; i < news.crashes.size(); ++i) {
         crashes[i].setCall(news.crashes[i].call);
         crashes[i].setUpstreamStart(news.crashes[i].upstreamStart);
+        crashes[i].setObservation(news.crashes[i].observation);
         crashes[i].setAgeMs(static_cast<std::uint32_t>(news.crashes[i].age.count()));
     }
     auto answered = builder.initAnsweredCalls(static_cast<unsigned>(news.answered.size()));
--- a/Tests/Gateway/TestCrashLedger.cpp
+++ b/Tests/Gateway/TestCrashLedger.cpp
@@ -111,11 +111,24 @@
     auto now = crash(ledger, crashing, {"u1", "u2"}, start);
     CHECK_FALSE(ledger.refusedFor(crashing, now));
 
-    SECTION("Hearing of an end again counts once")
+    SECTION("An end that two calls have seen counts once")
     {
-        ledger.noteCrash(crashing, upstreamNamed("u2"), now);
+        ledger.noteCrash(crashing, upstreamNamed("u2"), now + Milliseconds(5));
         CHECK_FALSE(ledger.refusedFor(crashing, now));
     }
+    SECTION("So does one that is heard of again, also much later, as after a freeze")
+    {
+        CrashLedger other(memory, maxCalls);
+        const auto news = ledger.takeNews(now);
+        for (int second = 0; second < 4; ++second)
+            other.take(news, now + std::chrono::seconds(second));
+        CHECK_FALSE(other.refusedFor(crashing, now + std::chrono::seconds(4)));
+    }
+    SECTION("An upstream that ends again, before its new start is known, is another one")
+    {
+        ledger.noteCrash(crashing, upstreamNamed("u2"), now + std::chrono::seconds(1));
+        CHECK(ledger.refusedFor(crashing, now + std::chrono::seconds(1)));
+    }
     SECTION("A new start of an upstream is another one")
     {
         ledger.noteCrash(crashing, upstreamNamed("u2", 2), now + std::chrono::seconds(1));
--- a/Tests/Gateway/TestPeers.cpp
+++ b/Tests/Gateway/TestPeers.cpp
@@ -17,7 +17,7 @@
     report.hasJobs = true;
     report.ownedJobs = {jobHash("job1")};
     report.endedJobs = {"job2"};
-    report.crashNews = {{{21, 22, Milliseconds(23)}}, {24}};
+    report.crashNews = {{{21, 22, 25, Milliseconds(23)}}, {24}};
     return report;
 }
 
@@ -43,6 +43,7 @@
     REQUIRE(news.crashes.size() == 1);
     CHECK(news.crashes[0].call == 21);
     CHECK(news.crashes[0].upstreamStart == 22);
+    CHECK(news.crashes[0].observation == 25);
     CHECK(news.crashes[0].age == Milliseconds(23));
     CHECK(news.answered == std::vector<std::uint64_t>{24});
 
