Agent: Do not blame the suspect that follows the one that ended its upstream

Cause (read from the code): after a crash all calls that were in flight are suspects, and run one at a time on each upstream. The next suspect is granted as soon as the crashing one has ended, before the end of the upstream is noticed; it lost its connection, was blamed for it as every suspect, and had its second crash. Change: a suspect that is lost within the joint crash window after another suspect was blamed there is not blamed. Ruled out: innocents that are no suspects; they were not blamed while a suspect was in flight.

--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -54,6 +54,26 @@
         "makeAttempt(spec, WorkClass::Online, id, progress.tokens, suspicion)",
         "makeAttempt(spec, WorkClass::Online, id, 0, suspicion)",
         "TestIntegration", "Each caller gets its own whole answer*"),
+    "memory of crashes": (
+        "Libraries/Gateway/RelayCall.cpp", "            return refuseCrashing(*refused);",
+        "            logStateChange(\"call-refused\", {{\"ms\", std::to_string(refused->count())}});",
+        "TestPlatform", "A request that ends each server*"),
+    "news of crashes": (
+        "Libraries/Gateway/PeerLink.cpp", "    m_crashes.take(report.crashNews, now);", "",
+        "TestPlatform", "A request that ends each server*"),
+    "silence checked for a crash": (
+        "Libraries/Gateway/RelayCall.cpp",
+        "    if (silentUpstream)\n        checkForCrash(*silentUpstream);", "",
+        "TestPlatform", "A request under which servers fall silent*"),
+    "ends with a cause in common": (
+        "Libraries/Gateway/CrashLedger.cpp",
+        "    return std::none_of(m_ends.begin(), m_ends.end(), [&](const Crash &end) {",
+        "    return record.crashes.empty() || m_ends.empty() || true\n"
+        "        || std::none_of(m_ends.begin(), m_ends.end(), [&](const Crash &end) {",
+        "TestGateway", "Upstreams that end together*"),
+    "bounded pause of items": (
+        "Libraries/Batch/JobQueue.cpp", "longestBreakPause{2'000}", "longestBreakPause{15'000}",
+        "TestBatch", "What becomes of an item*"),
     "quarantine": (
         "Libraries/Serving/Quarantine.h", "crashesToBar = 2;", "crashesToBar = 100;",
         "TestIntegration", "A request that crashes upstreams*"),
--- a/Services/radishplankd/Agent/Agent.cpp
+++ b/Services/radishplankd/Agent/Agent.cpp
@@ -247,17 +247,19 @@
     const auto now = SteadyClock().now();
     if (line.outcome == Outcome::NotRun)
         m_ledger.unhand(attempt->order().id);
-    if (isSuspect) {
+    if (isSuspect)
         m_suspectsInProgress -= 1;
-        if (hasCrashed)
-            m_suspectLostAt = now;
-    }
     if (!hasCrashed)
         return;
-    // A known suspect in flight takes the blame alone: the others were there by chance.
-    const bool wasSuspectInFlight
-            = m_suspectsInProgress > 0 || now - m_suspectLostAt < jointCrashWindow;
-    line.isBlamed = isSuspect || !wasSuspectInFlight;
+    // A known suspect in flight takes the blame alone: the others were there by chance. So was the
+    // next suspect, which can be handed to an upstream before its end is noticed.
+    const bool hasSuspectJustEndedIt = now - m_suspectLostAt < jointCrashWindow;
+    if (isSuspect)
+        line.isBlamed = !hasSuspectJustEndedIt;
+    else
+        line.isBlamed = m_suspectsInProgress == 0 && !hasSuspectJustEndedIt;
+    if (isSuspect && line.isBlamed)
+        m_suspectLostAt = now;
 }
 
 void Agent::apply(const SchedulerActions &actions)
