Core: Share the pause that doubles, and read the change as a newcomer

One doublingPause() serves items that broke off (JobQueue, ShardRunner) and upstreams that failed (UpstreamTable), which each had their own; their values are the same as before.

--- a/Libraries/Batch/JobQueue.cpp
+++ b/Libraries/Batch/JobQueue.cpp
@@ -11,7 +11,7 @@
 /// Pause after a failed run.
 constexpr Milliseconds failurePause{200};
 /// Pause after the first run that broke off without progress; doubles with each further one.
-constexpr Milliseconds breakPause{100};
+constexpr Milliseconds firstBreakPause{100};
 /// However often upstreams crashed under an item, it is owed, and due within seconds.
 constexpr Milliseconds longestBreakPause{2'000};
 /// From an item's last event until its result has been read.
@@ -19,13 +19,6 @@
 /// Run times vary, and online calls interrupt them.
 constexpr double runTimeReserve = 1.15;
 
-Milliseconds pauseAfterBreaks(unsigned breaks)
-{
-    constexpr unsigned maxDoublings = 10;
-    const auto factor = 1U << std::min(breaks - 1, maxDoublings);
-    return std::min<Milliseconds>(breakPause * factor, longestBreakPause);
-}
-
 } // namespace
 
 void JobQueue::add(const std::string &job, std::span<const double> sizes, const ItemLimits &limits)
@@ -132,8 +125,8 @@
     case ItemRunEnd::Preempted:
         return Verdict::RunAgain;
     case ItemRunEnd::Interrupted:
+        state->notBefore = now + doublingPause(firstBreakPause, longestBreakPause, state->breaks);
         state->breaks += 1;
-        state->notBefore = now + pauseAfterBreaks(state->breaks);
         return Verdict::RunAgain;
     }
     return Verdict::RunAgain;
--- a/Libraries/Core/Clock.cpp
+++ b/Libraries/Core/Clock.cpp
@@ -1,5 +1,6 @@
 #include <Core/Clock.h>
 
+#include <algorithm>
 #include <ctime>
 
 namespace Radishplank {
@@ -12,4 +13,11 @@
                                                 + std::chrono::nanoseconds(time.tv_nsec));
 }
 
+Milliseconds doublingPause(Milliseconds first, Milliseconds longest, unsigned earlierPauses)
+{
+    // Beyond this, any pause in use has reached its longest.
+    constexpr unsigned maxDoublings = 20;
+    return std::min<Milliseconds>(first * (1U << std::min(earlierPauses, maxDoublings)), longest);
+}
+
 } // namespace Radishplank
--- a/Libraries/Core/Clock.h
+++ b/Libraries/Core/Clock.h
@@ -45,6 +45,10 @@
     TimePoint m_now{};
 };
 
+/// Returns a pause before trying again that doubles with each earlier one, up to the longest.
+[[nodiscard]] Milliseconds doublingPause(Milliseconds first, Milliseconds longest,
+                                         unsigned earlierPauses);
+
 /// Milliseconds since the Unix epoch by the wall clock.
 [[nodiscard]] inline long long unixMilliseconds()
 {
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -254,11 +254,9 @@
             state.failures = 0;
             state.distrustedUntil = {};
         } else if (place.m_verdict == UpstreamVerdict::Failed) {
-            const auto factor = 1U << std::min(state.failures, 4U);
+            state.distrustedUntil = SteadyClock().now()
+                                    + doublingPause(firstDistrust, longestDistrust, state.failures);
             state.failures += 1;
-            state.distrustedUntil
-                    = SteadyClock().now()
-                      + std::min<Milliseconds>(firstDistrust * factor, longestDistrust);
         }
     }
     if (onLoadChange)
--- a/Services/radishplankd/Jobs/ShardRunner.cpp
+++ b/Services/radishplankd/Jobs/ShardRunner.cpp
@@ -268,11 +268,9 @@
         return;
     }
     // Upstreams crash for many reasons; the item is owed, however many were lost under it.
-    constexpr unsigned maxDoublings = 10;
-    const auto factor = 1U << std::min(item->losses, maxDoublings);
+    item->notBefore
+            = SteadyClock().now() + doublingPause(firstLossPause, longestLossPause, item->losses);
     item->losses += 1;
-    item->notBefore = SteadyClock().now()
-                      + std::min<Milliseconds>(firstLossPause * factor, longestLossPause);
     requeue(item);
 }
 
--- a/Services/radishplankd/Jobs/ShardRunner.h
+++ b/Services/radishplankd/Jobs/ShardRunner.h
@@ -37,7 +37,7 @@
         std::size_t number = 0;
         std::string id;
         CallSpec spec;
-        /// Runs in a row that ended with their upstream, or with its agent.
+        /// Runs that ended with their upstream, or with its agent.
         unsigned losses = 0;
         /// When the item may run again after such a run.
         TimePoint notBefore{};
--- a/Tests/Platform/TestCrashingRequests.cpp
+++ b/Tests/Platform/TestCrashingRequests.cpp
@@ -59,6 +59,13 @@
         REQUIRE(m_crashes == allowedCrashes);
         std::this_thread::sleep_for(newsTime);
     }
+    /// Sends it on and on, and checks that no server ends under it any more.
+    void checkRefused()
+    {
+        for (unsigned i = 0; i < laterTries; ++i)
+            CHECK(sendCrashing(i % 2 == 0 ? "entry1" : "entry2") == 503);
+        CHECK(m_crashes == allowedCrashes);
+    }
     [[nodiscard]] unsigned crashes() const { return m_crashes; }
 
 private:
@@ -75,9 +82,7 @@
     SECTION("sent again and again to all processes")
     {
         deployment.crashThree();
-        for (unsigned i = 0; i < laterTries; ++i)
-            CHECK(deployment.sendCrashing(i % 2 == 0 ? "entry1" : "entry2") == 503);
-        CHECK(deployment.crashes() == allowedCrashes);
+        deployment.checkRefused();
 
         SECTION("while all others are served")
         {
@@ -112,9 +117,7 @@
     SECTION("on a route whose calls run once")
     {
         deployment.crashThree();
-        for (unsigned i = 0; i < laterTries; ++i)
-            CHECK(deployment.sendCrashing(i % 2 == 0 ? "entry1" : "entry2") == 503);
-        CHECK(deployment.crashes() == allowedCrashes);
+        deployment.checkRefused();
     }
     SECTION("on a route whose streams go on at other servers")
     {
