Tests: Let the faulty server stop while a caller keeps a connection open

Cause, seen in a run that hung: the test waits to join the stand-in's thread, which waits in recvmsg on a connection that the entry process had opened and sent nothing on. Since an entry process whose attempt broke off opens a connection to see whether the server still listens, and keeps it for its next call. The stand-in served one connection at a time and could only be woken while it accepted. Ruled out: load (the machine was idle), the process under test (it answered all calls). Why it works: each connection has a thread of its own, as with a real server, and stopping shuts down those that are open. The test's checks are unchanged.

--- a/Tests/Platform/SpoiltServer.cpp
+++ b/Tests/Platform/SpoiltServer.cpp
@@ -31,28 +31,45 @@
 
 SpoiltServer::~SpoiltServer()
 {
-    m_isStopping = true;
+    boost::system::error_code ignored;
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_isStopping = true;
+        // Callers may keep connections open on which they send nothing.
+        for (const auto &connection : m_connections) {
+            if (connection.socket->is_open())
+                connection.socket->shutdown(tcp::socket::shutdown_both, ignored);
+        }
+    }
     // Wakes the thread that waits for a connection.
     tcp::socket last(m_context);
-    boost::system::error_code ignored;
     last.connect(m_acceptor.local_endpoint(), ignored);
     m_thread.join();
+    for (auto &connection : m_connections)
+        connection.thread.join();
 }
 
 void SpoiltServer::acceptLoop()
 {
     while (true) {
-        tcp::socket socket(m_context);
+        auto socket = std::make_shared<tcp::socket>(m_context);
         boost::system::error_code code;
-        m_acceptor.accept(socket, code);
+        m_acceptor.accept(*socket, code);
+        const std::scoped_lock lock(m_mutex);
         if (m_isStopping)
             return;
-        if (!code)
-            serve(std::move(socket));
+        if (code)
+            continue;
+        m_connections.push_back({socket, std::thread([this, socket] {
+                                     serve(*socket);
+                                     const std::scoped_lock closing(m_mutex);
+                                     boost::system::error_code ignored;
+                                     socket->close(ignored);
+                                 })});
     }
 }
 
-void SpoiltServer::serve(tcp::socket socket)
+void SpoiltServer::serve(tcp::socket &socket)
 {
     // One request for each connection: whoever gets spoilt bytes must not use it again.
     std::string received;
--- a/Tests/Platform/SpoiltServer.h
+++ b/Tests/Platform/SpoiltServer.h
@@ -6,8 +6,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace Radishplank::Test {
 
@@ -30,8 +33,14 @@
     [[nodiscard]] unsigned requests() const { return m_requests; }
 
 private:
+    struct Connection
+    {
+        std::shared_ptr<boost::asio::ip::tcp::socket> socket;
+        std::thread thread;
+    };
+
     void acceptLoop();
-    void serve(boost::asio::ip::tcp::socket socket);
+    void serve(boost::asio::ip::tcp::socket &socket);
 
     const Script m_script;
     boost::asio::io_context m_context;
@@ -42,6 +51,8 @@
     Milliseconds m_repeatPause{};
     std::atomic<std::size_t> m_repeatedBytes{0};
     std::atomic<bool> m_isStopping{false};
+    std::mutex m_mutex;
+    std::vector<Connection> m_connections;
     std::thread m_thread;
 };
 
