--- a/Tests/Platform/StoreStandin.cpp
+++ b/Tests/Platform/StoreStandin.cpp
@@ -12,7 +12,7 @@
 constexpr std::string_view objectsPrefix = "/-/objects/";
 constexpr Milliseconds watchPoll{5};
 /// Longer than any caller waits.
-constexpr Milliseconds silence{10'000};
+constexpr Milliseconds silence{60'000};
 
 std::uint64_t numberOf(const std::string &text)
 {
@@ -51,6 +51,13 @@
 {
 }
 
+void StoreStandin::setMood(StoreMood mood)
+{
+    if (mood == StoreMood::Silent)
+        m_silences += 1;
+    m_mood = mood;
+}
+
 void StoreStandin::write(const std::string &kind, const std::string &name, json::value spec)
 {
     const std::scoped_lock lock(m_mutex);
@@ -120,6 +127,7 @@
     const auto body = exchange.readBody();
     const bool isWrite = exchange.request().method != "GET";
     const auto mood = m_mood.load();
+    const auto silences = m_silences.load();
     if (mood == StoreMood::Refusing) {
         (void)exchange.respond({503, {}, ""});
         return;
@@ -130,7 +138,8 @@
         return;
     }
     auto response = answer(exchange.request(), body.isError() ? "" : body.value());
-    if (mood == StoreMood::Losing && isWrite) {
+    const bool isSwallowed = m_silences != silences;
+    if (isSwallowed || (mood == StoreMood::Losing && isWrite)) {
         boost::this_fiber::sleep_for(silence);
         exchange.abandon();
         return;
--- a/Tests/Platform/StoreStandin.h
+++ b/Tests/Platform/StoreStandin.h
@@ -16,7 +16,7 @@
 enum class StoreMood {
     Sound,
     Refusing, ///< Every call gets 503.
-    Silent,   ///< No call gets an answer, and none is done.
+    Silent,   ///< No call gets an answer, those that wait included, and none is done.
     Losing,   ///< Writes are done, but get no answer.
 };
 
@@ -27,7 +27,7 @@
     explicit StoreStandin(const Endpoint &listen);
 
     [[nodiscard]] Endpoint endpoint() const { return m_server->endpoint(); }
-    void setMood(StoreMood mood) { m_mood = mood; }
+    void setMood(StoreMood mood);
     /// What the operator and the servers do, whatever the mood.
     void write(const std::string &kind, const std::string &name, boost::json::value spec);
     void remove(const std::string &kind, const std::string &name);
@@ -67,6 +67,8 @@
     static boost::json::object describe(const std::string &name, const Object &object);
 
     std::atomic<StoreMood> m_mood{StoreMood::Sound};
+    /// Silences so far: a watch that was waiting when one began is never answered.
+    std::atomic<unsigned> m_silences{0};
     std::atomic<std::size_t> m_calls{0};
     std::mutex m_mutex;
     std::uint64_t m_revision = 1;
