JobService: Write without delay that an item has been given up

Evidence: the new test's four owners, each ended half a second after it had taken the job, sent an item that no server can do 4 times (3 allowed). Why it works: the heir reads from the store that the item is done. What is left is the time of one write, and failures that do not end an item yet.

--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -645,7 +645,7 @@
         job->pending.push_back({id, state, std::move(output)});
         if (!job->isWriting)
             spawnWriter(job);
-        else if (job->settled >= job->stored.job.items.size())
+        else if (state == ItemState::DeadLetter || job->settled >= job->stored.job.items.size())
             job->changed.notify_all();
     }
 
@@ -662,7 +662,8 @@
         });
     }
 
-    /// Waits for more results to write with those that are pending, unless they are due or all.
+    /// Waits for more results to write with those that are pending, unless they are due or all, or
+    /// an item is given up: until that is durable, an heir would send the item to upstreams again.
     void gatherResults(ActiveJob &job)
     {
         const auto now = SteadyClock().now();
@@ -674,7 +675,14 @@
         std::unique_lock lock(job.mutex);
         job.changed.wait_for(lock, wait, [&] {
             return job.settled >= job.stored.job.items.size() || job.isGone || job.isDisputed
-                   || m_isDraining;
+                   || m_isDraining || hasGivenUp(job);
+        });
+    }
+
+    [[nodiscard]] static bool hasGivenUp(const ActiveJob &job)
+    {
+        return std::any_of(job.pending.begin(), job.pending.end(), [](const ItemResult &result) {
+            return result.state == ItemState::DeadLetter;
         });
     }
 
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -2,6 +2,7 @@
 
 #include "../Store/FaultyStore.h"
 
+#include <atomic>
 #include <boost/fiber/operations.hpp>
 #include <catch2/catch.hpp>
 #include <future>
@@ -95,13 +96,20 @@
 public:
     UpstreamStandin()
         : m_threads(*new FiberThreads(1)) // Its fibers run until the test program ends.
-        , m_server(HttpServer::listen(m_threads, {"127.0.0.1", 0}, {}, [](HttpExchange &exchange) {
-                       if (exchange.request().target == "/jobs/later")
-                           boost::this_fiber::sleep_for(Milliseconds(1'600));
-                       (void)exchange.beginStream(200, {});
-                       (void)exchange.writeStream("id: 1\ndata: x\n\n");
-                       (void)exchange.endStream();
-                   }).takeValue())
+        , m_server(HttpServer::listen(m_threads, {"127.0.0.1", 0}, {},
+                                      [this](HttpExchange &exchange) {
+                                          if (exchange.request().target == "/jobs/impossible") {
+                                              m_rejected += 1;
+                                              (void)exchange.respond({422, {}, ""});
+                                              return;
+                                          }
+                                          if (exchange.request().target == "/jobs/later")
+                                              boost::this_fiber::sleep_for(Milliseconds(1'600));
+                                          (void)exchange.beginStream(200, {});
+                                          (void)exchange.writeStream("id: 1\ndata: x\n\n");
+                                          (void)exchange.endStream();
+                                      })
+                           .takeValue())
     {
     }
 
@@ -109,8 +117,11 @@
     {
         return {UpstreamId("u1"), "service", m_server->endpoint(), ZoneName("zone1"), 4, false, 1};
     }
+    /// Requests that were found impossible.
+    [[nodiscard]] unsigned rejected() const { return m_rejected; }
 
 private:
+    std::atomic<unsigned> m_rejected{0};
     FiberThreads &m_threads;
     std::unique_ptr<HttpServer> m_server;
 };
@@ -413,3 +424,34 @@
     REQUIRE(entry.eventually([&] { return !entry.service.submit(more).isError(); }));
     CHECK(claimed() >= allTokens);
 }
+
+TEST_CASE("An item that fails each time is not sent on and on, though its owners die one by one",
+          "[JobService]")
+{
+    // The platform's bound.
+    constexpr unsigned mostRejections = 3;
+    auto &memory = *new MemoryObjectStore;
+    auto &upstream = *new UpstreamStandin;
+    auto job = jobWith(2);
+    job.items[0].path = "/jobs/impossible";
+
+    for (unsigned owner = 1; owner <= mostRejections + 1; ++owner) {
+        auto &entry = *new EntryProcess(memory, "entry" + std::to_string(owner));
+        entry.upstreams.put(upstream.info());
+        entry.service.start();
+        if (owner == 1)
+            REQUIRE_FALSE(entry.on([&] { return entry.service.submit(job); }).isError());
+        REQUIRE(entry.eventually([&] { return entry.service.owns("job1"); }));
+        entry.on([] {
+            boost::this_fiber::sleep_for(Milliseconds(500));
+            return true;
+        });
+        // Whatever it has not written by now is lost, as if it had died.
+        entry.on([&] {
+            entry.store.nextFault = [] { return FaultyStore::Fault::Outage; };
+            return true;
+        });
+    }
+    CHECK(upstream.rejected() >= 1);
+    CHECK(upstream.rejected() <= mostRejections);
+}
