HttpClient: Close idle connections whose time is over, whoever they lead to

Callers saw nothing yet; found while the hanging test was traced. A process kept each idle connection until its next call to the same server looked at it. Servers are replaced by others at new addresses, so connections to those that had gone stayed half closed for as long as the process ran, up to 64 each. Why it works: a connection that is given back closes all that are past their time, once a second at most. Which connections may be used again is unchanged.

--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -23,6 +23,7 @@
 
 constexpr std::size_t idleConnectionsPerEndpoint = 64;
 constexpr auto idleConnectionLifetime = std::chrono::seconds(20);
+constexpr auto closingInterval = std::chrono::seconds(1);
 /// Kept back from the lifetime that a peer names, since its clock started before ours.
 constexpr auto idleLifetimeMargin = std::chrono::seconds(1);
 /// Held by each stream that waits for its next token, so it is not larger than it need be.
@@ -62,7 +63,7 @@
         while (!idle.empty()) {
             auto connection = std::move(idle.back());
             idle.pop_back();
-            if (now - connection->idleSince < connection->idleLifetime && isQuiet(*connection))
+            if (!isExpired(*connection, now) && isQuiet(*connection))
                 return connection;
         }
         return {};
@@ -70,6 +71,7 @@
 
     void give(const Endpoint &endpoint, ConnectionPointer connection)
     {
+        closeExpired();
         auto &idle = m_idle[endpoint];
         if (idle.size() >= idleConnectionsPerEndpoint)
             return;
@@ -78,6 +80,26 @@
     }
 
 private:
+    /// Peers that have gone for good are asked for no connection again.
+    void closeExpired()
+    {
+        const auto now = SteadyClock().now();
+        if (now < m_nextClosing)
+            return;
+        m_nextClosing = now + closingInterval;
+        for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+            auto &idle = entry->second;
+            std::erase_if(idle,
+                          [&](const auto &connection) { return isExpired(*connection, now); });
+            entry = idle.empty() ? m_idle.erase(entry) : std::next(entry);
+        }
+    }
+
+    static bool isExpired(const PooledConnection &connection, TimePoint now)
+    {
+        return now - connection.idleSince >= connection.idleLifetime;
+    }
+
     /// Tells whether the peer has neither closed the connection nor sent stray bytes.
     static bool isQuiet(PooledConnection &connection)
     {
@@ -92,6 +114,7 @@
     }
 
     std::map<Endpoint, std::vector<ConnectionPointer>> m_idle;
+    TimePoint m_nextClosing{};
 };
 
 Error callError(std::string_view action, const Endpoint &endpoint,
--- a/Tests/Net/TestHttpClient.cpp
+++ b/Tests/Net/TestHttpClient.cpp
@@ -98,3 +98,29 @@
         CHECK(callEach(server.endpoint(), {"a"}) == std::vector<std::string>{""});
     }
 }
+
+TEST_CASE("Idle connections to servers that are not called again are closed")
+{
+    auto &threads = *new FiberThreads(1); // Its fibers run until the test program ends.
+    const auto answer = [](HttpExchange &exchange) {
+        (void)exchange.respond({200, {{"Keep-Alive", "timeout=2"}}, "hello"});
+    };
+    const auto replaced = HttpServer::listen(threads, {"127.0.0.1", 0}, {}, answer).takeValue();
+    const auto current = HttpServer::listen(threads, {"127.0.0.1", 0}, {}, answer).takeValue();
+    const auto call = [&](const HttpServer &server) {
+        std::promise<bool> isAnswered;
+        threads.spawnOn(0, [&] {
+            const auto answered = HttpClient::fetch(server.endpoint(), {"GET", "/", {}, ""}, {});
+            isAnswered.set_value(!answered.isError());
+        });
+        return isAnswered.get_future().get();
+    };
+    REQUIRE(call(*replaced));
+    CHECK(replaced->openConnections() == 1);
+    // The caller keeps the connection for a second less than the server.
+    std::this_thread::sleep_for(Milliseconds(1'500));
+    REQUIRE(call(*current));
+    std::this_thread::sleep_for(Milliseconds(200));
+    CHECK(replaced->openConnections() == 0);
+    CHECK(current->openConnections() == 1);
+}
