Gateway: Bound the bytes of a stream that brings no further event

Cause: of an answer that goes on with whole events that have no number, only the time was bounded (2 s for an item), so a server that sends fast enough passes any number of bytes. The test passed before for as long as its server, which sent nine bytes at a time and served one connection after the other, was slow enough. Why it works: what was two copies of the same clock is StreamProgress, which counts the bytes since the last further event as well, 1 MB at most. It takes in EventFramer's bound on a single event, so that one is gone.

--- a/Libraries/Gateway/EventFramer.h
+++ b/Libraries/Gateway/EventFramer.h
@@ -26,10 +26,6 @@
     [[nodiscard]] std::vector<StreamEvent> feed(std::string_view bytes);
     /// Returns the bytes of the event that is not complete.
     [[nodiscard]] std::string_view partial() const { return m_partial; }
-    /// Tells whether more bytes have come without the end of an event than any event has.
-    [[nodiscard]] bool isOverlong() const { return m_partial.size() > maxEventBytes; }
-
-    static constexpr std::size_t maxEventBytes = std::size_t{1024} * 1024;
 
 private:
     std::string m_partial;
--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -15,4 +15,5 @@
 #include <Gateway/PlaceChooser.h>
 #include <Gateway/Relay.h>
 #include <Gateway/RouteTable.h>
+#include <Gateway/StreamProgress.h>
 #include <Gateway/UpstreamTable.h>
--- a/Libraries/Gateway/ItemRun.cpp
+++ b/Libraries/Gateway/ItemRun.cpp
@@ -1,6 +1,7 @@
 #include <Gateway/ItemRun.h>
 
 #include <Gateway/HeaderRules.h>
+#include <Gateway/StreamProgress.h>
 
 namespace Radishplank {
 
@@ -46,23 +47,20 @@
 EventsEnd readEvents(HttpAnswer &answer, ItemProgress &progress)
 {
     EventFramer framer;
-    auto progressAt = SteadyClock().now();
+    StreamProgress going(progress.lastEvent, SteadyClock().now());
     while (true) {
         const auto piece = answer.readPiece();
         if (piece.isError())
             return EventsEnd::Broken;
         if (piece.value().empty())
             return framer.partial().empty() ? EventsEnd::Whole : EventsEnd::Broken;
-        const auto before = progress.lastEvent;
         for (const auto &event : framer.feed(piece.value())) {
             if (!addEvent(event, progress))
                 return EventsEnd::Broken;
         }
-        // Bytes alone are no progress: they may go on for ever.
         const auto now = SteadyClock().now();
-        if (progress.lastEvent != before)
-            progressAt = now;
-        if (framer.isOverlong() || now - progressAt > silenceLimit)
+        going.note(piece.value().size(), progress.lastEvent, now);
+        if (going.isStuck(silenceLimit, now))
             return EventsEnd::Broken;
     }
 }
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -2,6 +2,7 @@
 
 #include <Gateway/CallFingerprint.h>
 #include <Gateway/HeaderRules.h>
+#include <Gateway/StreamProgress.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -191,7 +192,7 @@
     }
     const bool isResumable = m_call.route->resumption == Resumption::Allowed;
     EventFramer framer;
-    auto progressAt = SteadyClock().now();
+    StreamProgress going(m_lastEvent, SteadyClock().now());
     while (true) {
         const auto piece = answer.readPiece();
         if (piece.isError())
@@ -206,13 +207,10 @@
         else if (isEnd)
             written = m_exchange.writeStream(framer.partial());
         else {
-            const auto before = m_lastEvent;
             written = writeEvents(framer.feed(piece.value()));
-            // Bytes alone are no progress: they may go on for ever.
             const auto now = SteadyClock().now();
-            if (m_lastEvent != before)
-                progressAt = now;
-            if (framer.isOverlong() || now - progressAt > silenceLimit())
+            going.note(piece.value().size(), m_lastEvent, now);
+            if (going.isStuck(silenceLimit(), now))
                 return AttemptEnd::Interrupted;
         }
         if (!written.isError() && isEnd)
--- a/Tests/Platform/TestSpoiltAnswers.cpp
+++ b/Tests/Platform/TestSpoiltAnswers.cpp
@@ -101,6 +101,13 @@
     {
         server.repeatUntilClosed("data: x\n\n");
     }
+    SECTION("Many such events at once")
+    {
+        std::string events;
+        while (events.size() < 65'536)
+            events += "data: x\n\n";
+        server.repeatUntilClosed(std::move(events));
+    }
     SECTION("A byte now and then")
     {
         server.repeatUntilClosed("x", Milliseconds(100));
