review: End a case's processes also when its script is ended

A script that was ended from outside left its processes running. It now ends them, and exits with 2 where Python is too old.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+python3 -B -c 'import asyncio, tomllib; asyncio.timeout' || exit 2
 exec python3 -B "$(dirname "$0")/case.py"
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -575,6 +575,9 @@
     """Runs a case: `make` returns the deployment, and `case` whether the rule was broken. Exits with
     1 if it was, with 0 if it held and with 2 if the case could not run."""
 
+    # Ends the processes of the case also if the script itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
     async def run():
         deployment = make()
         try:
