--- a/Tests/Platform/TestCrashingPromptParts.cpp
+++ b/Tests/Platform/TestCrashingPromptParts.cpp
@@ -17,6 +17,8 @@
 /// Requests with the part that may reach servers later than that.
 constexpr unsigned maxLaterRequests = 3;
 constexpr unsigned laterAttempts = 12;
+/// Entry processes cannot tell crashes of one start of a server within 250 ms of each other apart.
+constexpr auto restartDelay = std::chrono::milliseconds(300);
 
 /// Two entry processes in front of servers that crash when they begin to answer a request whose
 /// prompt contains a certain part. No two requests are equal.
@@ -60,7 +62,7 @@
         const auto status
                 = send(entry, "aaaa:200,bbbb:100," + std::string(deadlyPart) + ":50", path).status;
         (void)send(entry, "aaaa:200,bbbb:100", path);
-        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        std::this_thread::sleep_for(restartDelay);
         m_crashes += restartCrashedServers();
         return status;
     }
