CrashingPartDetector: Try items with a blocked prompt part one at a time

Cause: crashes under items block a part of their prompt for ten minutes, and items with it were postponed for as long. Only an answer with the part lifts a block, and where no caller sends the part there is none. Class: a verdict that prevents the observation that could revise it.

Ruled out: the back-off of single items (2 s at most); servers that are full or unknown (online calls were served all the while).

Change: a block only paces items. One item of all processes is tried 1 s after the block, then after pauses that double with each crash, to 8 s; the first answer frees all. The process that tries tells its peers at once, and only it tells the time. Calls of callers are refused only if a call of a caller crashed too. Weighed and not taken: crashes under items count for nothing.

--- a/Libraries/Gateway/CrashingPartDetector.cpp
+++ b/Libraries/Gateway/CrashingPartDetector.cpp
@@ -19,6 +19,8 @@
 constexpr Milliseconds comparisonTime{5'000};
 /// A part that keeps crashing upstreams is blocked for at most this many times the first duration.
 constexpr unsigned maxBlockFactor = 8;
+/// Longer than a report takes to reach all peers.
+constexpr Milliseconds maxItemTrialDelay{400};
 constexpr std::size_t maxRememberedAnswers = 2'048;
 constexpr std::size_t maxClearedParts = 256;
 
@@ -38,17 +40,31 @@
     return std::chrono::duration_cast<Milliseconds>(duration);
 }
 
+Duration randomDelay(Duration longest)
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(
+            0, std::max<Duration::rep>(longest.count(), 0))(threadRandomEngine()));
+}
+
+Milliseconds itemPause(unsigned failedTrials)
+{
+    constexpr unsigned maxDoublings = 16;
+    return std::min(CrashingPartDetector::maxItemPause,
+                    CrashingPartDetector::minItemPause
+                            * (1U << std::min(failedTrials, maxDoublings)));
+}
+
 } // namespace
 
 CrashingPartDetector::CrashingPartDetector(Duration blockTime, Duration maxTrialDelay)
     : m_blockTime(blockTime)
-    , m_trialDelay(Duration(std::uniform_int_distribution<Duration::rep>(
-              0, std::max<Duration::rep>(maxTrialDelay.count(), 0))(threadRandomEngine())))
+    , m_trialDelay(randomDelay(maxTrialDelay))
+    , m_itemTrialDelay(randomDelay(std::min<Duration>(maxTrialDelay, maxItemTrialDelay)))
 {
 }
 
 void CrashingPartDetector::noteCrash(std::span<const std::uint64_t> parts,
-                                     const UpstreamInfo &upstream, TimePoint at)
+                                     const UpstreamInfo &upstream, TimePoint at, CallSource source)
 {
     if (parts.empty())
         return;
@@ -60,7 +76,8 @@
                           upstreamStartHash(upstream),
                           threadRandomEngine()(),
                           at,
-                          true};
+                          true,
+                          source};
         isUrgent = addEvidence(std::move(evidence), at);
     }
     if (isUrgent && onUrgentReport)
@@ -76,14 +93,10 @@
     const auto same = std::find_if(m_evidence.begin(), m_evidence.end(), isSameCrash);
     evidence.crash = same == m_evidence.end() ? ++m_lastCrash : same->crash;
     evidence.answersBefore = m_answers;
-    bool isRenewed = false;
+    bool isUrgent = false;
     for (auto &block : m_blocks) {
-        // The trial after a block has failed.
-        if (block.until > now || !containsAll(evidence.parts, block.parts))
-            continue;
-        block.level = std::min(block.level * 2, maxBlockFactor);
-        block.until = now + m_blockTime * block.level;
-        isRenewed = true;
+        if (containsAll(evidence.parts, block.parts))
+            isUrgent |= updateBlock(block, evidence, now);
     }
     if (m_evidence.size() >= maxSuspectCalls) {
         const auto isCleared = [](const Evidence &other) { return other.parts.empty(); };
@@ -92,7 +105,35 @@
     }
     m_evidence.push_back(std::move(evidence));
     const bool isBlocked = judge(now);
-    return isRenewed || isBlocked;
+    return isUrgent || isBlocked;
+}
+
+bool CrashingPartDetector::updateBlock(Block &block, const Evidence &evidence, TimePoint now) const
+{
+    bool isChanged = false;
+    if (evidence.source == CallSource::Caller && block.isForItemsOnly) {
+        block.isForItemsOnly = false;
+        isChanged = true;
+    }
+    if (block.until <= now) {
+        // The trial after a block has failed.
+        block.level = std::min(block.level * 2, maxBlockFactor);
+        block.until = now + m_blockTime * block.level;
+        isChanged = true;
+    }
+    // Items that were sent before the block say nothing about its trials.
+    if (evidence.source == CallSource::Item && evidence.isOwn && block.itemTrialBegan) {
+        block.itemTrialBegan.reset();
+        block.failedItemTrials += 1;
+        block.nextItemTrial = now + itemPause(block.failedItemTrials);
+        block.itemTrialReportedUntil = now + reportDuration;
+        logStateChange("item-trial-failed",
+                       {{"parts", promptPartsText(block.parts)},
+                        {"failed", std::to_string(block.failedItemTrials)},
+                        {"pauseMs", std::to_string(itemPause(block.failedItemTrials).count())}});
+        isChanged = true;
+    }
+    return isChanged;
 }
 
 CrashingPartDetector::CrashSet CrashingPartDetector::explainedCrashes() const
@@ -200,11 +241,21 @@
 
 void CrashingPartDetector::block(PromptParts parts, TimePoint firstCrash, TimePoint now)
 {
+    const auto isFromCaller = [&](const Evidence &evidence) {
+        return evidence.source == CallSource::Caller && containsAll(evidence.parts, parts);
+    };
+    Block added;
+    added.isForItemsOnly = std::none_of(m_evidence.begin(), m_evidence.end(), isFromCaller);
     logStateChange("prompt-part-blocked",
                    {{"parts", promptPartsText(parts)},
                     {"blockedMs", std::to_string(milliseconds(m_blockTime).count())},
+                    {"itemsOnly", added.isForItemsOnly ? "yes" : "no"},
                     {"from", "own evidence"}});
-    addBlock({std::move(parts), firstCrash, now + m_blockTime, TimePoint(), 1});
+    added.parts = std::move(parts);
+    added.firstCrash = firstCrash;
+    added.until = now + m_blockTime;
+    added.nextItemTrial = now + itemPause(0);
+    addBlock(std::move(added));
 }
 
 void CrashingPartDetector::addBlock(Block added)
@@ -284,7 +335,7 @@
     std::optional<Duration> longest;
     std::vector<Block *> trials;
     for (auto &block : m_blocks) {
-        if (!containsAll(parts, block.parts))
+        if (block.isForItemsOnly || !containsAll(parts, block.parts))
             continue;
         const auto end = std::max(block.until + m_trialDelay, block.nextTrial);
         if (end > now)
@@ -299,6 +350,38 @@
     return {};
 }
 
+std::optional<Duration> CrashingPartDetector::itemDelay(std::span<const std::uint64_t> parts,
+                                                        TimePoint now) const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::optional<Duration> longest;
+    for (const auto &block : m_blocks) {
+        const auto end = block.nextItemTrial + m_itemTrialDelay;
+        if (end > now && containsAll(parts, block.parts))
+            longest = std::max(longest.value_or(Duration(0)), end - now);
+    }
+    return longest;
+}
+
+void CrashingPartDetector::noteItemSent(std::span<const std::uint64_t> parts, TimePoint now)
+{
+    bool isTrial = false;
+    {
+        const std::scoped_lock lock(m_mutex);
+        for (auto &block : m_blocks) {
+            if (!containsAll(parts, block.parts))
+                continue;
+            isTrial = true;
+            block.itemTrialBegan = now;
+            block.nextItemTrial = now + trialTime;
+            block.itemTrialReportedUntil = now + reportDuration;
+            logStateChange("item-trial-sent", {{"parts", promptPartsText(block.parts)}});
+        }
+    }
+    if (isTrial && onUrgentReport)
+        onUrgentReport();
+}
+
 std::size_t CrashingPartDetector::blockCount(TimePoint now) const
 {
     const std::scoped_lock lock(m_mutex);
@@ -336,8 +419,14 @@
             break;
         }
         space -= block.parts.size();
+        // Only the process that tried an item tells when the next one may be tried: passed on from
+        // peer to peer, the time would grow by the delay of each report.
+        const auto trialRemaining = block.itemTrialReportedUntil > now && block.nextItemTrial > now
+                                            ? milliseconds(block.nextItemTrial - now)
+                                            : Milliseconds(0);
         report.blocked.push_back({block.parts, milliseconds(now - block.firstCrash),
-                                  milliseconds(block.until - now), block.level});
+                                  milliseconds(block.until - now), block.level,
+                                  block.isForItemsOnly, block.failedItemTrials, trialRemaining});
     }
     for (const auto &[part, cleared] : m_cleared) {
         if (space == 0)
@@ -350,8 +439,8 @@
             || it->parts.size() > space)
             continue;
         space -= it->parts.size();
-        report.suspects.push_back(
-                {it->parts, it->upstreamStart, it->observation, milliseconds(now - it->at)});
+        report.suspects.push_back({it->parts, it->upstreamStart, it->observation,
+                                   milliseconds(now - it->at), it->source});
     }
     return report;
 }
@@ -379,8 +468,9 @@
                                              });
             if (isKnown || suspect.age < Milliseconds(0) || suspect.age >= m_blockTime)
                 continue;
-            Evidence evidence{suspect.parts, suspect.upstreamStart, suspect.observation,
-                              now - suspect.age, false};
+            Evidence evidence{
+                    suspect.parts, suspect.upstreamStart, suspect.observation, now - suspect.age,
+                    false,         suspect.source};
             std::erase_if(evidence.parts,
                           [&](auto part) { return clearedHere(part, evidence.at); });
             if (!evidence.parts.empty())
@@ -394,25 +484,47 @@
                 isUrgent = true;
                 continue;
             }
-            std::sort(parts.begin(), parts.end());
-            const auto until = now + blocked.remaining;
-            const auto known
-                    = std::find_if(m_blocks.begin(), m_blocks.end(),
-                                   [&](const Block &block) { return block.parts == parts; });
-            if (known != m_blocks.end()) {
-                known->until = std::max(known->until, until);
-                known->level = std::max(known->level, blocked.level);
-            } else if (m_blocks.size() < maxBlocks) {
-                logStateChange("prompt-part-blocked",
-                               {{"parts", promptPartsText(parts)},
-                                {"blockedMs", std::to_string(blocked.remaining.count())},
-                                {"from", "a peer"}});
-                addBlock({std::move(parts), firstCrash, until, TimePoint(), blocked.level});
-            }
+            applyBlock(blocked, std::move(parts), now);
         }
     }
     if (isUrgent && onUrgentReport)
         onUrgentReport();
 }
 
+void CrashingPartDetector::applyBlock(const BlockedParts &blocked, PromptParts parts, TimePoint now)
+{
+    std::sort(parts.begin(), parts.end());
+    const auto until = now + blocked.remaining;
+    const auto nextItemTrial
+            = now
+              + (blocked.itemTrialRemaining.count() > 0 ? blocked.itemTrialRemaining
+                                                        : itemPause(blocked.failedItemTrials));
+    const auto known = std::find_if(m_blocks.begin(), m_blocks.end(),
+                                    [&](const Block &block) { return block.parts == parts; });
+    if (known != m_blocks.end()) {
+        known->until = std::max(known->until, until);
+        known->level = std::max(known->level, blocked.level);
+        known->isForItemsOnly = known->isForItemsOnly && blocked.isForItemsOnly;
+        known->failedItemTrials = std::max(known->failedItemTrials, blocked.failedItemTrials);
+        if (blocked.itemTrialRemaining.count() > 0)
+            known->nextItemTrial = std::max(known->nextItemTrial, nextItemTrial);
+        return;
+    }
+    if (m_blocks.size() >= maxBlocks)
+        return;
+    logStateChange("prompt-part-blocked", {{"parts", promptPartsText(parts)},
+                                           {"blockedMs", std::to_string(blocked.remaining.count())},
+                                           {"itemsOnly", blocked.isForItemsOnly ? "yes" : "no"},
+                                           {"from", "a peer"}});
+    Block added;
+    added.parts = std::move(parts);
+    added.firstCrash = now - blocked.age;
+    added.until = until;
+    added.level = blocked.level;
+    added.isForItemsOnly = blocked.isForItemsOnly;
+    added.failedItemTrials = blocked.failedItemTrials;
+    added.nextItemTrial = nextItemTrial;
+    addBlock(std::move(added));
+}
+
 } // namespace Radishplank
--- a/Libraries/Gateway/CrashingPartDetector.h
+++ b/Libraries/Gateway/CrashingPartDetector.h
@@ -17,6 +17,9 @@
 
 namespace Radishplank {
 
+/// Who sends a call: a caller who waits for it, or a batch job.
+enum class CallSource { Caller, Item };
+
 /// A call that an upstream had not begun to answer when it crashed, as reported between entry
 /// processes.
 struct SuspectCall
@@ -28,6 +31,7 @@
     /// Identifies the observation, so that repeated reports of it count once.
     std::uint64_t observation = 0;
     Milliseconds age{0};
+    CallSource source = CallSource::Caller;
 };
 
 /// A part that an upstream has answered although it was suspected.
@@ -49,6 +53,12 @@
     Milliseconds remaining{0};
     /// For how many times the first duration the parts are blocked.
     unsigned level = 1;
+    /// Only items crashed upstreams, so calls of callers are admitted.
+    bool isForItemsOnly = false;
+    /// Items that were tried since and crashed their upstreams.
+    unsigned failedItemTrials = 0;
+    /// Time until the next item may be tried, if the sender has just tried one; otherwise 0.
+    Milliseconds itemTrialRemaining{0};
 };
 
 /// What a process reports to its peers about parts of prompts.
@@ -65,6 +75,10 @@
 /// A part is blocked if every call with it was followed by a crash, several times in a row, while
 /// other calls were answered; see judge(). An answer that begins to arrive clears all parts of its
 /// call at once.
+///
+/// Calls of callers are refused for the time of a block, unless only items crashed. Items are still
+/// owed and usually sound, so a block only paces them: one item of all processes is tried at a
+/// time, after a pause that grows with each failed trial.
 class CrashingPartDetector
 {
 public:
@@ -80,6 +94,9 @@
     static constexpr std::size_t maxReportedParts = 1'024;
     static constexpr std::size_t maxSuspectCalls = 128;
     static constexpr std::size_t maxBlocks = 64;
+    /// Pause before the first trial of an item; doubles with each failed one.
+    static constexpr Milliseconds minItemPause{1'000};
+    static constexpr Milliseconds maxItemPause{8'000};
 
     /// `maxTrialDelay` spreads the trials of the processes, so that mostly one process tries.
     CrashingPartDetector(Duration blockTime, Duration maxTrialDelay);
@@ -88,14 +105,20 @@
     std::function<void()> onUrgentReport;
 
     /// Records that an upstream crashed before it had begun to answer a call of this process.
-    void noteCrash(std::span<const std::uint64_t> parts, const UpstreamInfo &upstream,
-                   TimePoint at);
+    void noteCrash(std::span<const std::uint64_t> parts, const UpstreamInfo &upstream, TimePoint at,
+                   CallSource source = CallSource::Caller);
     /// Records that an upstream has begun to answer a call and went on.
     void noteAnswering(std::span<const std::uint64_t> parts, TimePoint beganAt, TimePoint now);
-    /// Returns how long to refuse a call with these parts, or nothing if it may be sent. When a
-    /// block has lapsed, admits one call at a time until the block is lifted or renewed.
+    /// Returns how long to refuse a caller's call with these parts, or nothing if it may be sent.
+    /// When a block has lapsed, admits one call at a time until the block is lifted or renewed.
     [[nodiscard]] std::optional<Duration> refusal(std::span<const std::uint64_t> parts,
                                                   TimePoint now);
+    /// Returns how long an item with these parts must wait, or nothing if it may be sent.
+    [[nodiscard]] std::optional<Duration> itemDelay(std::span<const std::uint64_t> parts,
+                                                    TimePoint now) const;
+    /// Records that an item is sent: if its parts are blocked, it is a trial, and no process should
+    /// start another one now.
+    void noteItemSent(std::span<const std::uint64_t> parts, TimePoint now);
     [[nodiscard]] std::size_t blockCount(TimePoint now) const;
 
     /// Returns what to send to peers in the next full report.
@@ -112,6 +135,7 @@
         std::uint64_t observation = 0;
         TimePoint at;
         bool isOwn = false;
+        CallSource source = CallSource::Caller;
         /// The same for all observations of one crash; local to this process.
         std::uint64_t crash = 0;
         /// Number of calls answered at this process before.
@@ -126,6 +150,13 @@
         /// Time until which no further trial starts.
         TimePoint nextTrial;
         unsigned level = 1;
+        bool isForItemsOnly = false;
+        unsigned failedItemTrials = 0;
+        TimePoint nextItemTrial;
+        /// When this process last tried an item; nothing once the trial has failed.
+        std::optional<TimePoint> itemTrialBegan;
+        /// Time until which reports tell peers when the next item may be tried.
+        TimePoint itemTrialReportedUntil;
     };
     /// The case against one part.
     struct Suspicion
@@ -150,6 +181,10 @@
                                     std::size_t suspects) const;
     void block(PromptParts parts, TimePoint firstCrash, TimePoint now);
     void addBlock(Block added);
+    /// Applies a crash to a block whose parts its call had; returns whether peers should be
+    /// informed without delay.
+    bool updateBlock(Block &block, const Evidence &evidence, TimePoint now) const;
+    void applyBlock(const BlockedParts &blocked, PromptParts parts, TimePoint now);
     /// Returns whether the part was suspected or blocked.
     bool clear(std::uint64_t part, TimePoint beganAt);
     /// Includes the part in the next reports as cleared.
@@ -160,6 +195,8 @@
 
     const Duration m_blockTime;
     const Duration m_trialDelay;
+    /// Spreads the trials of items over the processes.
+    const Duration m_itemTrialDelay;
     mutable std::mutex m_mutex;
     /// Oldest first.
     std::vector<Evidence> m_evidence;
--- a/Libraries/Gateway/ItemRun.cpp
+++ b/Libraries/Gateway/ItemRun.cpp
@@ -150,7 +150,7 @@
         const auto at = SteadyClock().now();
         if (HttpClient::checkPeer(place.upstream().endpoint, crashCheckTimeout)
             == PeerState::Refusing)
-            crashingParts.noteCrash(parts, place.upstream(), at);
+            crashingParts.noteCrash(parts, place.upstream(), at, CallSource::Item);
     }
     return end;
 }
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -540,8 +540,10 @@
                     skipped.push_back(*item);
                 continue;
             }
-            if (isBlocked(*item, *job)) {
-                m_queue.postpone(*item, SteadyClock().now() + blockedItemInterval);
+            const auto parts = promptPartsOf(*item, *job);
+            const auto now = SteadyClock().now();
+            if (const auto delay = m_context.crashingParts.itemDelay(parts, now)) {
+                m_queue.postpone(*item, now + std::min<Duration>(*delay, blockedItemInterval));
                 continue;
             }
             const double draw = std::uniform_real_distribution<double>(0, 1)(threadRandomEngine());
@@ -562,10 +564,9 @@
             m_queue.requeue(item);
     }
 
-    /// Returns whether a part of the item's prompt crashes upstreams. Such an item stays open,
-    /// since the part may be cleared.
-    [[nodiscard]] bool isBlocked(const ItemKey &item, const ActiveJob &job)
+    [[nodiscard]] PromptParts promptPartsOf(const ItemKey &item, const ActiveJob &job) const
     {
+            m_context.crashingParts.noteItemSent(parts, now);
         const auto &headers = job.stored.job.items[item.index].headers;
         const auto parts = sharedPromptParts(headers.value(m_context.dialect.promptParts));
         return m_context.crashingParts.refusal(parts, SteadyClock().now()).has_value();
--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -37,6 +37,7 @@
   upstreamStart @1 :UInt64;  # Hash of the upstream's name and start.
   ageMs @2 :UInt32;
   observation @3 :UInt64;    # Unique id of one process's observation.
+  isItem @4 :Bool;           # Whether it was an item of a batch job.
 }
 
 # A suspected part that an upstream has answered since.
@@ -51,6 +52,9 @@
   ageMs @1 :UInt32;          # Time since the first termination that counts against them.
   remainingMs @2 :UInt32;
   level @3 :UInt16;          # How many times the first duration the parts are blocked.
+  isForItemsOnly @4 :Bool;   # Whether all terminations were under items of batch jobs.
+  failedItemTrials @5 :UInt16;
+  itemTrialMs @6 :UInt32;    # Time until another item may be tried, after a trial of the sender.
 }
 
 # Report that an entry process sends to its peers, in one datagram. Reports do not depend on each
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -129,7 +129,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(85f132533dc5b4c7, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(85f132533dc5b4c7, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -523,6 +523,8 @@
 
   inline  ::uint64_t getObservation() const;
 
+  inline bool getIsItem() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -568,6 +570,9 @@
   inline  ::uint64_t getObservation();
   inline void setObservation( ::uint64_t value);
 
+  inline bool getIsItem();
+  inline void setIsItem(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -701,6 +706,12 @@
 
   inline  ::uint16_t getLevel() const;
 
+  inline bool getIsForItemsOnly() const;
+
+  inline  ::uint16_t getFailedItemTrials() const;
+
+  inline  ::uint32_t getItemTrialMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -746,6 +757,15 @@
   inline  ::uint16_t getLevel();
   inline void setLevel( ::uint16_t value);
 
+  inline bool getIsForItemsOnly();
+  inline void setIsForItemsOnly(bool value);
+
+  inline  ::uint16_t getFailedItemTrials();
+  inline void setFailedItemTrials( ::uint16_t value);
+
+  inline  ::uint32_t getItemTrialMs();
+  inline void setItemTrialMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1266,6 +1286,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SuspectCall::Reader::getIsItem() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool SuspectCall::Builder::getIsItem() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void SuspectCall::Builder::setIsItem(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ClearedPart::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1374,6 +1408,48 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool BlockedParts::Reader::getIsForItemsOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+
+inline bool BlockedParts::Builder::getIsForItemsOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+inline void BlockedParts::Builder::setIsForItemsOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t BlockedParts::Reader::getFailedItemTrials() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t BlockedParts::Builder::getFailedItemTrials() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void BlockedParts::Builder::setFailedItemTrials( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BlockedParts::Reader::getItemTrialMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BlockedParts::Builder::getItemTrialMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void BlockedParts::Builder::setItemTrialMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerReport::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -43,14 +43,17 @@
     CrashingPartReport updates;
     for (const auto call : reader.getSuspectCalls()) {
         updates.suspects.push_back({decodeParts(call.getParts()), call.getUpstreamStart(),
-                                    call.getObservation(), Milliseconds(call.getAgeMs())});
+                                    call.getObservation(), Milliseconds(call.getAgeMs()),
+                                    call.getIsItem() ? CallSource::Item : CallSource::Caller});
     }
     for (const auto cleared : reader.getClearedParts())
         updates.cleared.push_back({cleared.getPart(), Milliseconds(cleared.getAgeMs())});
     for (const auto blocked : reader.getBlockedParts()) {
         updates.blocked.push_back({decodeParts(blocked.getParts()),
                                    Milliseconds(blocked.getAgeMs()),
-                                   Milliseconds(blocked.getRemainingMs()), blocked.getLevel()});
+                                   Milliseconds(blocked.getRemainingMs()), blocked.getLevel(),
+                                   blocked.getIsForItemsOnly(), blocked.getFailedItemTrials(),
+                                   Milliseconds(blocked.getItemTrialMs())});
     }
     return updates;
 }
@@ -64,6 +67,7 @@
         suspects[i].setUpstreamStart(call.upstreamStart);
         suspects[i].setObservation(call.observation);
         suspects[i].setAgeMs(encodeMilliseconds(call.age));
+        suspects[i].setIsItem(call.source == CallSource::Item);
     }
     auto cleared = builder.initClearedParts(static_cast<unsigned>(updates.cleared.size()));
     for (unsigned i = 0; i < cleared.size(); ++i) {
@@ -77,6 +81,9 @@
         blocked[i].setAgeMs(encodeMilliseconds(block.age));
         blocked[i].setRemainingMs(encodeMilliseconds(block.remaining));
         blocked[i].setLevel(static_cast<std::uint16_t>(block.level));
+        blocked[i].setIsForItemsOnly(block.isForItemsOnly);
+        blocked[i].setFailedItemTrials(static_cast<std::uint16_t>(block.failedItemTrials));
+        blocked[i].setItemTrialMs(encodeMilliseconds(block.itemTrialRemaining));
     }
 }
 
--- a/Tests/Gateway/TestCrashingPartDetector.cpp
+++ b/Tests/Gateway/TestCrashingPartDetector.cpp
@@ -31,10 +31,11 @@
     TimePoint now = startTime;
     std::int64_t upstreams = 0;
 
-    void crash(const PromptParts &parts, Milliseconds later = Milliseconds(300))
+    void crash(const PromptParts &parts, Milliseconds later = Milliseconds(300),
+               CallSource source = CallSource::Caller)
     {
         now += later;
-        detector.noteCrash(parts, upstreamNumber(++upstreams), now);
+        detector.noteCrash(parts, upstreamNumber(++upstreams), now, source);
     }
     void answer(const PromptParts &parts, unsigned count = 1)
     {
@@ -47,6 +48,17 @@
     {
         return detector.refusal(parts, now).has_value();
     }
+    /// Returns how long an item must wait; 0 if it may be sent.
+    [[nodiscard]] Duration itemDelay(const PromptParts &parts) const
+    {
+        return detector.itemDelay(parts, now).value_or(Duration(0));
+    }
+    /// Sends an item and lets its upstream crash.
+    void failTrial(const PromptParts &parts)
+    {
+        detector.noteItemSent(parts, now);
+        crash(parts, Milliseconds(50), CallSource::Item);
+    }
 };
 
 void exchange(Process &from, Process &to)
@@ -151,6 +163,82 @@
     }
 }
 
+TEST_CASE("Items with a blocked prompt part are tried one at a time", "[CrashingPart]")
+{
+    constexpr auto minPause = CrashingPartDetector::minItemPause;
+    constexpr auto maxPause = CrashingPartDetector::maxItemPause;
+    Process process;
+    for (std::size_t i = 0; i < CrashingPartDetector::minCrashes; ++i) {
+        process.crash({deadly}, Milliseconds(300), CallSource::Item);
+        process.answer({common}, 8);
+    }
+    CHECK(process.itemDelay({deadly}) > Duration(0));
+    CHECK(process.itemDelay({deadly}) <= minPause);
+    CHECK(process.itemDelay({common}) == Duration(0));
+
+    SECTION("while calls of callers are admitted, as only items crashed")
+    {
+        CHECK_FALSE(process.isRefused({deadly}));
+        Process peer;
+        exchange(process, peer);
+        CHECK_FALSE(peer.isRefused({deadly}));
+
+        SECTION("until a call of a caller crashes too")
+        {
+            process.crash({deadly});
+            CHECK(process.isRefused({deadly}));
+            exchange(process, peer);
+            CHECK(peer.isRefused({deadly}));
+        }
+    }
+    SECTION("by one process at a time")
+    {
+        Process peer;
+        exchange(process, peer);
+        process.now = peer.now += minPause;
+        CHECK(process.itemDelay({deadly}) == Duration(0));
+        CHECK(peer.itemDelay({deadly}) == Duration(0));
+        process.detector.noteItemSent(PromptParts{deadly}, process.now);
+        exchange(process, peer);
+        CHECK(process.itemDelay({deadly}) > Duration(0));
+        CHECK(peer.itemDelay({deadly}) > Duration(0));
+
+        SECTION("and an answer admits all items at all processes")
+        {
+            process.answer({deadly});
+            exchange(process, peer);
+            CHECK(process.itemDelay({deadly}) == Duration(0));
+            CHECK(peer.itemDelay({deadly}) == Duration(0));
+        }
+        SECTION("and a crash doubles the pause, at peers as well")
+        {
+            process.crash({deadly}, Milliseconds(50), CallSource::Item);
+            exchange(process, peer);
+            CHECK(process.itemDelay({deadly}) == 2 * minPause);
+            CHECK(peer.itemDelay({deadly}) == 2 * minPause);
+        }
+    }
+    SECTION("after pauses that are limited")
+    {
+        for (unsigned trial = 0; trial < 10; ++trial) {
+            process.now += process.itemDelay({deadly});
+            process.failTrial({deadly});
+        }
+        CHECK(process.itemDelay({deadly}) == maxPause);
+    }
+    SECTION("after pauses that reports between peers do not prolong")
+    {
+        Process peer;
+        for (unsigned i = 0; i < 20; ++i) {
+            exchange(process, peer);
+            exchange(peer, process);
+            process.now = peer.now += Milliseconds(100);
+        }
+        CHECK(process.itemDelay({deadly}) == Duration(0));
+        CHECK(peer.itemDelay({deadly}) == Duration(0));
+    }
+}
+
 TEST_CASE("A prompt part is blocked after crashes that different processes have seen",
           "[CrashingPart]")
 {
--- a/Tests/Platform/TestCrashingPromptParts.cpp
+++ b/Tests/Platform/TestCrashingPromptParts.cpp
@@ -72,6 +72,22 @@
             sendBoth(round);
         std::this_thread::sleep_for(propagationTime);
     }
+    /// Crashes each server that runs an item until there have been some crashes, or for `maxTime`;
+    /// sound requests with other parts go on.
+    void crashUnderItems(std::chrono::milliseconds maxTime)
+    {
+        const auto end = SteadyClock().now() + maxTime;
+        for (unsigned round = 0; m_crashes < crashesToNotice && SteadyClock().now() < end;
+             ++round) {
+            CHECK(send(round % 2 == 0 ? "entry1" : "entry2", "aaaa:200,cccc:50").status == 200);
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            m_crashes += restartCrashedServers();
+        }
+        for (auto *server : m_servers)
+            server->crashOnPart("");
+        restartCrashedServers();
+    }
+    [[nodiscard]] unsigned crashes() const { return m_crashes; }
     /// Number of requests with the deadly part that have reached servers.
     [[nodiscard]] unsigned deadlyRequests()
     {
@@ -153,3 +169,22 @@
         CHECK(deployment.waitForResults("entry1", "j1", 1).size() == 1);
     }
 }
+
+TEST_CASE("Sound items under which servers crashed are completed once the crashes are over",
+          "[Platform]")
+{
+    PartDeployment deployment;
+    const auto job = [&](const std::string &entry, const std::string &name, unsigned items) {
+        std::vector<PlatformDeployment::PromptItem> list;
+        for (unsigned i = 0; i < items; ++i)
+            list.push_back({name + std::to_string(i), "bbbb:100,dead:50," + name + ":10"});
+        REQUIRE(deployment.submitWithParts(entry, name, list).status == 202);
+    };
+    job("entry1", "first", 1);
+    deployment.crashUnderItems(std::chrono::milliseconds(5'000));
+    CHECK(deployment.crashes() >= 4);
+
+    job("entry2", "second", 5);
+    CHECK(deployment.waitForResults("entry1", "first", 1).size() == 1);
+    CHECK(deployment.waitForResults("entry2", "second", 5).size() == 5);
+}
