Relay: Refuse calls that a stopping process cannot finish

Cause: every request was taken until 3.5 s after the signal, and all were cut 7.3 s after it, without regard to the time that a request may take. With a stop time under 3.5 s the process slept past its own end.

Ruled out: the server (at work until the cut), the deadline of the caller (not reached).

Change: StopSchedule compares what a call may take (its route's timeout or its caller's deadline) with what is left, once its body has been read. A call that may be cut is refused at once with 503, Retry-After: 0 and a closed connection; it has not run.

--- a/Libraries/Gateway/Relay.cpp
+++ b/Libraries/Gateway/Relay.cpp
@@ -14,6 +14,8 @@
 /// A process that has just started loads its configuration within about this time.
 constexpr Milliseconds configurationRetryAfter{500};
 constexpr Milliseconds bodyRetryAfter{200};
+/// The response closes the connection, so the next attempt reaches another process.
+constexpr Milliseconds stopRetryAfter{0};
 
 std::optional<Milliseconds> parseMilliseconds(std::string_view text)
 {
@@ -28,13 +30,14 @@
 
 Relay::Relay(const RouteDirectory &routes, UpstreamTable &upstreams, CrashTracker &crashes,
              CrashingPartDetector &crashingParts, GatewayMetrics &metrics,
-             CallHeaderNames headerNames)
+             CallHeaderNames headerNames, const StopSchedule &stopSchedule)
     : m_routes(routes)
     , m_upstreams(upstreams)
     , m_crashes(crashes)
     , m_crashingParts(crashingParts)
     , m_metrics(metrics)
     , m_headerNames(std::move(headerNames))
+    , m_stopSchedule(stopSchedule)
 {
 }
 
@@ -50,13 +53,31 @@
     if (const auto left
         = parseMilliseconds(exchange.request().headers.value(m_headerNames.timeLeft)))
         maxDuration = std::min(maxDuration, *left);
+    const auto deadline = arrived + maxDuration;
+    if (!m_stopSchedule.mayTake(deadline, SteadyClock().now()))
+        return refuseBeforeStop(exchange, *route, deadline);
     const double draw = std::uniform_real_distribution<double>(0, 1)(threadRandomEngine());
     RelayCall call(exchange, m_upstreams, m_crashes, m_crashingParts, m_headerNames, m_metrics,
-                   {route, chooseService(*route, draw), body.takeValue(), arrived,
-                    arrived + maxDuration, m_routes.version()});
+                   {route, chooseService(*route, draw), body.takeValue(), arrived, deadline,
+                    m_routes.version()});
     call.run();
 }
 
+void Relay::refuseBeforeStop(HttpExchange &exchange, const Route &route, TimePoint deadline)
+{
+    m_metrics.callsRefused.increase();
+    const auto missing
+            = std::chrono::duration_cast<Milliseconds>(deadline - m_stopSchedule.endsAt());
+    logFailure("call-refused-before-stop",
+               {{"id", exchange.request().headers.value(m_headerNames.attemptId)},
+                {"route", route.name},
+                {"missingMs", std::to_string(missing.count())}});
+    (void)exchange.respond(
+            {503,
+             {{"Content-Type", "text/plain"}, {"Retry-After", retryAfterText(stopRetryAfter)}},
+             "the call has not run: this process is about to stop\n"});
+}
+
 void answerWithoutRoute(HttpExchange &exchange, const RouteDirectory &routes)
 {
     if (routes.isConfigured()) {
--- a/Libraries/Gateway/Relay.h
+++ b/Libraries/Gateway/Relay.h
@@ -5,6 +5,7 @@
 #include <Gateway/CrashingPartDetector.h>
 #include <Gateway/GatewayMetrics.h>
 #include <Gateway/RouteTable.h>
+#include <Gateway/StopSchedule.h>
 #include <Gateway/UpstreamTable.h>
 #include <Net/Net.h>
 
@@ -15,19 +16,23 @@
 {
 public:
     Relay(const RouteDirectory &routes, UpstreamTable &upstreams, CrashTracker &crashes,
-          CrashingPartDetector &crashingParts, GatewayMetrics &metrics,
-          CallHeaderNames headerNames);
+          CrashingPartDetector &crashingParts, GatewayMetrics &metrics, CallHeaderNames headerNames,
+          const StopSchedule &stopSchedule);
 
-    /// Answers a call; `route` is the route that the directory has found for it, or null.
+    /// Answers a call; `route` is the route that the directory has found for it, or null. Refuses a
+    /// call that may last longer than the process, which is about to stop.
     void serve(HttpExchange &exchange, const std::shared_ptr<const Route> &route);
 
 private:
+    void refuseBeforeStop(HttpExchange &exchange, const Route &route, TimePoint deadline);
+
     const RouteDirectory &m_routes;
     UpstreamTable &m_upstreams;
     CrashTracker &m_crashes;
     CrashingPartDetector &m_crashingParts;
     GatewayMetrics &m_metrics;
     const CallHeaderNames m_headerNames;
+    const StopSchedule &m_stopSchedule;
 };
 
 /// Answers a call that has no route, or that arrived before the configuration was loaded.
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -353,6 +353,39 @@
     CHECK(entry.waitForEnd() == 0);
 }
 
+TEST_CASE("A call that arrives late in a planned stop is refused instead of cut off", "[Platform]")
+{
+    PlatformDeployment deployment;
+    auto &server = deployment.addServer("i-1");
+    deployment.writeConfiguration(1);
+    auto &entry = deployment.startEntry("entry1");
+    deployment.waitUntilReady("entry1");
+    // A stream takes 4.5 s of the 5 s that its caller allows.
+    server.setEventInterval(Milliseconds(900));
+    entry.signal(SIGTERM);
+    std::vector<RunningCall> calls;
+    for (unsigned i = 0; i < 10; ++i) {
+        calls.push_back(deployment.client.start(deployment.callers("entry1"),
+                                                {"POST",
+                                                 "/plain/x",
+                                                 {{"Host", PlatformDeployment::host},
+                                                  {"X-Attempt-Id", "a" + std::to_string(i)},
+                                                  {"X-Deadline-Ms", "5000"}},
+                                                 "hello"}));
+        std::this_thread::sleep_for(std::chrono::milliseconds(340));
+    }
+    unsigned refused = 0;
+    for (auto &call : calls) {
+        const auto response = call.answer.get();
+        const bool isWhole = response.body == FakeServer::responseBytes("hello");
+        CHECK((response.status == 503 || isWhole));
+        refused += response.status == 503 ? 1 : 0;
+    }
+    CHECK(refused > 0);
+    CHECK(server.served().size() == calls.size() - refused);
+    CHECK(entry.waitForEnd() == 0);
+}
+
 TEST_CASE("A process finishes the running items after SIGTERM", "[Platform]")
 {
     PlatformDeployment deployment;
