HttpClient, HttpConnection: Limit every buffer that a peer fills

Cause: Beast's parser leaves bytes that it cannot process yet in the connection's buffer, which had no maximum on either side: sizes of chunks with their extensions, and trailers. Each read had the full time-out again. readChunk() called itself for each read without content. Class: a buffer that a peer fills, or a wait that it prolongs, without a maximum.

--- a/Libraries/Gateway/CallForwarder.cpp
+++ b/Libraries/Gateway/CallForwarder.cpp
@@ -17,6 +17,7 @@
     HttpCallOptions options;
     options.connectTimeout = connectTimeout;
     options.readTimeout = timeout;
+    options.bodyTimeout = timeout;
     auto result = HttpClient::call(
             peer, {incoming.method, incoming.target, endToEndHeaders(incoming.headers), body},
             options);
--- a/Libraries/Gateway/ItemRun.cpp
+++ b/Libraries/Gateway/ItemRun.cpp
@@ -114,11 +114,11 @@
     if (answer.status() == misdirected || answer.headers().find(dialect.notExecuted)) {
         if (answer.status() == misdirected)
             place.reportHealth(UpstreamHealth::Failed);
-        (void)answer.readBody();
+        answer.skipBody();
         return ItemRunEnd::NotRun;
     }
     if (answer.status() != 200) {
-        (void)answer.readBody();
+        answer.skipBody();
         return runEndForStatus(answer.status());
     }
     const auto end = readEvents(answer, progress, onAnswering);
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -153,7 +153,7 @@
         logDecision("attempt-not-run", {{"id", id()},
                                         {"upstream", upstream.id.text()},
                                         {"status", std::to_string(answer.status())}});
-        (void)answer.readBody();
+        answer.skipBody();
         return AttemptOutcome::NotRun;
     }
     const auto outcome = forwardAnswer(answer);
@@ -175,7 +175,7 @@
     if (m_hasStreamStarted && !isSuccess) {
         // Another upstream has sent the status and the beginning of the stream, so the caller
         // cannot receive this status.
-        (void)answer.readBody();
+        answer.skipBody();
         return AttemptOutcome::Interrupted;
     }
     if (isSuccess && m_call.route->kind == RouteKind::Stream)
@@ -284,6 +284,7 @@
     HttpCallOptions options;
     options.connectTimeout = std::min(connectTimeout, timeLeft());
     options.readTimeout = upstreamIdleTimeout();
+    options.bodyTimeout = timeLeft();
     options.cancellation = m_watch.cancellation();
     options.match = {m_headerNames.attemptId,
                      m_exchange.request().headers.value(m_headerNames.attemptId)};
--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -3,6 +3,8 @@
 #include <Net/Await.h>
 #include <Net/FiberThreads.h>
 
+#include <algorithm>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -29,11 +31,23 @@
 /// Every stream that waits for its next token holds a buffer of this size, so it is kept small.
 constexpr std::size_t bodyChunkBytes = std::size_t{4} * 1024;
 constexpr std::uint32_t responseHeaderBytes = 32 * 1024;
+/// Holds the bytes that the parser cannot process yet: a head, or the size line of a chunk with its
+/// extensions, or all trailers. One that is larger ends the call.
+constexpr std::size_t connectionBufferBytes = std::size_t{64} * 1024;
+/// Late responses and interim (1xx) responses that may precede the response to a call.
+constexpr unsigned maxSkippedResponses = 16;
+
+/// A body that nobody needs is read for this long, so that its connection can be used again.
+constexpr Milliseconds skippedBodyTimeout{250};
+
+/// Bytes of response bodies that readBody() holds, for all calls of the process.
+std::atomic<std::size_t> totalBodyBytes{0};
 
 struct PooledConnection
 {
     explicit PooledConnection(boost::asio::io_context &context)
         : stream(context)
+        , buffer(connectionBufferBytes)
     {
     }
 
@@ -182,20 +196,25 @@
         resetParser();
     }
 
+    ~PooledResponseStream() override { totalBodyBytes -= m_bodyBytes; }
+
     boost::system::error_code readHead()
     {
-        while (true) {
-            if (const auto code = readNextHead())
+        const auto deadline = SteadyClock().now() + m_options.readTimeout;
+        for (unsigned skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
+            if (const auto code = readNextHead(deadline))
                 return code;
-            if (isResponseToThisCall())
-                break;
-            // A late response to an earlier call; the response to this call follows it.
-            if (const auto code = discardBody())
+            if (!isInterim() && isResponseToThisCall()) {
+                releaseIfDone();
+                return {};
+            }
+            // An interim response or a late one to an earlier call; the response to this call
+            // follows it.
+            if (const auto code = discardBody(deadline))
                 return code;
             resetParser();
         }
-        releaseIfDone();
-        return {};
+        return http::error::unexpected_body;
     }
 
     [[nodiscard]] unsigned status() const override { return m_status; }
@@ -203,46 +222,30 @@
 
     Result<std::string> readChunk() override
     {
-        if (m_parser->is_done())
-            return std::string();
-        if (isCancelled(m_options))
-            return callError("reading from", m_endpoint, boost::asio::error::operation_aborted);
-        std::string chunk(bodyChunkBytes, '\0');
-        auto &body = m_parser->get().body();
-        body.data = chunk.data();
-        body.size = chunk.size();
-        body.more = true;
-        m_connection->stream.expires_after(m_options.readTimeout);
-        // Reads once, so that a token is forwarded as soon as it arrives.
-        const auto outcome = awaitIo([&](auto handler) {
-            http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
-                                  std::move(handler));
-        });
-        if (outcome.code && outcome.code != http::error::need_buffer)
-            return callError("reading from", m_endpoint, outcome.code);
-        chunk.resize(chunk.size() - body.size);
-        const bool isDone = m_parser->is_done();
-        releaseIfDone();
-        if (chunk.empty() && !isDone)
-            return readChunk();
-        return chunk;
+        return readChunkUntil(SteadyClock().now() + m_options.readTimeout);
     }
 
     Result<std::string> readBody() override
     {
+        const auto deadline
+                = SteadyClock().now() + std::max(m_options.bodyTimeout, m_options.readTimeout);
         std::string body;
         while (true) {
-            const auto chunk = TRY(readChunk());
+            const auto chunk = TRY(readChunkUntil(
+                    std::min<TimePoint>(deadline, SteadyClock().now() + m_options.readTimeout)));
             if (chunk.empty())
                 return body;
+            TRY(reserveBodyBytes(chunk.size()));
             body += chunk;
-            if (body.size() > m_options.bodyBytes) {
-                return Error{ErrorKind::TooLarge,
-                             "the answer of " + m_endpoint.text() + " is too large"};
-            }
         }
     }
 
+    void skipBody() override
+    {
+        if (!m_parser->is_done() && !discardBody(SteadyClock().now() + skippedBodyTimeout))
+            releaseIfDone();
+    }
+
     void abort() override
     {
         if (m_connection)
@@ -258,9 +261,64 @@
         m_headers = {};
     }
 
-    boost::system::error_code readNextHead()
+    /// Returns the next bytes of the body. The deadline is for the whole call, so that a peer that
+    /// sends framing without content cannot prolong it.
+    Result<std::string> readChunkUntil(TimePoint deadline)
     {
-        m_connection->stream.expires_after(m_options.readTimeout);
+        while (!m_parser->is_done()) {
+            if (isCancelled(m_options))
+                return callError("reading from", m_endpoint, boost::asio::error::operation_aborted);
+            // Reads once, so that a token is forwarded as soon as it arrives.
+            auto chunk = TRY(readOnce(deadline));
+            releaseIfDone();
+            if (!chunk.empty())
+                return chunk;
+        }
+        return std::string();
+    }
+
+    /// Reads from the socket once; the bytes may contain nothing of the body.
+    Result<std::string> readOnce(TimePoint deadline)
+    {
+        std::string chunk(bodyChunkBytes, '\0');
+        auto &body = m_parser->get().body();
+        body.data = chunk.data();
+        body.size = chunk.size();
+        body.more = true;
+        m_connection->stream.expires_at(deadline);
+        const auto outcome = awaitIo([&](auto handler) {
+            http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
+                                  std::move(handler));
+        });
+        if (outcome.code && outcome.code != http::error::need_buffer)
+            return callError("reading from", m_endpoint, outcome.code);
+        chunk.resize(chunk.size() - body.size);
+        return chunk;
+    }
+
+    Result<void> reserveBodyBytes(std::size_t bytes)
+    {
+        m_bodyBytes += bytes;
+        const auto total = totalBodyBytes.fetch_add(bytes) + bytes;
+        if (m_bodyBytes > m_options.bodyBytes)
+            return Error{ErrorKind::TooLarge,
+                         "the answer of " + m_endpoint.text() + " is too large"};
+        if (total > HttpClient::maxTotalBodyBytes) {
+            return Error{ErrorKind::Unavailable, "reading from " + m_endpoint.text()
+                                                         + ": too many bytes of answers are held"};
+        }
+        return {};
+    }
+
+    [[nodiscard]] bool isInterim() const
+    {
+        constexpr unsigned switchingProtocols = 101;
+        return m_status >= 100 && m_status < 200 && m_status != switchingProtocols;
+    }
+
+    boost::system::error_code readNextHead(TimePoint deadline)
+    {
+        m_connection->stream.expires_at(deadline);
         const auto outcome = awaitIo([&](auto handler) {
             http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser,
                                     std::move(handler));
@@ -289,23 +347,23 @@
                || m_headers.find(match.header).value_or(match.value) == match.value;
     }
 
-    boost::system::error_code discardBody()
+    boost::system::error_code discardBody(TimePoint deadline)
     {
-        std::size_t discarded = 0;
+        std::string chunk(bodyChunkBytes, '\0');
         while (!m_parser->is_done()) {
-            std::string chunk(bodyChunkBytes, '\0');
             auto &body = m_parser->get().body();
             body.data = chunk.data();
             body.size = chunk.size();
             body.more = true;
+            m_connection->stream.expires_at(deadline);
             const auto outcome = awaitIo([&](auto handler) {
                 http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
                                       std::move(handler));
             });
             if (outcome.code && outcome.code != http::error::need_buffer)
                 return outcome.code;
-            discarded += chunk.size() - body.size;
-            if (discarded > m_options.bodyBytes)
+            m_skippedBytes += chunk.size() - body.size;
+            if (m_skippedBytes > m_options.bodyBytes)
                 return http::error::body_limit;
         }
         if (!m_parser->get().keep_alive())
@@ -331,6 +389,9 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     HttpHeaders m_headers;
     unsigned m_status = 0;
+    /// Bytes that readBody() has read.
+    std::size_t m_bodyBytes = 0;
+    std::size_t m_skippedBytes = 0;
 };
 
 /// Makes the kernel detect a peer that stops responding without resetting the connection.
--- a/Libraries/Net/HttpClient.h
+++ b/Libraries/Net/HttpClient.h
@@ -28,6 +28,8 @@
     Milliseconds connectTimeout{1'000};
     /// Longest wait for the response headers, and then for each chunk of the body.
     Milliseconds readTimeout{5'000};
+    /// Longest time for the whole body in readBody(); at least the readTimeout.
+    Milliseconds bodyTimeout{30'000};
     std::size_t bodyBytes = std::size_t{8} * 1024 * 1024;
     ConnectionReuse reuse = ConnectionReuse::Allowed;
     /// How long sent bytes may remain unacknowledged before the connection is considered lost.
@@ -66,6 +68,8 @@
     virtual Result<std::string> readChunk() = 0;
     /// Returns the whole body; TooLarge if it exceeds the call's limit.
     virtual Result<std::string> readBody() = 0;
+    /// Discards the rest of the body. The connection is closed if the rest does not arrive soon.
+    virtual void skipBody() = 0;
     /// Interrupts the reading fiber; may be called from another fiber of the same thread.
     virtual void abort() = 0;
 };
@@ -81,6 +85,9 @@
 class HttpClient
 {
 public:
+    /// Limit on the sum of the bodies that the responses of all calls hold.
+    static constexpr std::size_t maxTotalBodyBytes = std::size_t{32} * 1024 * 1024;
+
     using OpenResult = std::variant<std::unique_ptr<HttpResponseStream>, HttpCallError>;
 
     /// Sends the request and waits for the response headers.
--- a/Libraries/Net/HttpConnection.cpp
+++ b/Libraries/Net/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include <Net/HttpConnection.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <sys/socket.h>
 
@@ -12,6 +13,9 @@
 namespace {
 
 constexpr std::size_t bodyChunkBytes = std::size_t{8} * 1024;
+/// Buffered bytes beyond the largest head: the parser cannot process the size line of a chunk with
+/// its extensions, or the trailers, before it has them all.
+constexpr std::size_t framingBytes = std::size_t{16} * 1024;
 
 Error ioError(std::string_view action, const boost::system::error_code &code)
 {
@@ -43,6 +47,7 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits->headerBytes));
     m_parser->body_limit(boost::none);
+    m_buffer.max_size(std::max(m_buffer.size(), m_limits->headerBytes + framingBytes));
     if (!isFirst && m_buffer.size() == 0 && !waitForNextRequest())
         return false;
     m_stream.expires_after(m_limits->headerTimeout);
@@ -198,6 +203,10 @@
     const auto outcome = awaitIo([&](auto handler) {
         http::async_read(m_stream, m_buffer, *m_parser, std::move(handler));
     });
+    if (outcome.code == http::error::buffer_overflow) {
+        m_mustClose = true;
+        return Error{ErrorKind::TooLarge, "the framing of the body is too large"};
+    }
     if (outcome.code && outcome.code != http::error::need_buffer) {
         m_mustClose = true;
         return ioError("reading the body", outcome.code);
@@ -274,7 +283,8 @@
 
 void HttpConnection::rejectMalformed(const boost::system::error_code &code)
 {
-    const bool isTooLarge = code == http::error::header_limit;
+    const bool isTooLarge
+            = code == http::error::header_limit || code == http::error::buffer_overflow;
     const bool isProtocolFault
             = code.category() == make_error_code(http::error::bad_method).category()
               && code != http::error::end_of_stream && code != http::error::partial_message;
--- a/Tests/Net/TestHttpClient.cpp
+++ b/Tests/Net/TestHttpClient.cpp
@@ -1,5 +1,6 @@
 #include <Net/Net.h>
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -32,6 +33,14 @@
         : ScriptedServer(std::vector<Responses>{std::move(responses)})
     {
     }
+    /// Sends `repeated` after the responses, with a pause each time, until the client closes.
+    ScriptedServer(const std::string &response, std::string repeated, Milliseconds pause)
+        : m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , m_repeated(std::move(repeated))
+        , m_pause(pause)
+        , m_thread([this, response] { serve({response}); })
+    {
+    }
     ~ScriptedServer()
     {
         // Ends the wait for connections that the client has not opened.
@@ -42,6 +51,8 @@
         m_thread.join();
     }
 
+    [[nodiscard]] std::size_t repeatedBytes() const { return m_repeatedBytes; }
+
     [[nodiscard]] Endpoint endpoint() const
     {
         return {"127.0.0.1", m_acceptor.local_endpoint().port()};
@@ -62,10 +73,18 @@
             received.erase(0, length);
             boost::asio::write(socket, boost::asio::buffer(scripted), code);
         }
+        boost::system::error_code code;
+        while (!m_repeated.empty() && !code) {
+            m_repeatedBytes += boost::asio::write(socket, boost::asio::buffer(m_repeated), code);
+            std::this_thread::sleep_for(m_pause);
+        }
     }
 
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor;
+    std::string m_repeated;
+    Milliseconds m_pause{0};
+    std::atomic<std::size_t> m_repeatedBytes{0};
     std::thread m_thread;
 };
 
@@ -94,6 +113,16 @@
     return result.get_future().get();
 }
 
+bool isFailedCall(const Endpoint &server)
+{
+    static auto &threads = *new FiberThreads(1); // Its fibers run until the test program ends.
+    std::promise<bool> result;
+    threads.spawnOn(0, [&] {
+        result.set_value(HttpClient::fetch(server, {"GET", "/", {}, ""}, {}).isError());
+    });
+    return result.get_future().get();
+}
+
 } // namespace
 
 TEST_CASE("A response is matched to its call by the echoed header", "[HttpClient]")
@@ -125,6 +154,110 @@
     }
 }
 
+TEST_CASE("The framing of a response is limited like its head", "[HttpClient]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto bodyWith = [&](std::size_t extensionBytes, std::size_t trailerBytes) {
+        ScriptedServer server(ScriptedServer::Responses{
+                head + "2;x=" + std::string(extensionBytes, 'x')
+                + "\r\nok\r\n0\r\nTrailer: " + std::string(trailerBytes, 'x') + "\r\n\r\n"});
+        return callEach(server.endpoint(), {"a"}).front();
+    };
+    constexpr std::size_t allowed = std::size_t{32} * 1024;
+    constexpr std::size_t excessive = std::size_t{96} * 1024;
+    CHECK(bodyWith(allowed, 1) == "ok");
+    CHECK(bodyWith(excessive, 1).empty());
+    CHECK(bodyWith(1, excessive).empty());
+}
+
+TEST_CASE("Bytes without end that are no body fail the call before they fill the memory",
+          "[HttpClient]")
+{
+    constexpr std::size_t maxSentBytes = std::size_t{32} * 1024 * 1024;
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt: a\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(16'384, '7');
+    std::string start;
+    std::string repeated = filler;
+    Milliseconds pause(0);
+
+    SECTION("in a head")
+    {
+        start = head + "X: ";
+    }
+    SECTION("where the size of a chunk is due")
+    {
+        start = chunked;
+    }
+    SECTION("in the extensions of a chunk")
+    {
+        start = chunked + "2;x=";
+    }
+    SECTION("in the trailers")
+    {
+        start = chunked + "0\r\nX: ";
+    }
+    SECTION("as interim responses")
+    {
+        repeated = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    }
+    SECTION("as late responses to another call")
+    {
+        repeated = makeResponse("b", filler);
+    }
+    SECTION("slowly, in the extensions of a chunk")
+    {
+        start = chunked + "2;x=";
+        repeated = "7";
+        pause = Milliseconds(100);
+    }
+    SECTION("slowly, as a body")
+    {
+        start = head + "Content-Length: 100000\r\n\r\n";
+        repeated = "7";
+        pause = Milliseconds(100);
+    }
+    SECTION("slowly, as a late response to another call")
+    {
+        start = "HTTP/1.1 200 OK\r\nAttempt: b\r\nContent-Length: 100000\r\n\r\n";
+        repeated = "7";
+        pause = Milliseconds(100);
+    }
+    HttpCallOptions options;
+    options.match = {"Attempt", "a"};
+    options.readTimeout = Milliseconds(500);
+    options.bodyTimeout = Milliseconds(1'000);
+    auto &threads = *new FiberThreads(1); // Its fibers run until the test program ends.
+    auto result = std::make_shared<std::promise<bool>>();
+    auto isFailure = result->get_future();
+    ScriptedServer server(start, repeated, pause);
+    threads.spawnOn(0, [&options, result, endpoint = server.endpoint()] {
+        result->set_value(HttpClient::fetch(endpoint, {"GET", "/", {}, ""}, options).isError());
+    });
+    REQUIRE(isFailure.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+    CHECK(isFailure.get());
+    CHECK(server.repeatedBytes() < maxSentBytes);
+}
+
+TEST_CASE("A response that ends in its head fails the call, wherever it ends", "[HttpClient]")
+{
+    for (const auto *framing : {"Content-Length: 2", "Transfer-Encoding: chunked", "X: y"}) {
+        const auto head = "HTTP/1.1 200 OK\r\nAttempt: a\r\n" + std::string(framing) + "\r\n\r\n";
+        for (std::size_t length = 1; length < head.size(); ++length) {
+            CAPTURE(framing, length);
+            ScriptedServer server(ScriptedServer::Responses{head.substr(0, length)});
+            CHECK(isFailedCall(server.endpoint()));
+        }
+    }
+}
+
+TEST_CASE("Interim responses before the response to a call are skipped", "[HttpClient]")
+{
+    ScriptedServer server(
+            {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + makeResponse("a", "ok")});
+    CHECK(callEach(server.endpoint(), {"a"}) == std::vector<std::string>{"ok"});
+}
+
 TEST_CASE("Idle connections to endpoints no longer in use are closed")
 {
     auto &threads = *new FiberThreads(1); // Its fibers run until the test program ends.
--- a/Tests/Net/TestHttpServer.cpp
+++ b/Tests/Net/TestHttpServer.cpp
@@ -119,6 +119,26 @@
         }
         CHECK(sent < chunkCount);
     }
+    SECTION("Bytes without end that are no body are cut off before they fill the memory")
+    {
+        // The connection is closed by a limit on size, not on time.
+        limits.headerTimeout = limits.bodyTimeout = std::chrono::seconds(60);
+        constexpr std::size_t maxSentBytes = std::size_t{32} * 1024 * 1024;
+        const std::string chunked
+                = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const auto server = serve();
+        for (const auto &start : {std::string("POST / HTTP/1.1\r\nX: "), chunked,
+                                  chunked + "2;x=", chunked + "0\r\nX: "}) {
+            CAPTURE(start);
+            RawClient client(server->endpoint());
+            client.send(start);
+            const std::string filler(16'384, '7');
+            std::size_t sent = 0;
+            while (sent < maxSentBytes && client.send(filler))
+                sent += filler.size();
+            CHECK(sent < maxSentBytes);
+        }
+    }
     SECTION("A body over the total limit is rejected, and its bytes are released afterwards")
     {
         limits.totalBodyBytes = 800;
