JobService: Split results that exceed the size of an object

Cause: all pending results of a job were written as one object; over value_bytes the store answers 413, and the write was repeated every 0.2 s like one that met an unreachable store. Class: a lasting refusal is handled as a passing one.

Ruled out: the outage itself; the store is reachable again, and other jobs' results are written.

A write that the store refuses for good (413, 400, 422) is halved until the rest gets through; a single result that it never takes becomes a dead letter, with a log line. An output larger than an object ends its run as failed. No further items start while more than 16 MB of results wait.

--- a/Libraries/Gateway/ItemRun.cpp
+++ b/Libraries/Gateway/ItemRun.cpp
@@ -44,12 +44,13 @@
     return true;
 }
 
-enum class StreamEnd { Complete, Broken };
+enum class StreamEnd { Complete, Broken, TooLarge };
 
 /// Calls `onAnswering` with the time of the first event when the upstream goes on after it, or when
 /// the answer is complete.
 template<typename Callback>
-StreamEnd readEvents(HttpResponseStream &answer, ItemProgress &progress, Callback onAnswering)
+StreamEnd readEvents(HttpResponseStream &answer, ItemProgress &progress, std::size_t maxOutputBytes,
+                     Callback onAnswering)
 {
     EventFramer framer;
     std::optional<TimePoint> beganAt;
@@ -73,6 +74,10 @@
             if (!addEvent(event, progress))
                 return StreamEnd::Broken;
         }
+        if (progress.output.size() > maxOutputBytes) {
+            progress = {};
+            return StreamEnd::TooLarge;
+        }
         streamProgress.note(chunk.value().size(), progress.lastEvent, now);
         if (streamProgress.isStalled(idleTimeout, now))
             return StreamEnd::Broken;
@@ -90,7 +95,7 @@
 template<typename Callback>
 ItemRunEnd runOnce(UpstreamTable::Reservation &place, const CallHeaderNames &dialect,
                    const std::string &host, const JobItem &item, ItemProgress &progress,
-                   ItemRunControl &control, Callback onAnswering)
+                   ItemRunControl &control, std::size_t maxOutputBytes, Callback onAnswering)
 {
     HttpCallOptions options;
     options.connectTimeout = connectTimeout;
@@ -121,19 +126,28 @@
         answer.skipBody();
         return runEndForStatus(answer.status());
     }
-    const auto end = readEvents(answer, progress, onAnswering);
+    const auto end = readEvents(answer, progress, maxOutputBytes, onAnswering);
     if (end == StreamEnd::Complete)
         place.reportHealth(UpstreamHealth::Healthy);
     else if (!control.cancellation.isCancelled())
         place.reportHealth(UpstreamHealth::Failed);
-    return end == StreamEnd::Complete ? ItemRunEnd::Completed : ItemRunEnd::Interrupted;
+    switch (end) {
+    case StreamEnd::Complete:
+        return ItemRunEnd::Completed;
+    case StreamEnd::Broken:
+        return ItemRunEnd::Interrupted;
+    case StreamEnd::TooLarge:
+        return ItemRunEnd::Failed;
+    }
+    return ItemRunEnd::Interrupted;
 }
 
 } // namespace
 
 ItemRunEnd runItem(UpstreamTable::Reservation &place, const CallHeaderNames &dialect,
                    const std::string &host, const JobItem &item, ItemProgress &progress,
-                   ItemRunControl &control, CrashingPartDetector &crashingParts)
+                   ItemRunControl &control, CrashingPartDetector &crashingParts,
+                   std::size_t maxOutputBytes)
 {
     const auto parts = sharedPromptParts(item.headers.value(dialect.promptParts));
     bool isAnswering = false;
@@ -142,7 +156,8 @@
             crashingParts.noteAnswering(parts, beganAt, SteadyClock().now());
         isAnswering = true;
     };
-    const auto end = runOnce(place, dialect, host, item, progress, control, onAnswering);
+    const auto end
+            = runOnce(place, dialect, host, item, progress, control, maxOutputBytes, onAnswering);
     if (end != ItemRunEnd::Completed && control.isPreempted)
         return ItemRunEnd::Preempted;
     if (end == ItemRunEnd::Interrupted && !isAnswering && !parts.empty()
--- a/Libraries/Gateway/ItemRun.h
+++ b/Libraries/Gateway/ItemRun.h
@@ -27,10 +27,12 @@
     bool isPreempted = false;
 };
 
-/// Runs a batch item once at an upstream. Resumes after `progress` and appends to it. Informs the
-/// detector if the upstream crashes or begins to answer. Suspends the calling fiber.
+/// Runs a batch item once at an upstream. Resumes after `progress` and appends to it; an output of
+/// more than `maxOutputBytes` is discarded and counts as a failed run. Informs the detector if the
+/// upstream crashes or begins to answer. Suspends the calling fiber.
 ItemRunEnd runItem(UpstreamTable::Reservation &place, const CallHeaderNames &dialect,
                    const std::string &host, const JobItem &item, ItemProgress &progress,
-                   ItemRunControl &control, CrashingPartDetector &crashingParts);
+                   ItemRunControl &control, CrashingPartDetector &crashingParts,
+                   std::size_t maxOutputBytes);
 
 } // namespace Radishplank
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -14,6 +14,7 @@
 #include <boost/fiber/operations.hpp>
 #include <cmath>
 #include <deque>
+#include <iterator>
 #include <memory>
 #include <set>
 #include <string>
@@ -39,6 +40,8 @@
     Milliseconds retention{600'000};
     /// Time after the start by which every live peer has sent a report.
     Milliseconds peerDiscoveryTime{4'000};
+    /// Size limit of an object in the store.
+    std::size_t maxObjectBytes = std::size_t{1024} * 1024;
 };
 
 /// Results of a job, starting at a given position.
@@ -91,8 +94,9 @@
     [[nodiscard]] bool isIdle() const { return m_runningItems == 0 && m_writers == 0; }
 
     /// Stores a job durably. Conflict: the name belongs to another job. Refused: the job does not
-    /// run. LimitReached: the job does not run because it would exceed its route's limit on waiting
-    /// tokens. Unavailable or Timeout: the job may have been accepted.
+    /// run. TooLarge or InvalidInput: the store will never take the job. LimitReached: the job does
+    /// not run because it would exceed its route's limit on waiting tokens. Unavailable or Timeout:
+    /// the job may have been accepted.
     Result<void> submit(SmallJob job)
     {
         if (const auto active = find(job.id)) {
@@ -206,6 +210,12 @@
     static constexpr Milliseconds dueMargin{1'500};
     static constexpr Milliseconds minResultBatchDelay{100};
     static constexpr Milliseconds storeRetryDelay{200};
+    /// The store counts an object as it is encoded, which takes more bytes than the results.
+    static constexpr std::size_t encodingFactor = 2;
+    static constexpr std::size_t resultOverheadBytes = 64;
+    static constexpr std::size_t maxItemsPerSegment = maxWaitingItems;
+    /// Results that are not written yet, above which no further items are started.
+    static constexpr std::size_t maxUnwrittenBytes = std::size_t{16} * 1024 * 1024;
     static constexpr Milliseconds busyDispatchInterval{20};
     static constexpr Milliseconds idleDispatchInterval{200};
     static constexpr Milliseconds minRoundInterval{60};
@@ -487,7 +497,7 @@
     void runSchedulingRound()
     {
         const auto now = SteadyClock().now();
-        if (m_isDraining || now < m_nextRoundAt)
+        if (m_isDraining || now < m_nextRoundAt || m_unwrittenBytes > maxUnwrittenBytes)
             return;
         // By the next round, the load reports of the peers in this region have arrived.
         m_nextRoundAt = now + std::max(minRoundInterval, m_context.link.loadPropagationTime());
@@ -558,6 +568,7 @@
             }
             if (--quota->second == 0)
                 quotas.erase(quota);
+            m_context.crashingParts.noteItemSent(parts, now);
             startItem(job, *item, std::move(place));
         }
         for (const auto &item : skipped)
@@ -566,10 +577,8 @@
 
     [[nodiscard]] PromptParts promptPartsOf(const ItemKey &item, const ActiveJob &job) const
     {
-            m_context.crashingParts.noteItemSent(parts, now);
         const auto &headers = job.stored.job.items[item.index].headers;
-        const auto parts = sharedPromptParts(headers.value(m_context.dialect.promptParts));
-        return m_context.crashingParts.refusal(parts, SteadyClock().now()).has_value();
+        return sharedPromptParts(headers.value(m_context.dialect.promptParts));
     }
 
     void startItem(const JobPointer &job, const ItemKey &item,
@@ -598,7 +607,7 @@
                     const auto before = progress.lastEvent;
                     const auto end = runItem(**sharedPlace, m_context.dialect, job->stored.job.host,
                                              job->stored.job.items[item.index], progress, *control,
-                                             m_context.crashingParts);
+                                             m_context.crashingParts, m_context.maxObjectBytes);
                     const auto upstream = (*sharedPlace)->upstream().id;
                     sharedPlace->reset();
                     job->running.erase(control);
@@ -667,6 +676,7 @@
             return;
         markFinished(*job, item);
         recordCompletion(*job, item.index);
+        m_unwrittenBytes += output.size();
         job->pending.push_back({id, state, std::move(output)});
         if (!job->isWriting)
             spawnWriter(job);
@@ -703,7 +713,8 @@
         std::unique_lock lock(job.mutex);
         job.changed.wait_for(lock, wait, [&] {
             return job.finishedItems >= job.stored.job.items.size() || job.isOwnershipLost
-                   || job.isOwnershipUncertain || m_isDraining || hasDeadLetter(job);
+                   || job.isOwnershipUncertain || m_isDraining || hasDeadLetter(job)
+                   || fittingResults(job.pending) < job.pending.size();
         });
     }
 
@@ -717,6 +728,7 @@
     /// Writes pending results to the store until there are none, and resolves uncertain ownership.
     void writeResults(const JobPointer &job)
     {
+        std::size_t maxResults = maxItemsPerSegment;
         while ((!job->pending.empty() || job->isOwnershipUncertain) && !job->isOwnershipLost) {
             if (job->isOwnershipUncertain) {
                 reload(job, {});
@@ -725,15 +737,27 @@
             waitForMoreResults(*job);
             if (job->isOwnershipUncertain)
                 continue;
-            const ResultSegment segment{makeUniqueId(m_context.self.text()),
-                                        std::move(job->pending)};
-            job->pending.clear();
-            if (!writeSegment(job, segment))
+            const auto count = std::min(maxResults, fittingResults(job->pending));
+            const auto batchEnd = job->pending.begin() + static_cast<std::ptrdiff_t>(count);
+            ResultSegment segment{makeUniqueId(m_context.self.text()),
+                                  {std::make_move_iterator(job->pending.begin()),
+                                   std::make_move_iterator(batchEnd)}};
+            job->pending.erase(job->pending.begin(), batchEnd);
+            const auto outcome = writeSegment(job, segment);
+            if (outcome == WriteOutcome::Rejected) {
+                maxResults = std::max<std::size_t>(1, count / 2);
+                returnRejected(*job, std::move(segment.results));
+                continue;
+            }
+            maxResults = maxItemsPerSegment;
+            if (outcome == WriteOutcome::Superseded)
                 continue;
             {
                 const std::scoped_lock lock(job->mutex);
-                for (const auto &result : segment.results)
+                for (const auto &result : segment.results) {
+                    m_unwrittenBytes -= result.output.size();
                     job->stored.results.push_back(result);
+                }
                 job->stored.segments += 1;
             }
             recordWritten(*job, segment);
@@ -741,6 +765,37 @@
         }
     }
 
+    /// Returns how many of the results, from the first one on, are expected to fit into one object;
+    /// at least one.
+    [[nodiscard]] std::size_t fittingResults(const std::vector<ItemResult> &results) const
+    {
+        std::size_t bytes = 0;
+        for (std::size_t i = 0; i < results.size(); ++i) {
+            bytes += (results[i].item.size() + results[i].output.size()) * encodingFactor
+                     + resultOverheadBytes;
+            if (bytes > m_context.maxObjectBytes)
+                return std::max<std::size_t>(1, i);
+        }
+        return results.size();
+    }
+
+    /// Puts back results that the store will never take as one object. A single one cannot be
+    /// stored at all, so its item is given up.
+    void returnRejected(ActiveJob &job, std::vector<ItemResult> results)
+    {
+        if (results.size() == 1 && results.front().state == ItemState::Completed) {
+            auto &result = results.front();
+            m_context.metrics.itemsGivenUp.increase();
+            logFailure("item-given-up", {{"job", job.stored.job.id},
+                                         {"item", result.item},
+                                         {"reason", "the store rejects its output"}});
+            m_unwrittenBytes -= result.output.size();
+            result = {result.item, ItemState::DeadLetter, ""};
+        }
+        job.pending.insert(job.pending.begin(), std::make_move_iterator(results.begin()),
+                           std::make_move_iterator(results.end()));
+    }
+
     void recordWritten(const ActiveJob &job, const ResultSegment &segment)
     {
         const Milliseconds age(unixMilliseconds() - job.stored.job.submittedAt);
@@ -753,20 +808,32 @@
                                         {"ageMs", std::to_string(age.count())}});
     }
 
-    /// Returns false if another process has written the segment; the pending results are then those
-    /// that the other process has not written.
-    bool writeSegment(const JobPointer &job, const ResultSegment &segment)
+    enum class WriteOutcome {
+        Written,
+        Superseded, ///< Another process wrote the segment; what it lacks is pending again.
+        Rejected,   ///< The store will never take the segment as it is.
+    };
+
+    /// Writes a segment, repeatedly while the store is unavailable.
+    WriteOutcome writeSegment(const JobPointer &job, const ResultSegment &segment)
     {
         while (true) {
             const auto written = m_log.append(job->stored.job.id, job->stored.segments, segment);
             if (!written.isError())
-                return true;
-            if (written.error().kind == ErrorKind::Conflict) {
+                return WriteOutcome::Written;
+            const auto kind = written.error().kind;
+            if (kind == ErrorKind::Conflict) {
                 reload(job, segment.results);
-                return false;
+                return WriteOutcome::Superseded;
             }
             logStateChange("results-not-written",
                            {{"job", job->stored.job.id}, {"reason", written.error().message}});
+            const bool isLasting = kind == ErrorKind::TooLarge || kind == ErrorKind::InvalidInput;
+            // A dead letter has nothing left that could be left out.
+            if (isLasting && segment.results.front().state == ItemState::Completed)
+                return WriteOutcome::Rejected;
+            if (isLasting && segment.results.size() > 1)
+                return WriteOutcome::Rejected;
             boost::this_fiber::sleep_for(storeRetryDelay);
         }
     }
@@ -781,6 +848,8 @@
             loaded = m_log.load(id);
         }
         if (loaded.isError() || loaded.value().job.owner != m_context.self) {
+            for (const auto &result : unwritten)
+                m_unwrittenBytes -= result.output.size();
             drop(job, "another process owns it");
             return;
         }
@@ -793,7 +862,9 @@
         auto retained = std::exchange(job->pending, {});
         retained.insert(retained.end(), unwritten.begin(), unwritten.end());
         for (auto &result : retained) {
-            if (!hasResult(*job, result.item))
+            if (hasResult(*job, result.item))
+                m_unwrittenBytes -= result.output.size();
+            else
                 job->pending.push_back(std::move(result));
         }
         job->finishedItems = 0;
@@ -809,6 +880,9 @@
         const auto id = job->stored.job.id;
         logStateChange("job-dropped", {{"job", id}, {"reason", reason}});
         job->isOwnershipLost = true;
+        for (const auto &result : job->pending)
+            m_unwrittenBytes -= result.output.size();
+        job->pending.clear();
         m_queue.removeJob(id);
         stopRunning(*job);
         m_jobs.erase(id);
@@ -1080,6 +1154,8 @@
     /// By the name of the limited route.
     std::map<std::string, LimitState> m_limits;
     Claims m_claims;
+    /// Size of the outputs that are not in the store yet.
+    std::size_t m_unwrittenBytes = 0;
     bool m_mustRecover = false;
     bool m_wasIsolated = false;
     TimePoint m_nextRoundAt{};
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -6,6 +6,7 @@
 #include <boost/fiber/operations.hpp>
 #include <catch2/catch.hpp>
 #include <future>
+#include <map>
 
 using namespace Radishplank;
 
@@ -93,26 +94,29 @@
     Service service;
 };
 
-/// An upstream that responds with one event; requests to /jobs/later take 1.6 s longer, and
-/// requests to /jobs/impossible are rejected.
+/// An upstream that responds with one event; requests to /jobs/later take 1.6 s longer, requests to
+/// /jobs/impossible are rejected, and responses to /jobs/long have 1,000 bytes.
 class FakeUpstream
 {
 public:
     FakeUpstream()
         : m_threads(*new FiberThreads(1)) // Its fibers run until the test program ends.
-        , m_server(HttpServer::listen(m_threads, {"127.0.0.1", 0}, {},
-                                      [this](HttpExchange &exchange) {
-                                          if (exchange.request().target == "/jobs/impossible") {
-                                              m_rejected += 1;
-                                              (void)exchange.respond({422, {}, ""});
-                                              return;
-                                          }
-                                          if (exchange.request().target == "/jobs/later")
-                                              boost::this_fiber::sleep_for(Milliseconds(1'600));
-                                          (void)exchange.beginStream(200, {});
-                                          (void)exchange.writeStream("id: 1\ndata: x\n\n");
-                                          (void)exchange.endStream();
-                                      })
+        , m_server(HttpServer::listen(
+                           m_threads, {"127.0.0.1", 0}, {},
+                           [this](HttpExchange &exchange) {
+                               if (exchange.request().target == "/jobs/impossible") {
+                                   m_rejected += 1;
+                                   (void)exchange.respond({422, {}, ""});
+                                   return;
+                               }
+                               if (exchange.request().target == "/jobs/later")
+                                   boost::this_fiber::sleep_for(Milliseconds(1'600));
+                               const auto isLong = exchange.request().target == "/jobs/long";
+                               const std::string data(isLong ? 1'000 : 1, 'x');
+                               (void)exchange.beginStream(200, {});
+                               (void)exchange.writeStream("id: 1\ndata: " + data + "\n\n");
+                               (void)exchange.endStream();
+                           })
                            .takeValue())
     {
     }
@@ -265,6 +269,68 @@
             CHECK(restarted.eventually([&] { return !restarted.service.owns("job1"); }));
         }
     }
+    SECTION("Its results pile up in an outage of the store until they exceed the size of an object")
+    {
+        constexpr std::size_t items = 40;
+        FakeUpstream upstream;
+        entry.upstreams.put(upstream.info());
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(makeJob(items)); }).isError());
+        entry.on([&] {
+            entry.store.maxValueBytes = 600;
+            entry.store.nextFault = [] { return FaultyStore::Fault::Outage; };
+            return true;
+        });
+        REQUIRE(entry.eventually([&] { return entry.metrics.itemsCompleted.value() == items; }));
+        entry.on([&] {
+            entry.store.nextFault = [] { return FaultyStore::Fault::None; };
+            return true;
+        });
+
+        SECTION("All results become readable, and another process reads the same")
+        {
+            const auto results = [&] {
+                const auto page = entry.service.read("job1", 0, Milliseconds(0));
+                return page.isError() ? std::vector<ItemResult>() : page.value().results;
+            };
+            REQUIRE(entry.eventually([&] { return results().size() == items; }));
+            EntryProcess other(memory, "entry2");
+            const auto loaded = other.on([&] { return other.service.load("job1"); });
+            REQUIRE_FALSE(loaded.isError());
+            CHECK(loaded.value().results == entry.on(results));
+            for (const auto &result : loaded.value().results)
+                CHECK(result.state == ItemState::Completed);
+        }
+    }
+    SECTION("The store will never take the result of one of its items")
+    {
+        FakeUpstream upstream;
+        entry.upstreams.put(upstream.info());
+        auto job = makeJob(4);
+        job.items[2].path = "/jobs/long";
+
+        SECTION("since it is too large")
+        {
+            REQUIRE_FALSE(entry.on([&] { return entry.service.submit(job); }).isError());
+            entry.on([&] { return entry.store.maxValueBytes = 600; });
+        }
+        SECTION("since the text is invalid")
+        {
+            REQUIRE_FALSE(entry.on([&] { return entry.service.submit(job); }).isError());
+            entry.on([&] { return entry.store.invalidText = "xxxx"; });
+        }
+        const auto states = [&] {
+            std::map<std::string, ItemState> result;
+            const auto page = entry.service.read("job1", 0, Milliseconds(0));
+            if (!page.isError()) {
+                for (const auto &each : page.value().results)
+                    result[each.item] = each.state;
+            }
+            return result;
+        };
+        REQUIRE(entry.eventually([&] { return states().size() == 4; }));
+        for (const auto &[item, state] : entry.on(states))
+            CHECK(state == (item == "item2" ? ItemState::DeadLetter : ItemState::Completed));
+    }
     SECTION("Another process writes the results while this one cannot reach the store")
     {
         FakeUpstream upstream;
--- a/Tests/Store/FaultyStore.h
+++ b/Tests/Store/FaultyStore.h
@@ -23,6 +23,10 @@
     /// Invoked before each read of a single object.
     std::function<void(std::string_view key)> beforeGet = [](std::string_view) {};
     std::size_t writes = 0;
+    /// Writes of larger values are rejected.
+    std::size_t maxValueBytes = std::size_t{1024} * 1024;
+    /// Values that contain this text are rejected as invalid; none if empty.
+    std::string invalidText;
 
     Result<StoredObject> get(std::string_view key)
     {
@@ -37,6 +41,10 @@
         const auto fault = nextFault();
         if (fault == Fault::Outage)
             return unavailable();
+        if (value.size() > maxValueBytes)
+            return Error{ErrorKind::TooLarge, "the value is too large"};
+        if (!invalidText.empty() && value.find(invalidText) != std::string::npos)
+            return Error{ErrorKind::InvalidInput, "the value is invalid"};
         auto written = m_store.put(key, std::move(value), expected);
         if (fault == Fault::LostResponse)
             return unavailable();
