--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <limits>
 #include <map>
 #include <netinet/tcp.h>
 #include <optional>
@@ -42,6 +43,7 @@
 
 /// Bytes of response bodies that readBody() holds, for all calls of the process.
 std::atomic<std::size_t> totalBodyBytes{0};
+std::atomic<std::size_t> maxTotalBodyBytes{std::numeric_limits<std::size_t>::max()};
 
 struct PooledConnection
 {
@@ -303,7 +305,7 @@
         if (m_bodyBytes > m_options.bodyBytes)
             return Error{ErrorKind::TooLarge,
                          "the answer of " + m_endpoint.text() + " is too large"};
-        if (total > HttpClient::maxTotalBodyBytes) {
+        if (total > maxTotalBodyBytes) {
             return Error{ErrorKind::Unavailable, "reading from " + m_endpoint.text()
                                                          + ": too many bytes of answers are held"};
         }
@@ -484,6 +486,11 @@
 
 } // namespace
 
+void HttpClient::setMaxTotalBodyBytes(std::size_t bytes)
+{
+    maxTotalBodyBytes = bytes;
+}
+
 HttpClient::OpenResult HttpClient::open(const Endpoint &endpoint, const HttpRequest &request,
                                         const HttpCallOptions &options)
 {
--- a/Libraries/Net/HttpClient.h
+++ b/Libraries/Net/HttpClient.h
@@ -85,8 +85,9 @@
 class HttpClient
 {
 public:
-    /// Limit on the sum of the bodies that the responses of all calls hold.
-    static constexpr std::size_t maxTotalBodyBytes = std::size_t{32} * 1024 * 1024;
+    /// Limits the sum of the bodies that readBody() holds for all calls of the process; a body that
+    /// exceeds it fails its call with Unavailable. There is no limit by default.
+    static void setMaxTotalBodyBytes(std::size_t bytes);
 
     using OpenResult = std::variant<std::unique_ptr<HttpResponseStream>, HttpCallError>;
 
--- a/Tests/Net/TestHttpClient.cpp
+++ b/Tests/Net/TestHttpClient.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <future>
+#include <limits>
 #include <thread>
 
 using namespace Radishplank;
@@ -251,6 +252,22 @@
     }
 }
 
+TEST_CASE("A process can limit the bodies that all of its calls hold together", "[HttpClient]")
+{
+    constexpr std::size_t limit = 1'000;
+    const auto callWith = [](std::size_t bytes) {
+        ScriptedServer server({makeResponse("a", std::string(bytes, 'x'))});
+        return callEach(server.endpoint(), {"a"}).front().size();
+    };
+    HttpClient::setMaxTotalBodyBytes(limit);
+    CHECK(callWith(limit + 1) == 0);
+    // The bytes of an ended call do not count.
+    for (int i = 0; i < 3; ++i)
+        CHECK(callWith(limit) == limit);
+    HttpClient::setMaxTotalBodyBytes(std::numeric_limits<std::size_t>::max());
+    CHECK(callWith(limit + 1) == limit + 1);
+}
+
 TEST_CASE("Interim responses before the response to a call are skipped", "[HttpClient]")
 {
     ScriptedServer server(
