--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -221,6 +221,8 @@
     const std::string name(body.at("metadata").as_object().at("name").as_string());
     if (m_kinds[kind].contains(name))
         return jsonResponse(409, toJson(name, m_kinds[kind][name]));
+    if (json::serialize(body.at("spec")).size() > m_maxValueBytes)
+        return {413, {}, ""};
     put(kind, name, body.at("spec"));
     return jsonResponse(200, toJson(name, m_kinds[kind][name]));
 }
--- a/Tests/Platform/FakeStore.h
+++ b/Tests/Platform/FakeStore.h
@@ -5,6 +5,7 @@
 
 #include <boost/json.hpp>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -34,6 +35,8 @@
     [[nodiscard]] boost::json::value status(const std::string &kind, const std::string &name);
     [[nodiscard]] std::size_t count(const std::string &kind);
     [[nodiscard]] std::size_t callsMade() const { return m_calls; }
+    /// Rejects the creation of larger objects with 413.
+    void limitValues(std::size_t bytes) { m_maxValueBytes = bytes; }
     /// Drops the history: watches that start at an earlier revision get 410.
     void dropHistory();
 
@@ -70,6 +73,7 @@
     /// Number of outages so far. A watch that is waiting when an outage begins is never answered.
     std::atomic<unsigned> m_outages{0};
     std::atomic<std::size_t> m_calls{0};
+    std::atomic<std::size_t> m_maxValueBytes{std::numeric_limits<std::size_t>::max()};
     std::mutex m_mutex;
     std::uint64_t m_revision = 1;
     std::uint64_t m_historyBegin = 0;
--- a/Tests/Platform/TestMalformedResponses.cpp
+++ b/Tests/Platform/TestMalformedResponses.cpp
@@ -143,6 +143,21 @@
             events += "data: x\n\n";
         server.repeatUntilClosed(std::move(events));
     }
+    SECTION("Endless bytes where the size of a chunk is due")
+    {
+        responseStart = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        server.repeatUntilClosed(std::string(65'536, '7'));
+    }
+    SECTION("Single bytes at intervals, as the body of a refusal")
+    {
+        responseStart = "HTTP/1.1 503 Full\r\nX-Not-Executed: full\r\nContent-Length: 9999\r\n\r\n";
+        server.repeatUntilClosed("x", Milliseconds(100));
+    }
+    SECTION("Single bytes at intervals, as the body of a failure")
+    {
+        responseStart = "HTTP/1.1 502 Broken\r\nTransfer-Encoding: chunked\r\n\r\n";
+        server.repeatUntilClosed("1\r\nx\r\n", Milliseconds(100));
+    }
     SECTION("Single bytes at intervals")
     {
         server.repeatUntilClosed("x", Milliseconds(100));
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -533,6 +533,19 @@
     }
 }
 
+TEST_CASE("A job that exceeds the size of an object in the store is refused for good", "[Platform]")
+{
+    PlatformDeployment deployment;
+    deployment.addServer("i-1");
+    deployment.writeConfiguration(1);
+    deployment.startEntry("entry1");
+    deployment.waitUntilReady("entry1");
+    deployment.store.limitValues(2'000);
+    CHECK(deployment.submit("entry1", "job1", {std::string(2'000, 'x')}).status == 413);
+    CHECK(deployment.submit("entry1", "job2", {"a"}).status == 202);
+    CHECK(deployment.waitForResults("entry1", "job2", 1).size() == 1);
+}
+
 TEST_CASE("Batch jobs run and can be read at any process", "[Platform]")
 {
     PlatformDeployment deployment;
