--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -271,7 +271,9 @@
             if (isCancelled(m_options))
                 return callError("reading from", m_endpoint, boost::asio::error::operation_aborted);
             // Reads once, so that a token is forwarded as soon as it arrives.
-            auto chunk = TRY(readOnce(deadline));
+            std::string chunk;
+            if (const auto code = readOnce(chunk, deadline))
+                return callError("reading from", m_endpoint, code);
             releaseIfDone();
             if (!chunk.empty())
                 return chunk;
@@ -279,10 +281,10 @@
         return std::string();
     }
 
-    /// Reads from the socket once; the bytes may contain nothing of the body.
-    Result<std::string> readOnce(TimePoint deadline)
+    /// Reads from the socket once and stores the bytes of the body; there may be none.
+    boost::system::error_code readOnce(std::string &chunk, TimePoint deadline)
     {
-        std::string chunk(bodyChunkBytes, '\0');
+        chunk.resize(bodyChunkBytes);
         auto &body = m_parser->get().body();
         body.data = chunk.data();
         body.size = chunk.size();
@@ -293,9 +295,9 @@
                                   std::move(handler));
         });
         if (outcome.code && outcome.code != http::error::need_buffer)
-            return callError("reading from", m_endpoint, outcome.code);
+            return outcome.code;
         chunk.resize(chunk.size() - body.size);
-        return chunk;
+        return {};
     }
 
     Result<void> reserveBodyBytes(std::size_t bytes)
@@ -351,20 +353,11 @@
 
     boost::system::error_code discardBody(TimePoint deadline)
     {
-        std::string chunk(bodyChunkBytes, '\0');
+        std::string chunk;
         while (!m_parser->is_done()) {
-            auto &body = m_parser->get().body();
-            body.data = chunk.data();
-            body.size = chunk.size();
-            body.more = true;
-            m_connection->stream.expires_at(deadline);
-            const auto outcome = awaitIo([&](auto handler) {
-                http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
-                                      std::move(handler));
-            });
-            if (outcome.code && outcome.code != http::error::need_buffer)
-                return outcome.code;
-            m_skippedBytes += chunk.size() - body.size;
+            if (const auto code = readOnce(chunk, deadline))
+                return code;
+            m_skippedBytes += chunk.size();
             if (m_skippedBytes > m_options.bodyBytes)
                 return http::error::body_limit;
         }
