--- a/Libraries/Gateway/CrashingPartDetector.cpp
+++ b/Libraries/Gateway/CrashingPartDetector.cpp
@@ -246,20 +246,20 @@
     };
     Block added;
     added.isForItemsOnly = std::none_of(m_evidence.begin(), m_evidence.end(), isFromCaller);
-    logStateChange("prompt-part-blocked",
-                   {{"parts", promptPartsText(parts)},
-                    {"blockedMs", std::to_string(milliseconds(m_blockTime).count())},
-                    {"itemsOnly", added.isForItemsOnly ? "yes" : "no"},
-                    {"from", "own evidence"}});
     added.parts = std::move(parts);
     added.firstCrash = firstCrash;
     added.until = now + m_blockTime;
     added.nextItemTrial = now + itemPause(0);
-    addBlock(std::move(added));
+    addBlock(std::move(added), "own evidence", now);
 }
 
-void CrashingPartDetector::addBlock(Block added)
+void CrashingPartDetector::addBlock(Block added, std::string_view from, TimePoint now)
 {
+    logStateChange("prompt-part-blocked",
+                   {{"parts", promptPartsText(added.parts)},
+                    {"blockedMs", std::to_string(milliseconds(added.until - now).count())},
+                    {"itemsOnly", added.isForItemsOnly ? "yes" : "no"},
+                    {"from", std::string(from)}});
     std::sort(added.parts.begin(), added.parts.end());
     m_blocks.push_back(std::move(added));
 }
@@ -512,10 +512,6 @@
     }
     if (m_blocks.size() >= maxBlocks)
         return;
-    logStateChange("prompt-part-blocked", {{"parts", promptPartsText(parts)},
-                                           {"blockedMs", std::to_string(blocked.remaining.count())},
-                                           {"itemsOnly", blocked.isForItemsOnly ? "yes" : "no"},
-                                           {"from", "a peer"}});
     Block added;
     added.parts = std::move(parts);
     added.firstCrash = now - blocked.age;
@@ -524,7 +520,7 @@
     added.isForItemsOnly = blocked.isForItemsOnly;
     added.failedItemTrials = blocked.failedItemTrials;
     added.nextItemTrial = nextItemTrial;
-    addBlock(std::move(added));
+    addBlock(std::move(added), "a peer", now);
 }
 
 } // namespace Radishplank
--- a/Libraries/Gateway/CrashingPartDetector.h
+++ b/Libraries/Gateway/CrashingPartDetector.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -180,7 +181,8 @@
     [[nodiscard]] bool isConvincing(const Suspicion &suspicion, const CrashSet &explained,
                                     std::size_t suspects) const;
     void block(PromptParts parts, TimePoint firstCrash, TimePoint now);
-    void addBlock(Block added);
+    /// Adds a block that own evidence or a peer's report has shown.
+    void addBlock(Block added, std::string_view from, TimePoint now);
     /// Applies a crash to a block whose parts its call had; returns whether peers should be
     /// informed without delay.
     bool updateBlock(Block &block, const Evidence &evidence, TimePoint now) const;
