--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -829,10 +829,10 @@
             logStateChange("results-not-written",
                            {{"job", job->stored.job.id}, {"reason", written.error().message}});
             const bool isLasting = kind == ErrorKind::TooLarge || kind == ErrorKind::InvalidInput;
-            // A dead letter has nothing left that could be left out.
-            if (isLasting && segment.results.front().state == ItemState::Completed)
-                return WriteOutcome::Rejected;
-            if (isLasting && segment.results.size() > 1)
+            // A single dead letter has nothing that could be left out.
+            const bool canBeReduced = segment.results.size() > 1
+                                      || segment.results.front().state == ItemState::Completed;
+            if (isLasting && canBeReduced)
                 return WriteOutcome::Rejected;
             boost::this_fiber::sleep_for(storeRetryDelay);
         }
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -69,6 +69,15 @@
         return result.get_future().get();
     }
 
+    /// Injects a fault into each further call to the store.
+    void setFault(FaultyStore::Fault fault)
+    {
+        on([&] {
+            store.nextFault = [fault] { return fault; };
+            return true;
+        });
+    }
+
     /// Waits until the condition holds, for up to 10 s; returns whether it does.
     template<typename Condition>
     bool eventually(Condition condition)
@@ -94,8 +103,9 @@
     Service service;
 };
 
-/// An upstream that responds with one event; requests to /jobs/later take 1.6 s longer, requests to
-/// /jobs/impossible are rejected, and responses to /jobs/long have 1,000 bytes.
+/// An upstream that responds with one event (/jobs/huge: 11); requests to /jobs/later take 1.6 s
+/// longer, requests to /jobs/impossible are rejected, and responses to /jobs/long have 1,000 bytes,
+/// those to /jobs/huge 1.1 MB, which no object of the store can hold.
 class FakeUpstream
 {
 public:
@@ -112,9 +122,13 @@
                                if (exchange.request().target == "/jobs/later")
                                    boost::this_fiber::sleep_for(Milliseconds(1'600));
                                const auto isLong = exchange.request().target == "/jobs/long";
-                               const std::string data(isLong ? 1'000 : 1, 'x');
+                               const auto isHuge = exchange.request().target == "/jobs/huge";
+                               const std::string data(isHuge ? 100'000 : isLong ? 1'000 : 1, 'x');
                                (void)exchange.beginStream(200, {});
-                               (void)exchange.writeStream("id: 1\ndata: " + data + "\n\n");
+                               for (int event = 1; event <= (isHuge ? 11 : 1); ++event) {
+                                   (void)exchange.writeStream("id: " + std::to_string(event)
+                                                              + "\ndata: " + data + "\n\n");
+                               }
                                (void)exchange.endStream();
                            })
                            .takeValue())
@@ -184,17 +198,11 @@
             boost::this_fiber::sleep_for(Milliseconds(300));
             return true;
         });
-        entry.on([&] {
-            entry.store.nextFault = [] { return FaultyStore::Fault::LostResponse; };
-            return true;
-        });
+        entry.setFault(FaultyStore::Fault::LostResponse);
         const auto submitted = entry.on([&] { return entry.service.submit(makeJob(2)); });
         REQUIRE(submitted.isError());
         CHECK(submitted.error().kind == ErrorKind::Unavailable);
-        entry.on([&] {
-            entry.store.nextFault = [] { return FaultyStore::Fault::None; };
-            return true;
-        });
+        entry.setFault(FaultyStore::Fault::None);
 
         SECTION("The process adopts the job, since the store names it as the owner")
         {
@@ -275,16 +283,10 @@
         FakeUpstream upstream;
         entry.upstreams.put(upstream.info());
         REQUIRE_FALSE(entry.on([&] { return entry.service.submit(makeJob(items)); }).isError());
-        entry.on([&] {
-            entry.store.maxValueBytes = 600;
-            entry.store.nextFault = [] { return FaultyStore::Fault::Outage; };
-            return true;
-        });
+        entry.on([&] { return entry.store.maxValueBytes = 600; });
+        entry.setFault(FaultyStore::Fault::Outage);
         REQUIRE(entry.eventually([&] { return entry.metrics.itemsCompleted.value() == items; }));
-        entry.on([&] {
-            entry.store.nextFault = [] { return FaultyStore::Fault::None; };
-            return true;
-        });
+        entry.setFault(FaultyStore::Fault::None);
 
         SECTION("All results become readable, and another process reads the same")
         {
@@ -313,6 +315,11 @@
             REQUIRE_FALSE(entry.on([&] { return entry.service.submit(job); }).isError());
             entry.on([&] { return entry.store.maxValueBytes = 600; });
         }
+        SECTION("since it is larger than any object, so that no run can complete")
+        {
+            job.items[2].path = "/jobs/huge";
+            REQUIRE_FALSE(entry.on([&] { return entry.service.submit(job); }).isError());
+        }
         SECTION("since the text is invalid")
         {
             REQUIRE_FALSE(entry.on([&] { return entry.service.submit(job); }).isError());
@@ -336,20 +343,14 @@
         FakeUpstream upstream;
         entry.upstreams.put(upstream.info());
         REQUIRE_FALSE(entry.on([&] { return entry.service.submit(makeJob(2)); }).isError());
-        entry.on([&] {
-            entry.store.nextFault = [] { return FaultyStore::Fault::Outage; };
-            return true;
-        });
+        entry.setFault(FaultyStore::Fault::Outage);
         REQUIRE(entry.eventually([&] { return entry.metrics.itemsCompleted.value() == 2; }));
         const ResultSegment others{
                 "other",
                 {{"item0", ItemState::Completed, "0"}, {"item1", ItemState::Completed, "1"}}};
         REQUIRE_FALSE(
                 memory.put("radishplank-results/job1.0", serialize(others), noVersion).isError());
-        entry.on([&] {
-            entry.store.nextFault = [] { return FaultyStore::Fault::None; };
-            return true;
-        });
+        entry.setFault(FaultyStore::Fault::None);
 
         SECTION("No item has two results")
         {
@@ -521,10 +522,7 @@
             return true;
         });
         // The outage discards all results that the process has not written, like a crash.
-        entry.on([&] {
-            entry.store.nextFault = [] { return FaultyStore::Fault::Outage; };
-            return true;
-        });
+        entry.setFault(FaultyStore::Fault::Outage);
     }
     CHECK(upstream.rejected() >= 1);
     CHECK(upstream.rejected() <= maxRejections);
