HttpServer: Exit only after every connection is closed

Cause: drain() polled the number of exchanges in progress and left once it was 0, 3.5 s after the signal at the earliest. Connections that had been accepted but had not brought a request yet stayed open, and the process still read their requests and passed them on during the 50 ms before its exit (time for the last datagrams).

Ruled out: long answers, as the server needed 69 ms; the deadline; the server, which was at work when the process ended.

HttpServer::closeAll() now closes idle connections, 200 ms later those that have not been used, and waits until none is left. Nothing can bring a request after that. Connections that the kernel has accepted already are taken before the port is closed.

--- a/Libraries/Net/HttpConnection.cpp
+++ b/Libraries/Net/HttpConnection.cpp
@@ -27,14 +27,12 @@
 } // namespace
 
 HttpConnection::HttpConnection(tcp::socket socket, const HttpServerLimitsHolder &limits,
-                               const std::atomic<bool> &isDraining,
-                               const std::atomic<bool> &isClosing,
+                               const std::atomic<ServerPhase> &phase,
                                std::atomic<std::size_t> &bufferedBodyBytes)
     : m_stream(std::move(socket))
     , m_limitsHolder(limits)
     , m_limits(limits.load())
-    , m_isDraining(isDraining)
-    , m_isClosing(isClosing)
+    , m_phase(phase)
     , m_totalBodyBytes(bufferedBodyBytes)
 {
     boost::system::error_code ignored;
@@ -48,9 +46,15 @@
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits->headerBytes));
     m_parser->body_limit(boost::none);
     m_buffer.max_size(std::max(m_buffer.size(), m_limits->headerBytes + framingBytes));
-    if (!isFirst && m_buffer.size() == 0 && !waitForNextRequest())
-        return false;
-    m_stream.expires_after(m_limits->headerTimeout);
+    m_isUsed = !isFirst;
+    auto now = SteadyClock().now();
+    const auto firstHeadDeadline = now + m_limits->headerTimeout;
+    if (m_buffer.size() == 0) {
+        if (!waitForRequest(isFirst ? firstHeadDeadline : now + m_limits->idleTimeout))
+            return false;
+        now = SteadyClock().now();
+    }
+    m_stream.expires_at(isFirst ? firstHeadDeadline : now + m_limits->headerTimeout);
     const auto outcome = awaitIo([&](auto handler) {
         http::async_read_header(m_stream, m_buffer, *m_parser, std::move(handler));
     });
@@ -94,7 +98,7 @@
 
 void HttpConnection::cancelIfIdle()
 {
-    if (m_isIdle)
+    if (m_isIdle && isClosedWhileIdle())
         m_stream.cancel();
 }
 
@@ -248,12 +252,17 @@
     });
 }
 
-bool HttpConnection::waitForNextRequest()
+bool HttpConnection::isClosedWhileIdle() const
 {
-    if (m_isClosing && !hasPendingBytes())
+    return m_phase.load() >= (m_isUsed ? ServerPhase::ClosingIdle : ServerPhase::ClosingAllIdle);
+}
+
+bool HttpConnection::waitForRequest(TimePoint deadline)
+{
+    if (isClosedWhileIdle() && !hasPendingBytes())
         return false;
     m_isIdle = true;
-    m_stream.expires_after(m_limits->idleTimeout);
+    m_stream.expires_at(deadline);
     char first = 0;
     auto outcome = readByte(first);
     // The server is closing idle connections, but the next request has already arrived.
@@ -311,7 +320,7 @@
 {
     for (const auto &header : headers.all())
         message.insert(header.name, header.value);
-    if (m_isDraining.load(std::memory_order_relaxed))
+    if (m_phase.load(std::memory_order_relaxed) >= ServerPhase::Draining)
         m_mustClose = true;
     message.keep_alive(!m_mustClose);
 }
--- a/Libraries/Net/HttpConnection.h
+++ b/Libraries/Net/HttpConnection.h
@@ -15,7 +15,7 @@
 {
 public:
     HttpConnection(boost::asio::ip::tcp::socket socket, const HttpServerLimitsHolder &limits,
-                   const std::atomic<bool> &isDraining, const std::atomic<bool> &isClosing,
+                   const std::atomic<ServerPhase> &phase,
                    std::atomic<std::size_t> &bufferedBodyBytes);
 
     /// Waits for the next request line and headers; returns false if the connection must close.
@@ -24,7 +24,8 @@
     /// the rest is too large or the connection must close.
     bool finishExchange();
     void close();
-    /// Cancels the wait for the next request; called on the connection's own thread.
+    /// Cancels the wait for a request if the server's phase closes the connection; called on the
+    /// connection's own thread.
     void cancelIfIdle();
 
     auto executor() { return m_stream.get_executor(); }
@@ -54,8 +55,10 @@
     /// Returns whether the client has sent bytes that have not been read.
     bool hasPendingBytes();
     IoResult readByte(char &byte);
-    /// Waits for the first byte of the next request; returns false if the connection must close.
-    bool waitForNextRequest();
+    /// Waits for the first byte of a request; returns false if the connection must close.
+    bool waitForRequest(TimePoint deadline);
+    /// Returns whether the server closes the connection while it waits for a request.
+    [[nodiscard]] bool isClosedWhileIdle() const;
     void storeHead();
     /// Responds to bytes that are not a valid HTTP request; timeouts and closed connections get no
     /// response.
@@ -69,8 +72,7 @@
     const HttpServerLimitsHolder &m_limitsHolder;
     /// The limits in force when the current request began.
     std::shared_ptr<const HttpServerLimits> m_limits;
-    const std::atomic<bool> &m_isDraining;
-    const std::atomic<bool> &m_isClosing;
+    const std::atomic<ServerPhase> &m_phase;
     std::atomic<std::size_t> &m_totalBodyBytes;
     std::size_t m_bufferedBodyBytes = 0;
     boost::beast::flat_buffer m_buffer;
@@ -81,6 +83,8 @@
     bool m_isAbandoned = false;
     bool m_expectsContinue = false;
     bool m_isIdle = false;
+    /// Whether the connection has received a request.
+    bool m_isUsed = false;
     /// Shared with the wait for the client's disconnect, which can complete after the exchange.
     std::shared_ptr<std::function<void()>> m_disconnectCallback;
 };
--- a/Libraries/Net/HttpServer.cpp
+++ b/Libraries/Net/HttpServer.cpp
@@ -3,8 +3,10 @@
 #include <Net/Await.h>
 #include <Net/HttpConnection.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <mutex>
+#include <thread>
 #include <unordered_set>
 
 namespace Radishplank {
@@ -14,6 +16,9 @@
 namespace {
 
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+/// Clients that connect for a request send it within this time.
+constexpr Milliseconds firstRequestTime{200};
+constexpr Milliseconds closePollInterval{20};
 
 } // namespace
 
@@ -32,8 +37,8 @@
     HttpServerLimitsHolder limits;
     Handler handler;
     tcp::acceptor acceptor;
-    std::atomic<bool> isDraining{false};
-    std::atomic<bool> isClosing{false};
+    std::atomic<ServerPhase> phase{ServerPhase::Serving};
+    std::atomic<bool> isAccepting{true};
     std::atomic<std::size_t> activeExchanges{0};
     std::atomic<std::size_t> openConnections{0};
     std::atomic<std::size_t> bufferedBodyBytes{0};
@@ -46,7 +51,7 @@
 template<typename State>
 void serveConnection(const std::shared_ptr<State> &state, tcp::socket socket)
 {
-    HttpConnection connection(std::move(socket), state->limits, state->isDraining, state->isClosing,
+    HttpConnection connection(std::move(socket), state->limits, state->phase,
                               state->bufferedBodyBytes);
     {
         const std::scoped_lock lock(state->connectionsMutex);
@@ -70,11 +75,39 @@
     state->openConnections -= 1;
 }
 
+template<typename State>
+void spawnConnection(const std::shared_ptr<State> &state, std::size_t threadIndex,
+                     std::shared_ptr<tcp::socket> socket)
+{
+    if (state->openConnections >= state->limits.load()->connections)
+        return;
+    state->openConnections += 1;
+    state->threads.spawnOn(threadIndex,
+                           [state, socket] { serveConnection(state, std::move(*socket)); });
+}
+
+/// Takes the connections that the kernel has already accepted, whose clients may have sent
+/// requests, and then listens no more.
+template<typename State>
+void finishAccepting(const std::shared_ptr<State> &state)
+{
+    boost::system::error_code code;
+    state->acceptor.non_blocking(true, code);
+    while (!code) {
+        auto socket = std::make_shared<tcp::socket>(state->threads.context(0));
+        state->acceptor.accept(*socket, code);
+        if (!code)
+            spawnConnection(state, 0, std::move(socket));
+    }
+    state->acceptor.close(code);
+    state->isAccepting = false;
+}
+
 template<typename State>
 void acceptConnections(const std::shared_ptr<State> &state)
 {
     std::size_t nextThread = 0;
-    while (!state->isClosing) {
+    while (state->phase < ServerPhase::ClosingIdle) {
         const std::size_t threadIndex = nextThread++ % state->threads.threadCount();
         auto socket = std::make_shared<tcp::socket>(state->threads.context(threadIndex));
         const auto outcome = awaitIo([&](auto handler) {
@@ -83,7 +116,7 @@
                     [handler](boost::system::error_code code) mutable { handler(code, 0); });
         });
         if (outcome.code == boost::asio::error::operation_aborted)
-            return;
+            break;
         if (outcome.code) {
             // Most likely out of file descriptors; retry after a delay.
             boost::asio::steady_timer timer(FiberThreads::currentContext(), acceptRetryDelay);
@@ -93,12 +126,9 @@
             });
             continue;
         }
-        if (state->openConnections >= state->limits.load()->connections)
-            continue;
-        state->openConnections += 1;
-        state->threads.spawnOn(threadIndex,
-                               [state, socket] { serveConnection(state, std::move(*socket)); });
+        spawnConnection(state, threadIndex, std::move(socket));
     }
+    finishAccepting(state);
 }
 
 } // namespace
@@ -147,16 +177,34 @@
 
 void HttpServer::beginDrain()
 {
-    m_implementation->isDraining = true;
+    auto serving = ServerPhase::Serving;
+    m_implementation->phase.compare_exchange_strong(serving, ServerPhase::Draining);
 }
 
 void HttpServer::closeIdle()
+{
+    closeConnections(ServerPhase::ClosingIdle);
+}
+
+void HttpServer::closeAll(TimePoint deadline)
+{
+    closeIdle();
+    std::this_thread::sleep_until(
+            std::min<TimePoint>(SteadyClock().now() + firstRequestTime, deadline));
+    closeConnections(ServerPhase::ClosingAllIdle);
+    while ((m_implementation->isAccepting || openConnections() > 0)
+           && SteadyClock().now() < deadline)
+        std::this_thread::sleep_for(closePollInterval);
+}
+
+void HttpServer::closeConnections(ServerPhase phase)
 {
     auto state = m_implementation;
-    state->isClosing = true;
+    if (state->phase < phase)
+        state->phase = phase;
     state->threads.spawnOn(0, [state] {
         boost::system::error_code ignored;
-        state->acceptor.close(ignored);
+        state->acceptor.cancel(ignored);
     });
     const std::scoped_lock lock(state->connectionsMutex);
     for (auto *connection : state->connections) {
--- a/Libraries/Net/HttpServer.h
+++ b/Libraries/Net/HttpServer.h
@@ -63,6 +63,14 @@
     virtual void onClientDisconnect(std::function<void()> notify) = 0;
 };
 
+/// How far a server has gone in stopping; it never goes back.
+enum class ServerPhase {
+    Serving,
+    Draining,       ///< Each response closes its connection.
+    ClosingIdle,    ///< Accepts no connections, and closes those that wait for another request.
+    ClosingAllIdle, ///< Also closes connections that have not received a request yet.
+};
+
 /// An HTTP/1.1 server with one fiber per connection.
 class HttpServer
 {
@@ -82,14 +90,21 @@
     void setLimits(const HttpServerLimits &limits);
     /// Adds `Connection: close` to every further response.
     void beginDrain();
-    /// Stops accepting and closes idle connections; exchanges in progress continue.
+    /// Stops accepting and closes connections that wait for another request. Exchanges in progress
+    /// continue, as do connections that have not received a request yet.
     void closeIdle();
+    /// As closeIdle(), and soon after closes the connections that have not received a request.
+    /// Waits until no connection is left that could bring a request or wait for a response, at most
+    /// until the deadline. Blocks the calling thread, which must not run fibers.
+    void closeAll(TimePoint deadline);
     /// Returns the number of exchanges in progress, from request head to end of response.
     [[nodiscard]] std::size_t activeExchanges() const;
     [[nodiscard]] std::size_t openConnections() const;
 
 private:
     struct Implementation;
+    /// Goes on to a phase, and closes the connections that it does not keep.
+    void closeConnections(ServerPhase phase);
     explicit HttpServer(std::shared_ptr<Implementation> implementation);
     std::shared_ptr<Implementation> m_implementation;
 };
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -1,6 +1,8 @@
+#include "../Net/RawClient.h"
 #include "PlatformDeployment.h"
 
 #include <Gateway/CallForwarder.h>
+#include <Gateway/StopSchedule.h>
 #include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -386,6 +388,74 @@
     CHECK(entry.waitForEnd() == 0);
 }
 
+TEST_CASE("A call that arrives as a stopping process exits is not cut off", "[Platform]")
+{
+    struct Caller
+    {
+        std::string attempt;
+        std::unique_ptr<RawClient> connection;
+    };
+    // The calls begin at the end of the wait for load balancers, a little later at each process.
+    constexpr Milliseconds firstDelay{2};
+    constexpr Milliseconds delayStep{9};
+    constexpr unsigned processCount = 4;
+    constexpr unsigned callsPerProcess = 10;
+    constexpr Milliseconds callInterval{6};
+    PlatformDeployment deployment;
+    auto &server = deployment.addServer("i-1");
+    deployment.writeConfiguration(1);
+    std::vector<Process *> processes;
+    for (unsigned i = 0; i < processCount; ++i)
+        processes.push_back(&deployment.startEntry("entry" + std::to_string(i)));
+    for (unsigned i = 0; i < processCount; ++i)
+        deployment.waitUntilReady("entry" + std::to_string(i));
+    // Streams of 70 ms.
+    server.setEventInterval(Milliseconds(14));
+
+    std::vector<std::thread> threads;
+    std::vector<std::vector<Caller>> callers(processCount);
+    std::vector<std::vector<std::string>> answers(processCount);
+    for (unsigned i = 0; i < processCount; ++i) {
+        threads.emplace_back([&, i] {
+            processes[i]->signal(SIGTERM);
+            const auto closesAt = SteadyClock().now() + StopSchedule::balancerUpdateTime;
+            std::this_thread::sleep_until(closesAt - Milliseconds(500));
+            for (unsigned call = 0; call < callsPerProcess; ++call) {
+                const auto attempt = "a" + std::to_string(i) + "-" + std::to_string(call);
+                const auto address = deployment.callers("entry" + std::to_string(i));
+                callers[i].push_back({attempt, std::make_unique<RawClient>(address)});
+            }
+            auto nextAt = closesAt + firstDelay + delayStep * i;
+            for (auto &caller : callers[i]) {
+                std::this_thread::sleep_until(nextAt);
+                nextAt += callInterval;
+                (void)caller.connection->send(
+                        "POST /plain/x HTTP/1.1\r\nHost: " + std::string(PlatformDeployment::host)
+                        + "\r\nX-Attempt-Id: " + caller.attempt
+                        + "\r\nX-Deadline-Ms: 2000\r\nContent-Length: 5\r\n\r\nhello");
+            }
+            for (auto &caller : callers[i])
+                answers[i].push_back(caller.connection->readToEnd().value_or(""));
+        });
+    }
+    for (auto &thread : threads)
+        thread.join();
+    std::set<std::string> served;
+    for (const auto &request : server.served())
+        served.insert(request.request.headers.value("X-Attempt-Id"));
+    unsigned wholeAnswers = 0;
+    for (unsigned i = 0; i < processCount; ++i) {
+        for (unsigned call = 0; call < callsPerProcess; ++call) {
+            CAPTURE(callers[i][call].attempt, answers[i][call]);
+            const bool isWhole = answers[i][call].ends_with("0\r\n\r\n");
+            CHECK((isWhole || !served.contains(callers[i][call].attempt)));
+            wholeAnswers += isWhole ? 1 : 0;
+        }
+        CHECK(processes[i]->waitForEnd() == 0);
+    }
+    CHECK(wholeAnswers > 0);
+}
+
 TEST_CASE("A process finishes the running items after SIGTERM", "[Platform]")
 {
     PlatformDeployment deployment;
