HttpConnection: Let clients read the last response before the close

A client that is still sending when its response is due, or that sends its next request meanwhile, saw a reset: its sends failed, and the end of a large response was gone. In a planned stop every response is the last one of its connection, so a 404, a 413 or a refusal met this while the body was still coming, and so did clients that use pipelining.

Cause: close() with unread bytes resets the connection, and the kernel drops what it has not sent yet. close() now ends the sending side only, and discards what still comes for 1 s at most, until the client closes.

--- a/Libraries/Net/HttpConnection.cpp
+++ b/Libraries/Net/HttpConnection.cpp
@@ -16,6 +16,8 @@
 /// Buffered bytes beyond the largest head: the parser cannot process the size line of a chunk with
 /// its extensions, or the trailers, before it has them all.
 constexpr std::size_t framingBytes = std::size_t{16} * 1024;
+/// How long a client may go on sending after the last response on its connection.
+constexpr Milliseconds lingerTime{1'000};
 
 Error ioError(std::string_view action, const boost::system::error_code &code)
 {
@@ -92,7 +94,9 @@
 void HttpConnection::close()
 {
     boost::system::error_code ignored;
-    m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    if (m_hasResponded && m_mustClose && !m_isAbandoned)
+        discardInput();
     m_stream.close();
 }
 
@@ -239,6 +243,24 @@
     m_bufferedBodyBytes = 0;
 }
 
+void HttpConnection::discardInput()
+{
+    // Bytes that are unread at the close would reset the connection, and the client would lose the
+    // rest of the response.
+    const auto deadline = SteadyClock().now() + lingerTime;
+    std::string bytes(bodyChunkBytes, '\0');
+    std::size_t discarded = 0;
+    while (discarded <= m_limits->bodyBytes) {
+        m_stream.expires_at(deadline);
+        const auto outcome = awaitIo([&](auto handler) {
+            m_stream.async_read_some(boost::asio::buffer(bytes), std::move(handler));
+        });
+        if (outcome.code)
+            return;
+        discarded += outcome.byteCount;
+    }
+}
+
 bool HttpConnection::hasPendingBytes()
 {
     boost::system::error_code code;
--- a/Libraries/Net/HttpConnection.h
+++ b/Libraries/Net/HttpConnection.h
@@ -23,6 +23,7 @@
     /// Discards the rest of the request body so that the next request can follow; returns false if
     /// the rest is too large or the connection must close.
     bool finishExchange();
+    /// Closes the connection. If it ends after a response, the client may take some time to read it.
     void close();
     /// Cancels the wait for a request if the server's phase closes the connection; called on the
     /// connection's own thread.
@@ -52,6 +53,8 @@
     /// Counts buffered body bytes against the limits for one body and for all bodies.
     Result<void> reserveBodyBytes(std::size_t bytes);
     void releaseBodyBytes();
+    /// Discards what the client still sends until it closes the connection, for a limited time.
+    void discardInput();
     /// Returns whether the client has sent bytes that have not been read.
     bool hasPendingBytes();
     IoResult readByte(char &byte);
--- a/Tests/Net/TestHttpServer.cpp
+++ b/Tests/Net/TestHttpServer.cpp
@@ -114,3 +114,37 @@
     REQUIRE(client.send("GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n"));
     CHECK(client.readToEnd() == "");
 }
+
+TEST_CASE("A stopping server's response is not taken away from a client that is still sending")
+{
+    FiberThreads threads(1);
+    // More than the buffers of the connection hold.
+    const std::string largeBody(std::size_t{16} * 1024 * 1024, 'b');
+    const auto server
+            = HttpServer::listen(threads, {"127.0.0.1", 0}, {}, [&](HttpExchange &exchange) {
+                  const bool isLarge = exchange.request().target == "/large";
+                  (void)exchange.respond({404, {}, isLarge ? largeBody : "none"});
+              }).takeValue();
+    server->beginDrain();
+    RawClient client(server->endpoint());
+
+    SECTION("the rest of the request's body")
+    {
+        const std::string piece(10'000, 'x');
+        REQUIRE(client.send("POST /small HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n"));
+        for (int i = 0; i < 10; ++i) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            CHECK(client.send(piece));
+        }
+        CHECK(client.readToEnd().value_or("").ends_with("none"));
+    }
+    SECTION("its next request, while it reads slowly")
+    {
+        const std::string request = "GET /large HTTP/1.1\r\nHost: x\r\n\r\n";
+        REQUIRE(client.send(request));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        REQUIRE(client.send(request));
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        CHECK(client.readToEnd().value_or("").size() > largeBody.size());
+    }
+}
