HttpConnection: Limit the time of a discarded body as a whole

A body that nobody reads (of a call without a route, say) is discarded so that the next request can follow. Each chunk of 8 KB had the whole body timeout again, so that a slow client could hold an exchange for hours (512 chunks of 30 s with the default limits), and a stop waited for it until its end. The rest of a body has one deadline now, as a body that is read.

The test fails before: the client can send all 20 pieces, in 5 s with a timeout of 400 ms.

--- a/Libraries/Net/HttpConnection.cpp
+++ b/Libraries/Net/HttpConnection.cpp
@@ -79,9 +79,11 @@
     m_stream.expires_never();
     if (m_mustClose)
         return false;
+    // One deadline for the whole rest, as in readBody().
+    const auto deadline = SteadyClock().now() + m_limits->bodyTimeout;
     std::size_t discarded = 0;
     while (!m_parser->is_done()) {
-        const auto chunk = readBodyChunk();
+        const auto chunk = readChunkUntil(deadline);
         if (chunk.isError())
             return false;
         discarded += chunk.value().size();
--- a/Tests/Net/TestHttpServer.cpp
+++ b/Tests/Net/TestHttpServer.cpp
@@ -66,6 +66,23 @@
         }
         CHECK(sent < chunkCount);
     }
+    SECTION("The rest of a body that nobody reads times out as a whole")
+    {
+        const auto server
+                = HttpServer::listen(threads, {"127.0.0.1", 0}, limits, [](HttpExchange &exchange) {
+                      (void)exchange.respond({404, {}, ""});
+                  }).takeValue();
+        constexpr int chunkCount = 20;
+        constexpr std::size_t chunkBytes = 9'000;
+        RawClient client(server->endpoint());
+        client.send(head(chunkCount * chunkBytes));
+        int sent = 0;
+        while (sent < chunkCount && client.send(std::string(chunkBytes, 'x'))) {
+            sent += 1;
+            std::this_thread::sleep_for(std::chrono::milliseconds(250));
+        }
+        CHECK(sent < chunkCount);
+    }
     SECTION("Bytes without end that are no body are cut off before they fill the memory")
     {
         // The connection is closed by a limit on size, not on time.
