EntryProgram: Answer what a stopping process cannot finish

Callers whose request was still coming when their process ended, or who waited for results, got a closed connection and could not know whether anything had run.

Cause: StopSchedule was asked only by the relay, and only after the whole body had been read. A body may take 30 s; a job whose body came slowly was refused only at its end; calls about jobs were not asked about at all, and with a short grace_s a read that waits 1 s outlasted the process.

StopSchedule moves to the Serving library, for the entry processes of radishplankd.

--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -16,7 +16,6 @@
 #include <Gateway/PromptParts.h>
 #include <Gateway/Relay.h>
 #include <Gateway/RouteTable.h>
-#include <Gateway/StopSchedule.h>
 #include <Gateway/StreamProgress.h>
 #include <Gateway/UpstreamSelector.h>
 #include <Gateway/UpstreamTable.h>
--- a/Libraries/Gateway/Relay.cpp
+++ b/Libraries/Gateway/Relay.cpp
@@ -46,14 +46,17 @@
     const auto arrived = SteadyClock().now();
     if (!route)
         return answerWithoutRoute(exchange, m_routes);
-    auto body = exchange.readBody();
-    if (body.isError())
-        return answerUnreadBody(exchange, body.error());
     auto maxDuration = route->timeout.count() > 0 ? route->timeout : defaultTimeout;
     if (const auto left
         = parseMilliseconds(exchange.request().headers.value(m_headerNames.timeLeft)))
         maxDuration = std::min(maxDuration, *left);
     const auto deadline = arrived + maxDuration;
+    if (!m_stopSchedule.mayTake(deadline, arrived))
+        return refuseBeforeStop(exchange, *route, deadline);
+    auto body = exchange.readBody();
+    if (body.isError())
+        return answerUnreadBody(exchange, body.error());
+    // The stop may have begun, or come closer, while the body was read.
     if (!m_stopSchedule.mayTake(deadline, SteadyClock().now()))
         return refuseBeforeStop(exchange, *route, deadline);
     const double draw = std::uniform_real_distribution<double>(0, 1)(threadRandomEngine());
--- a/Libraries/Gateway/Relay.h
+++ b/Libraries/Gateway/Relay.h
@@ -5,9 +5,9 @@
 #include <Gateway/CrashingPartDetector.h>
 #include <Gateway/GatewayMetrics.h>
 #include <Gateway/RouteTable.h>
-#include <Gateway/StopSchedule.h>
 #include <Gateway/UpstreamTable.h>
 #include <Net/Net.h>
+#include <Serving/Serving.h>
 
 namespace Radishplank {
 
--- a/Libraries/Serving/Serving.h
+++ b/Libraries/Serving/Serving.h
@@ -13,4 +13,5 @@
 #include <Serving/RetryBudget.h>
 #include <Serving/Router.h>
 #include <Serving/SlotScheduler.h>
+#include <Serving/StopSchedule.h>
 #include <Serving/TokenBucket.h>
--- a/Libraries/Gateway/StopSchedule.cpp
+++ b/Libraries/Serving/StopSchedule.cpp
@@ -1,4 +1,4 @@
-#include <Gateway/StopSchedule.h>
+#include <Serving/StopSchedule.h>
 
 #include <algorithm>
 
@@ -7,8 +7,13 @@
 void StopSchedule::begin(Duration killAfter, TimePoint now)
 {
     const auto endsAt = now + killAfter - std::min<Duration>(exitMargin, killAfter / 4);
+    begin(std::min<TimePoint>(now + balancerUpdateTime, endsAt), endsAt, now);
+}
+
+void StopSchedule::begin(TimePoint closesAt, TimePoint endsAt, TimePoint now)
+{
     m_maxNeededTime = std::chrono::duration_cast<Duration>((endsAt - now) * maxNeededShare);
-    m_closesAt = std::min<TimePoint>(now + balancerUpdateTime, endsAt);
+    m_closesAt = closesAt;
     m_endsAt = endsAt;
 }
 
--- a/Libraries/Gateway/StopSchedule.h
+++ b/Libraries/Serving/StopSchedule.h
@@ -12,7 +12,10 @@
 public:
     /// Begins the stop of a process that is killed `killAfter` from now.
     void begin(Duration killAfter, TimePoint now);
+    /// Begins a stop of which both times are given.
+    void begin(TimePoint closesAt, TimePoint endsAt, TimePoint now);
 
+    [[nodiscard]] bool hasBegun() const { return endsAt() != TimePoint::max(); }
     /// Returns when the process closes idle connections and accepts no more.
     [[nodiscard]] TimePoint closesAt() const;
     /// Returns when the process cuts off the calls that are still in progress.
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -2,7 +2,7 @@
 #include "PlatformDeployment.h"
 
 #include <Gateway/CallForwarder.h>
-#include <Gateway/StopSchedule.h>
+#include <Serving/Serving.h>
 #include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -456,6 +456,52 @@
     CHECK(wholeAnswers > 0);
 }
 
+TEST_CASE("A stopping process answers what it cannot finish before its exit cuts it off",
+          "[Platform]")
+{
+    PlatformDeployment deployment;
+    auto &server = deployment.addServer("i-1");
+    deployment.writeConfiguration(1);
+    std::string stopTime = "8";
+    std::string request = "POST /plain/x HTTP/1.1\r\nX-Deadline-Ms: 5000\r\nContent-Length: 5\r\n";
+    Milliseconds sentAfter{3'000};
+    std::string answer;
+    SECTION("a call whose body is still coming")
+    {
+        answer = "HTTP/1.1 503";
+    }
+    SECTION("a job whose body is still coming")
+    {
+        request = "POST /batch/job1 HTTP/1.1\r\nX-Attempt-Id: job1\r\nContent-Length: 500\r\n";
+        answer = "HTTP/1.1 503";
+    }
+    SECTION("a call without a route whose body is still coming")
+    {
+        request = "POST /nowhere HTTP/1.1\r\nContent-Length: 500\r\n";
+        answer = "HTTP/1.1 404";
+    }
+    SECTION("a read that waits for results")
+    {
+        stopTime = "2";
+        sentAfter = Milliseconds(1'000);
+        request = "GET /-/lots/open HTTP/1.1\r\nX-Wait-Ms: 5000\r\n";
+        answer = "HTTP/1.1 503";
+    }
+    auto &entry = deployment.startEntry("entry1", {"--stop-time=" + stopTime});
+    deployment.waitUntilReady("entry1");
+    // Its item runs longer than the process.
+    server.setEventInterval(std::chrono::seconds(3));
+    REQUIRE(deployment.submit("entry1", "open", {"a"}).status == 202);
+    entry.signal(SIGTERM);
+    std::this_thread::sleep_for(sentAfter);
+    RawClient client(deployment.callers("entry1"));
+    REQUIRE(client.send(request + "Host: " + PlatformDeployment::host + "\r\n\r\n"));
+    const auto received = client.readToEnd().value_or("");
+    CAPTURE(received);
+    CHECK(received.starts_with(answer));
+    CHECK(entry.waitForEnd() == 0);
+}
+
 TEST_CASE("A process finishes the running items after SIGTERM", "[Platform]")
 {
     PlatformDeployment deployment;
--- a/Tests/Gateway/TestStopSchedule.cpp
+++ b/Tests/Serving/TestStopSchedule.cpp
@@ -1,4 +1,4 @@
-#include <Gateway/Gateway.h>
+#include <Serving/Serving.h>
 
 #include <catch2/catch.hpp>
 
