radishplankd: Refuse calls that the drain timeout would cut off

Items of jobs are not concerned: their shards are handed back.

The test fails before (status 0 instead of 503) and passes after.

--- a/Services/radishplankd/Entry/CallerApi.cpp
+++ b/Services/radishplankd/Entry/CallerApi.cpp
@@ -206,6 +206,15 @@
     return entry;
 }
 
+bool CallerApi::mayFinish(HttpExchange &exchange, TimePoint deadline)
+{
+    if (m_context.stopSchedule.mayTake(deadline, SteadyClock().now()))
+        return true;
+    m_context.metrics.refused.increase();
+    respondError(exchange, 503, Outcome::NotRun, "stopping", "this process is about to stop");
+    return false;
+}
+
 bool CallerApi::admit(HttpExchange &exchange, const Entry &entry)
 {
     const auto now = SteadyClock().now();
@@ -263,10 +272,12 @@
     spec.request = parsed.takeValue();
     spec.entry = findEntry(exchange, owner, textField(spec.request, "model").value_or(""),
                            EntryKind::Model);
-    if (!spec.entry || !admit(exchange, *spec.entry))
+    if (!spec.entry)
         return;
-    spec.method = "POST";
     spec.deadline = deadlineOf(request, *spec.entry);
+    if (!mayFinish(exchange, spec.deadline) || !admit(exchange, *spec.entry))
+        return;
+    spec.method = "POST";
     spec.isRetryable = spec.entry->isIdempotent(spec.method, spec.target)
                        && request.headers.value("Radishplank-Idempotent") != "false";
     spec.prefixKey = prefixKeyOf(spec.request);
@@ -352,14 +363,16 @@
     }
     CallSpec spec;
     spec.entry = findEntry(exchange, owner, name, EntryKind::Service);
-    if (!spec.entry || !admit(exchange, *spec.entry))
+    if (!spec.entry)
+        return;
+    spec.deadline = deadlineOf(request, *spec.entry);
+    if (!mayFinish(exchange, spec.deadline) || !admit(exchange, *spec.entry))
         return;
     spec.method = request.method;
     const auto path = slash == std::string::npos ? "/" : rest.substr(slash);
     spec.target = target.query.empty() ? path : path + "?" + target.query;
     spec.contentType = request.headers.value("Content-Type");
     spec.body = body.takeValue();
-    spec.deadline = deadlineOf(request, *spec.entry);
     spec.isRetryable = spec.entry->isIdempotent(spec.method, path)
                        && request.headers.value("Radishplank-Idempotent") != "false";
     spec.fingerprint = fingerprintOf(owner, spec.method + request.target, spec.body);
--- a/Services/radishplankd/Entry/CallerApi.h
+++ b/Services/radishplankd/Entry/CallerApi.h
@@ -23,6 +23,9 @@
     /// class.
     std::shared_ptr<const Entry> findEntry(HttpExchange &exchange, const OwnerId &owner,
                                            const std::string &name, EntryKind kind);
+    /// Responds with an error and returns false if the process is about to stop and could not
+    /// finish the call.
+    bool mayFinish(HttpExchange &exchange, TimePoint deadline);
     bool admit(HttpExchange &exchange, const Entry &entry);
     void release(const Entry &entry);
     CallResult runService(const HttpRequest &request, const CallSpec &spec);
--- a/Services/radishplankd/Entry/EntryContext.h
+++ b/Services/radishplankd/Entry/EntryContext.h
@@ -43,6 +43,7 @@
     UsageCounters &usage;
     LinkAllowance &batchLink;
     DemandMeter &demand;
+    StopSchedule &stopSchedule;
     NodeId node;
 };
 
--- a/Services/radishplankd/Entry/EntryDaemon.cpp
+++ b/Services/radishplankd/Entry/EntryDaemon.cpp
@@ -94,18 +94,19 @@
 }
 
 void drain(HttpServer &callerServer, BatchScheduler &batch, const EntrySettings &settings,
-           const std::function<void()> &unregister)
+           StopSchedule &stopSchedule, const std::function<void()> &unregister)
 {
+    const auto now = SteadyClock().now();
+    const auto closesAt = now + settings.lameDuck;
+    stopSchedule.begin(closesAt, closesAt + settings.common.drainTimeout, now);
     batch.beginDrain();
     callerServer.beginDrain();
     // The load balancer sends calls until it notices the drain, so they are still accepted.
-    std::this_thread::sleep_for(settings.lameDuck);
-    callerServer.closeIdle();
+    std::this_thread::sleep_until(stopSchedule.closesAt());
     // Unregister only now: the other processes then take over this process's limit shares.
     unregister();
-    const auto deadline = SteadyClock().now() + settings.common.drainTimeout;
-    while (SteadyClock().now() < deadline
-           && (callerServer.activeExchanges() > 0 || batch.shardsHeld() > 0))
+    callerServer.closeAll(stopSchedule.endsAt());
+    while (SteadyClock().now() < stopSchedule.endsAt() && batch.shardsHeld() > 0)
         std::this_thread::sleep_for(drainPollInterval);
     std::this_thread::sleep_for(flushTime);
 }
@@ -132,9 +133,10 @@
     RetryBudget retryBudget(retryBudgetShare, retryBudgetReserve);
     EntryMetrics metrics;
     UsageCounters usage;
+    StopSchedule stopSchedule;
     EntryContext context{threads,  *control,  store,      configuration, fleet,
                          attempts, limits,    quarantine, retryBudget,   metrics,
-                         usage,    batchLink, demand,     node};
+                         usage,    batchLink, demand,     stopSchedule,  node};
     ConfigurationSync sync(context, syncSettings(settings), [&] {
         std::vector<NodeId> nodes;
         std::vector<AgentMember> agents;
@@ -197,7 +199,7 @@
     logStateChange("entry-draining");
     operatorApi.setDraining();
     placement.beginDrain();
-    drain(*callerServer, batch, settings,
+    drain(*callerServer, batch, settings, stopSchedule,
           [&] { threads.spawn([&registration] { registration.remove(); }); });
     logStateChange("entry-stopped");
     exitProcess(0);
--- a/Tests/Integration/TestOnlinePromises.cpp
+++ b/Tests/Integration/TestOnlinePromises.cpp
@@ -539,3 +539,24 @@
     CHECK(streamedText(stream.answer.get().body) == expectedText("stream", 60));
     CHECK(process.waitForEnd() == 0);
 }
+
+TEST_CASE("A stopping entry process refuses a call that would outlast its drain timeout")
+{
+    Deployment deployment;
+    deployment.addAgent("agent1", {.slots = 8, .tokenIntervalMs = 50});
+    deployment.addEntry("entry1", {.arguments = {"--lame-duck=6000", "--drain-timeout=1000"}});
+    deployment.putCatalogue(1);
+    auto &process = *deployment.entry("entry1").process;
+    process.signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(3'500));
+    // Takes 5 s.
+    auto request = completion("late", 100);
+    request.headers.add("Radishplank-Deadline-Ms", "10000");
+    const auto late = deployment.call("entry1", request);
+    CHECK(late.status == 503);
+    CHECK(late.headers.value("Radishplank-Outcome") == "not-run");
+    request = completion("short", 2);
+    request.headers.add("Radishplank-Deadline-Ms", "1000");
+    CHECK(completionText(deployment.call("entry1", request)) == expectedText("short", 2));
+    CHECK(process.waitForEnd() == 0);
+}
