Tests: Leave busy machines more time before a stopping process closes its port

The calls of the new tests were sent up to 0.5 s before the port is closed; now it is 0.8 s or more, at the same distance from what they check. A parameter that was only read is passed by reference (linter).

--- a/Libraries/Net/HttpServer.cpp
+++ b/Libraries/Net/HttpServer.cpp
@@ -77,7 +77,7 @@
 
 template<typename State>
 void spawnConnection(const std::shared_ptr<State> &state, std::size_t threadIndex,
-                     std::shared_ptr<tcp::socket> socket)
+                     const std::shared_ptr<tcp::socket> &socket)
 {
     if (state->openConnections >= state->limits.load()->connections)
         return;
@@ -97,7 +97,7 @@
         auto socket = std::make_shared<tcp::socket>(state->threads.context(0));
         state->acceptor.accept(*socket, code);
         if (!code)
-            spawnConnection(state, 0, std::move(socket));
+            spawnConnection(state, 0, socket);
     }
     state->acceptor.close(code);
     state->isAccepting = false;
@@ -126,7 +126,7 @@
             });
             continue;
         }
-        spawnConnection(state, threadIndex, std::move(socket));
+        spawnConnection(state, threadIndex, socket);
     }
     finishAccepting(state);
 }
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -419,7 +419,7 @@
         threads.emplace_back([&, i] {
             processes[i]->signal(SIGTERM);
             const auto closesAt = SteadyClock().now() + StopSchedule::balancerUpdateTime;
-            std::this_thread::sleep_until(closesAt - Milliseconds(500));
+            std::this_thread::sleep_until(closesAt - Milliseconds(2'000));
             for (unsigned call = 0; call < callsPerProcess; ++call) {
                 const auto attempt = "a" + std::to_string(i) + "-" + std::to_string(call);
                 const auto address = deployment.callers("entry" + std::to_string(i));
@@ -464,7 +464,7 @@
     deployment.writeConfiguration(1);
     std::string stopTime = "8";
     std::string request = "POST /plain/x HTTP/1.1\r\nX-Deadline-Ms: 5000\r\nContent-Length: 5\r\n";
-    Milliseconds sentAfter{3'000};
+    Milliseconds sentAfter{2'400};
     std::string answer;
     SECTION("a call whose body is still coming")
     {
@@ -482,8 +482,8 @@
     }
     SECTION("a read that waits for results")
     {
-        stopTime = "2";
-        sentAfter = Milliseconds(1'000);
+        stopTime = "3";
+        sentAfter = Milliseconds(1'500);
         request = "GET /-/lots/open HTTP/1.1\r\nX-Wait-Ms: 5000\r\n";
         answer = "HTTP/1.1 503";
     }
