Tests: Meet an item that a server turns away with a body without end

This test names the held item, in four forms: a refusal with a length, one in chunks, a 421 that ends with its connection, and a failure in chunks.

--- a/Tests/Platform/TestMalformedResponses.cpp
+++ b/Tests/Platform/TestMalformedResponses.cpp
@@ -181,6 +181,47 @@
     CHECK(server.repeatedBytes() < maxBytes * server.requests());
 }
 
+TEST_CASE("An item that a server turns away with an endless body runs at another server",
+          "[Platform]")
+{
+    PlatformDeployment deployment;
+    std::string head;
+    std::string piece = "x";
+    SECTION("of a given length, as a refusal")
+    {
+        head = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 9999\r\n";
+    }
+    SECTION("in chunks, as a refusal")
+    {
+        head = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n";
+        piece = "9\r\nno answer\r\n";
+    }
+    SECTION("that ends with its connection, as a refusal of another server's request")
+    {
+        head = "HTTP/1.1 421 Misdirected\r\n";
+    }
+    SECTION("in chunks, as a failure")
+    {
+        head = "HTTP/1.1 502 Broken\r\nTransfer-Encoding: chunked\r\n";
+        piece = "9\r\nno answer\r\n";
+    }
+    RawResponseServer server(deployment.freeAddress(), [&](const std::string &attempt) {
+        return head + "X-Attempt-Id: " + attempt + "\r\n\r\n";
+    });
+    server.repeatUntilClosed(piece, Milliseconds(500));
+    deployment.registerAt("i-9", server.endpoint(), "ready");
+    deployment.writeConfiguration(1);
+    deployment.startEntry("entry1");
+    deployment.waitUntilReady("entry1");
+    REQUIRE(deployment.submit("entry1", "job1", {"held"}).status == 202);
+    REQUIRE(eventually([&] { return server.requests() > 0; }));
+    deployment.addServer("i-1");
+    const auto results = deployment.waitForResults("entry1", "job1", 1);
+    REQUIRE(results.size() == 1);
+    CHECK(results.at(0).at("id").as_string() == "held");
+    CHECK(results.at(0).at("output").as_string() == FakeServer::responseData("held"));
+}
+
 TEST_CASE("Bytes after a complete response are not taken as the response to another request",
           "[Platform]")
 {
