--- a/Libraries/Net/HttpConnection.h
+++ b/Libraries/Net/HttpConnection.h
@@ -23,7 +23,7 @@
     /// Discards the rest of the request body so that the next request can follow; returns false if
     /// the rest is too large or the connection must close.
     bool finishExchange();
-    /// Closes the connection. If it ends after a response, the client may take some time to read it.
+    /// Closes the connection, after the client has had some time to read a last response.
     void close();
     /// Cancels the wait for a request if the server's phase closes the connection; called on the
     /// connection's own thread.
