--- a/Tests/Net/TestHttpServer.cpp
+++ b/Tests/Net/TestHttpServer.cpp
@@ -37,6 +37,19 @@
         }
         return sent;
     };
+    /// Sends a body of 9 KB every 250 ms; returns how many pieces were sent before the server
+    /// closed.
+    const auto sendBodySlowly = [&](const Endpoint &endpoint, int pieceCount) {
+        const std::string piece(9'000, 'x');
+        RawClient client(endpoint);
+        client.send(head(static_cast<std::size_t>(pieceCount) * piece.size()));
+        int sent = 0;
+        while (sent < pieceCount && client.send(piece)) {
+            sent += 1;
+            std::this_thread::sleep_for(std::chrono::milliseconds(250));
+        }
+        return sent;
+    };
 
     SECTION("An incomplete request line times out")
     {
@@ -56,15 +69,7 @@
     {
         const auto server = serve();
         constexpr int chunkCount = 11;
-        constexpr std::size_t chunkBytes = 9'000;
-        RawClient client(server->endpoint());
-        client.send(head(chunkCount * chunkBytes));
-        int sent = 0;
-        while (sent < chunkCount && client.send(std::string(chunkBytes, 'x'))) {
-            sent += 1;
-            std::this_thread::sleep_for(std::chrono::milliseconds(250));
-        }
-        CHECK(sent < chunkCount);
+        CHECK(sendBodySlowly(server->endpoint(), chunkCount) < chunkCount);
     }
     SECTION("The rest of a body that nobody reads times out as a whole")
     {
@@ -73,15 +78,7 @@
                       (void)exchange.respond({404, {}, ""});
                   }).takeValue();
         constexpr int chunkCount = 20;
-        constexpr std::size_t chunkBytes = 9'000;
-        RawClient client(server->endpoint());
-        client.send(head(chunkCount * chunkBytes));
-        int sent = 0;
-        while (sent < chunkCount && client.send(std::string(chunkBytes, 'x'))) {
-            sent += 1;
-            std::this_thread::sleep_for(std::chrono::milliseconds(250));
-        }
-        CHECK(sent < chunkCount);
+        CHECK(sendBodySlowly(server->endpoint(), chunkCount) < chunkCount);
     }
     SECTION("Bytes without end that are no body are cut off before they fill the memory")
     {
