--- a/Libraries/Catalogue/CatalogueObjects.h
+++ b/Libraries/Catalogue/CatalogueObjects.h
@@ -2,6 +2,7 @@
 
 #include <Core/Core.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,8 @@
     std::string tokenDigest;
     double weight = 1;
     Limits limits;
+    /// Takes precedence over the priority of a route; 0 is the most urgent.
+    std::optional<unsigned> priority;
 };
 
 enum class EntryKind { Model, Service };
--- a/Libraries/Core/Settings.cpp
+++ b/Libraries/Core/Settings.cpp
@@ -202,6 +202,10 @@
                 findings.add(place, "is required (or set " + variable + ")");
             continue;
         }
+        // A deployment's template renders nothing for a value that its platform does not provide.
+        const bool isText = std::holds_alternative<std::string *>(binding.target);
+        if (values[i]->empty() && !isText && binding.presence == Presence::Optional)
+            continue;
         if (const auto errorMessage = std::visit(Assign{*values[i]}, binding.target))
             findings.add(place, *errorMessage);
     }
--- a/Libraries/Core/Settings.h
+++ b/Libraries/Core/Settings.h
@@ -34,7 +34,8 @@
     void bind(Target target, std::string name, std::string unit, std::string help,
               Presence presence = Presence::Optional);
 
-    /// Reads every setting and reports all errors together. Unknown flags are errors.
+    /// Reads every setting and reports all errors together. Unknown flags are errors. An empty
+    /// value leaves the default of an optional setting that is not a text.
     Result<Parsed> parse(std::span<char *const> arguments);
 
     /// Returns the text that --help prints.
--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -8,6 +8,19 @@
   upstream @0 :UInt64;   # Hash of the upstream's name.
   online @1 :UInt16;
   batch @2 :UInt16;
+  onlineRemainingMs @3 :UInt32;  # Expected remaining slot time of the online streams; 0 if unknown.
+  batchRemainingMs @4 :UInt32;   # Expected remaining slot time of the batch items; 0 if unknown.
+}
+
+# Online streams of one owner at one entry process.
+struct OwnerStreams {
+  owner @0 :UInt64;              # Hash of the owner's name.
+  online @1 :UInt16;
+}
+
+# A set of processes among which the homes of the owners' quotas are chosen.
+struct QuotaHomes {
+  nodes @0 :List(UInt64);        # Hashes of the processes' names.
 }
 
 # Batch items that wait for a slot of a service at one entry process.
@@ -81,4 +94,8 @@
   suspectCalls @18 :List(SuspectCall);
   clearedParts @19 :List(ClearedPart);
   blockedParts @20 :List(BlockedParts);
+  ownerLoads @21 :List(OwnerStreams); # Owners with the most streams at the sender.
+  quotaHomes @22 :QuotaHomes;         # The sender pledges its share of each quota to these.
+  previousQuotaHomes @23 :List(QuotaHomes); # Earlier sets that may still count its share.
+  bootAgeMs @24 :UInt64;              # Time since the sender's process started.
 }
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -17,6 +17,8 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(833c2538e2f6e422);
+CAPNP_DECLARE_SCHEMA(c442eea201ef0694);
+CAPNP_DECLARE_SCHEMA(a41f8a005e858ced);
 CAPNP_DECLARE_SCHEMA(aee4fa194d61b53b);
 CAPNP_DECLARE_SCHEMA(b936efe46a5d9c00);
 CAPNP_DECLARE_SCHEMA(ed63e63dc91e7af2);
@@ -39,7 +41,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(833c2538e2f6e422, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(833c2538e2f6e422, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OwnerStreams {
+  OwnerStreams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c442eea201ef0694, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaHomes {
+  QuotaHomes() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a41f8a005e858ced, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -144,7 +176,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 4, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 5, 16)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -176,6 +208,10 @@
 
   inline  ::uint16_t getBatch() const;
 
+  inline  ::uint32_t getOnlineRemainingMs() const;
+
+  inline  ::uint32_t getBatchRemainingMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -213,6 +249,12 @@
   inline  ::uint16_t getBatch();
   inline void setBatch( ::uint16_t value);
 
+  inline  ::uint32_t getOnlineRemainingMs();
+  inline void setOnlineRemainingMs( ::uint32_t value);
+
+  inline  ::uint32_t getBatchRemainingMs();
+  inline void setBatchRemainingMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -239,6 +281,169 @@
 };
 #endif  // !CAPNP_LITE
 
+class OwnerStreams::Reader {
+public:
+  typedef OwnerStreams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOwner() const;
+
+  inline  ::uint16_t getOnline() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OwnerStreams::Builder {
+public:
+  typedef OwnerStreams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOwner();
+  inline void setOwner( ::uint64_t value);
+
+  inline  ::uint16_t getOnline();
+  inline void setOnline( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OwnerStreams::Pipeline {
+public:
+  typedef OwnerStreams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaHomes::Reader {
+public:
+  typedef QuotaHomes Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNodes() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNodes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaHomes::Builder {
+public:
+  typedef QuotaHomes Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNodes();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getNodes();
+  inline void setNodes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setNodes(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initNodes(unsigned int size);
+  inline void adoptNodes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNodes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaHomes::Pipeline {
+public:
+  typedef QuotaHomes Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ServiceDemand::Reader {
 public:
   typedef ServiceDemand Reads;
@@ -864,6 +1069,17 @@
   inline bool hasBlockedParts() const;
   inline  ::capnp::List< ::Radishplank::Rpc::BlockedParts,  ::capnp::Kind::STRUCT>::Reader getBlockedParts() const;
 
+  inline bool hasOwnerLoads() const;
+  inline  ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>::Reader getOwnerLoads() const;
+
+  inline bool hasQuotaHomes() const;
+  inline  ::Radishplank::Rpc::QuotaHomes::Reader getQuotaHomes() const;
+
+  inline bool hasPreviousQuotaHomes() const;
+  inline  ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>::Reader getPreviousQuotaHomes() const;
+
+  inline  ::uint64_t getBootAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1010,6 +1226,30 @@
   inline void adoptBlockedParts(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::BlockedParts,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::BlockedParts,  ::capnp::Kind::STRUCT>> disownBlockedParts();
 
+  inline bool hasOwnerLoads();
+  inline  ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>::Builder getOwnerLoads();
+  inline void setOwnerLoads( ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>::Builder initOwnerLoads(unsigned int size);
+  inline void adoptOwnerLoads(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>> disownOwnerLoads();
+
+  inline bool hasQuotaHomes();
+  inline  ::Radishplank::Rpc::QuotaHomes::Builder getQuotaHomes();
+  inline void setQuotaHomes( ::Radishplank::Rpc::QuotaHomes::Reader value);
+  inline  ::Radishplank::Rpc::QuotaHomes::Builder initQuotaHomes();
+  inline void adoptQuotaHomes(::capnp::Orphan< ::Radishplank::Rpc::QuotaHomes>&& value);
+  inline ::capnp::Orphan< ::Radishplank::Rpc::QuotaHomes> disownQuotaHomes();
+
+  inline bool hasPreviousQuotaHomes();
+  inline  ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>::Builder getPreviousQuotaHomes();
+  inline void setPreviousQuotaHomes( ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>::Builder initPreviousQuotaHomes(unsigned int size);
+  inline void adoptPreviousQuotaHomes(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>> disownPreviousQuotaHomes();
+
+  inline  ::uint64_t getBootAgeMs();
+  inline void setBootAgeMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1028,6 +1268,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Radishplank::Rpc::QuotaHomes::Pipeline getQuotaHomes();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1080,6 +1321,100 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t UpstreamStreams::Reader::getOnlineRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamStreams::Builder::getOnlineRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamStreams::Builder::setOnlineRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UpstreamStreams::Reader::getBatchRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamStreams::Builder::getBatchRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamStreams::Builder::setBatchRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t OwnerStreams::Reader::getOwner() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OwnerStreams::Builder::getOwner() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OwnerStreams::Builder::setOwner( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t OwnerStreams::Reader::getOnline() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t OwnerStreams::Builder::getOnline() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void OwnerStreams::Builder::setOnline( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaHomes::Reader::hasNodes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaHomes::Builder::hasNodes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader QuotaHomes::Reader::getNodes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder QuotaHomes::Builder::getNodes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaHomes::Builder::setNodes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void QuotaHomes::Builder::setNodes(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder QuotaHomes::Builder::initNodes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaHomes::Builder::adoptNodes(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> QuotaHomes::Builder::disownNodes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ServiceDemand::Reader::getService() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2016,6 +2351,127 @@
       ::capnp::bounded<12>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::hasOwnerLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasOwnerLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getOwnerLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getOwnerLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setOwnerLoads( ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initOwnerLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptOwnerLoads(
+    ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownOwnerLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::OwnerStreams,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasQuotaHomes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasQuotaHomes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Radishplank::Rpc::QuotaHomes::Reader PeerReport::Reader::getQuotaHomes() const {
+  return ::capnp::_::PointerHelpers< ::Radishplank::Rpc::QuotaHomes>::get(_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline  ::Radishplank::Rpc::QuotaHomes::Builder PeerReport::Builder::getQuotaHomes() {
+  return ::capnp::_::PointerHelpers< ::Radishplank::Rpc::QuotaHomes>::get(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Radishplank::Rpc::QuotaHomes::Pipeline PeerReport::Pipeline::getQuotaHomes() {
+  return  ::Radishplank::Rpc::QuotaHomes::Pipeline(_typeless.getPointerField(14));
+}
+#endif  // !CAPNP_LITE
+inline void PeerReport::Builder::setQuotaHomes( ::Radishplank::Rpc::QuotaHomes::Reader value) {
+  ::capnp::_::PointerHelpers< ::Radishplank::Rpc::QuotaHomes>::set(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), value);
+}
+inline  ::Radishplank::Rpc::QuotaHomes::Builder PeerReport::Builder::initQuotaHomes() {
+  return ::capnp::_::PointerHelpers< ::Radishplank::Rpc::QuotaHomes>::init(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::adoptQuotaHomes(
+    ::capnp::Orphan< ::Radishplank::Rpc::QuotaHomes>&& value) {
+  ::capnp::_::PointerHelpers< ::Radishplank::Rpc::QuotaHomes>::adopt(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Radishplank::Rpc::QuotaHomes> PeerReport::Builder::disownQuotaHomes() {
+  return ::capnp::_::PointerHelpers< ::Radishplank::Rpc::QuotaHomes>::disown(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasPreviousQuotaHomes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasPreviousQuotaHomes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getPreviousQuotaHomes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getPreviousQuotaHomes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setPreviousQuotaHomes( ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initPreviousQuotaHomes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptPreviousQuotaHomes(
+    ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownPreviousQuotaHomes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::QuotaHomes,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PeerReport::Reader::getBootAgeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerReport::Builder::getBootAgeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setBootAgeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -87,14 +87,32 @@
     }
 }
 
+QuotaHomes decodeQuotaHomes(Rpc::QuotaHomes::Reader reader)
+{
+    QuotaHomes homes;
+    for (const auto node : reader.getNodes())
+        homes.push_back(node);
+    return homes;
+}
+
+void encodeQuotaHomes(const QuotaHomes &homes, Rpc::QuotaHomes::Builder builder)
+{
+    auto nodes = builder.initNodes(static_cast<unsigned>(homes.size()));
+    for (unsigned i = 0; i < homes.size(); ++i)
+        nodes.set(i, homes[i]);
+}
+
 PeerReport decodeReader(Rpc::PeerReport::Reader reader)
 {
     PeerReport report;
     report.node = NodeId(textOf(reader.getNode()));
     report.zone = ZoneName(textOf(reader.getZone()));
     report.control = {textOf(reader.getControlAddress()), reader.getControlPort()};
-    for (const auto load : reader.getLoads())
-        report.loads.push_back({load.getUpstream(), load.getOnline(), load.getBatch()});
+    for (const auto load : reader.getLoads()) {
+        report.loads.push_back({load.getUpstream(), load.getOnline(), load.getBatch(),
+                                Milliseconds(load.getOnlineRemainingMs()),
+                                Milliseconds(load.getBatchRemainingMs())});
+    }
     for (const auto demand : reader.getWaiting())
         report.waiting.push_back({demand.getService(), demand.getItems(), demand.getLateItems()});
     for (const auto upstream : reader.getLeaving())
@@ -117,6 +135,12 @@
     report.isStoreReachable = reader.getIsStoreReachable();
     report.fleet
             = {reader.getConfiguration(), reader.getUpstreamRevision(), reader.getUpstreamDigest()};
+    for (const auto load : reader.getOwnerLoads())
+        report.ownerLoads.push_back({load.getOwner(), load.getOnline()});
+    report.quotaHomes = decodeQuotaHomes(reader.getQuotaHomes());
+    for (const auto homes : reader.getPreviousQuotaHomes())
+        report.previousQuotaHomes.push_back(decodeQuotaHomes(homes));
+    report.bootAge = Milliseconds(reader.getBootAgeMs());
     return report;
 }
 
@@ -135,6 +159,8 @@
         loads[i].setUpstream(report.loads[i].upstream);
         loads[i].setOnline(static_cast<std::uint16_t>(report.loads[i].online));
         loads[i].setBatch(static_cast<std::uint16_t>(report.loads[i].batch));
+        loads[i].setOnlineRemainingMs(encodeMilliseconds(report.loads[i].onlineRemaining));
+        loads[i].setBatchRemainingMs(encodeMilliseconds(report.loads[i].batchRemaining));
     }
     auto waiting = builder.initWaiting(static_cast<unsigned>(report.waiting.size()));
     for (unsigned i = 0; i < report.waiting.size(); ++i) {
@@ -172,6 +198,17 @@
     builder.setConfiguration(report.fleet.configuration);
     builder.setUpstreamRevision(report.fleet.upstreamRevision);
     builder.setUpstreamDigest(report.fleet.upstreamDigest);
+    auto ownerLoads = builder.initOwnerLoads(static_cast<unsigned>(report.ownerLoads.size()));
+    for (unsigned i = 0; i < report.ownerLoads.size(); ++i) {
+        ownerLoads[i].setOwner(report.ownerLoads[i].owner);
+        ownerLoads[i].setOnline(static_cast<std::uint16_t>(report.ownerLoads[i].online));
+    }
+    encodeQuotaHomes(report.quotaHomes, builder.initQuotaHomes());
+    auto previousHomes = builder.initPreviousQuotaHomes(
+            static_cast<unsigned>(report.previousQuotaHomes.size()));
+    for (unsigned i = 0; i < report.previousQuotaHomes.size(); ++i)
+        encodeQuotaHomes(report.previousQuotaHomes[i], previousHomes[i]);
+    builder.setBootAgeMs(static_cast<std::uint64_t>(report.bootAge.count()));
     const auto words = capnp::messageToFlatArray(message);
     const auto bytes = words.asBytes();
     return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -18,8 +18,24 @@
     std::uint64_t upstream = 0;
     unsigned online = 0;
     unsigned batch = 0;
+    /// Expected remaining slot time of these streams; 0 if the sender does not estimate it.
+    Milliseconds onlineRemaining{0};
+    Milliseconds batchRemaining{0};
 };
 
+/// Online streams of one owner at one entry process.
+struct OwnerStreams
+{
+    /// Hash of the owner's name, as ownerHash() gives it.
+    std::uint64_t owner = 0;
+    unsigned online = 0;
+
+    bool operator==(const OwnerStreams &) const = default;
+};
+
+/// Hashes of the names of the processes among which the homes of the owners' quotas are chosen.
+using QuotaHomes = std::vector<std::uint64_t>;
+
 /// Batch items that wait for a slot of a service at one entry process.
 struct ServiceDemand
 {
@@ -83,6 +99,14 @@
     /// Whether the store answered when the sender last called it.
     bool isStoreReachable = true;
     FleetVersion fleet;
+    /// The owners with the most streams at the sender.
+    std::vector<OwnerStreams> ownerLoads;
+    /// The processes to which the sender pledges its share of each quota.
+    QuotaHomes quotaHomes;
+    /// Earlier values of quotaHomes; processes in these may still count the sender's share.
+    std::vector<QuotaHomes> previousQuotaHomes;
+    /// Time since the sender's process started.
+    Milliseconds bootAge{0};
 };
 
 /// Encodes a report for one datagram.
@@ -98,6 +122,14 @@
 {
     return stableHash(service);
 }
+[[nodiscard]] inline std::uint64_t ownerHash(const std::string &owner)
+{
+    return stableHash(owner);
+}
+[[nodiscard]] inline std::uint64_t nodeHash(const NodeId &node)
+{
+    return stableHash(node.text());
+}
 [[nodiscard]] inline std::uint64_t jobHash(const std::string &job)
 {
     return stableHash(job);
--- a/Libraries/Gateway/Relay.h
+++ b/Libraries/Gateway/Relay.h
@@ -21,7 +21,9 @@
 
     /// Answers a call; `route` is the route that the directory has found for it, or null. Refuses a
     /// call that may last longer than the process, which is about to stop.
-    void serve(HttpExchange &exchange, const std::shared_ptr<const Route> &route);
+    /// `owner` is the organisation that makes the call, or null.
+    void serve(HttpExchange &exchange, const std::shared_ptr<const Route> &route,
+               const std::shared_ptr<const Owner> &owner);
 
 private:
     void refuseBeforeStop(HttpExchange &exchange, const Route &route, TimePoint deadline);
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -28,6 +28,8 @@
     TimePoint deadline;
     /// Version of the configuration that contains the route.
     std::uint64_t configuration = 0;
+    /// The organisation that makes the call; null if none is known.
+    std::shared_ptr<const Owner> owner;
 };
 
 /// Proxies one call to upstreams until one of them has answered it or no further attempt is
