Gateway, platform: Decide in one place in whose name a call is made

Callers saw their keys passed on to servers, calls with keys that no configuration holds were served, and a key that had been taken away worked until the next configuration reached the process, or for ever at one that was cut off.

CallerAuthenticator decides for each call, before anything else sees it. A process refuses calls with keys unless it can show that its configuration was the newest one within the revocation time: the first process of a zone reads the store, the others ask their parent in a tree, and ages only grow on the way. An unknown key is refused only after the newest configuration has been read. Jobs belong to the organisation that submitted them; the limit on waiting tokens counts for each organisation. radishplankd finds owners in the same class.

Ruled out: ages in datagrams, which a suspended process takes for fresh ones.

--- a/Libraries/Batch/SmallJob.cpp
+++ b/Libraries/Batch/SmallJob.cpp
@@ -71,8 +71,9 @@
 
 bool SmallJob::hasSameItems(const SmallJob &other) const
 {
-    return std::equal(items.begin(), items.end(), other.items.begin(), other.items.end(),
-                      isSameItem);
+    return organisation == other.organisation
+           && std::equal(items.begin(), items.end(), other.items.begin(), other.items.end(),
+                         isSameItem);
 }
 
 std::int64_t SmallJob::tokens() const
@@ -92,6 +93,7 @@
                                         {"host", job.host},
                                         {"path", job.path},
                                         {"owner", job.owner.text()},
+                                        {"organisation", job.organisation},
                                         {"submittedAt", job.submittedAt},
                                         {"items", std::move(items)}});
 }
@@ -104,6 +106,7 @@
     job.host = textField(fields, "host").value_or("");
     job.path = textField(fields, "path").value_or("");
     job.owner = NodeId(textField(fields, "owner").value_or(""));
+    job.organisation = textField(fields, "organisation").value_or("");
     job.submittedAt = integerField(fields, "submittedAt", 0);
     const auto *items = arrayField(fields, "items");
     if (job.id.empty() || items == nullptr)
--- a/Libraries/Batch/SmallJob.h
+++ b/Libraries/Batch/SmallJob.h
@@ -32,11 +32,13 @@
     std::string path;
     /// The entry process that owns the job and runs its items.
     NodeId owner;
+    /// Name of the organisation that submitted the job; empty if calls need no credentials.
+    std::string organisation;
     /// Unix time in milliseconds.
     std::int64_t submittedAt = 0;
     std::vector<JobItem> items;
 
-    /// Returns whether another submission has the same items.
+    /// Returns whether another submission is of the same organisation and has the same items.
     [[nodiscard]] bool hasSameItems(const SmallJob &other) const;
     [[nodiscard]] std::int64_t tokens() const;
 };
--- a/Libraries/Catalogue/CatalogueObjects.cpp
+++ b/Libraries/Catalogue/CatalogueObjects.cpp
@@ -111,11 +111,11 @@
     reader.rejectUnknownFields({"tokenDigest", "weight", "limits"});
     Owner owner;
     owner.id = id;
-    owner.tokenDigest = reader.requiredText("tokenDigest");
-    const bool isHexadecimal
-            = owner.tokenDigest.find_first_not_of("0123456789abcdef") == std::string::npos;
-    if (!owner.tokenDigest.empty() && (owner.tokenDigest.size() != digestLength || !isHexadecimal))
+    const auto digest = reader.requiredText("tokenDigest");
+    const bool isHexadecimal = digest.find_first_not_of("0123456789abcdef") == std::string::npos;
+    if (!digest.empty() && (digest.size() != digestLength || !isHexadecimal))
         findings.add(place + ".tokenDigest", "must be 64 lower-case hexadecimal digits");
+    owner.tokenDigests = {digest};
     owner.weight = reader.number("weight", 1);
     if (owner.weight == 0)
         findings.add(place + ".weight", "must be above 0");
--- a/Libraries/Catalogue/CatalogueObjects.h
+++ b/Libraries/Catalogue/CatalogueObjects.h
@@ -25,8 +25,8 @@
 struct Owner
 {
     OwnerId id;
-    /// SHA-256 of the bearer token, in hexadecimal; the token itself is never stored.
-    std::string tokenDigest;
+    /// SHA-256 of each bearer token, in hexadecimal; the tokens themselves are never stored.
+    std::vector<std::string> tokenDigests;
     double weight = 1;
     Limits limits;
     /// Takes precedence over the priority of a route; 0 is the most urgent.
--- a/Libraries/Catalogue/CatalogueSnapshot.cpp
+++ b/Libraries/Catalogue/CatalogueSnapshot.cpp
@@ -19,31 +19,27 @@
 {
     auto snapshot = std::make_unique<CatalogueSnapshot>();
     snapshot->m_revision = revision;
+    std::vector<Owner> owners;
     for (const auto &object : objects) {
         const auto fields = parseJsonObject(object.value);
         if (fields.isError()) {
             findings.add(object.key, fields.error().message);
             continue;
         }
-        snapshot->add(object, fields.value(), findings);
-    }
-    for (std::size_t i = 0; i < snapshot->m_owners.size(); ++i) {
-        snapshot->m_ownersByDigest[snapshot->m_owners[i].tokenDigest] = i;
-        snapshot->m_ownersById[snapshot->m_owners[i].id] = i;
+        snapshot->add(object, fields.value(), owners, findings);
     }
+    snapshot->m_owners = OwnerDirectory(std::move(owners));
     return snapshot;
 }
 
-const Owner *CatalogueSnapshot::ownerByTokenDigest(const std::string &digest) const
+std::shared_ptr<const Owner> CatalogueSnapshot::ownerByTokenDigest(std::string_view digest) const
 {
-    const auto found = m_ownersByDigest.find(digest);
-    return found == m_ownersByDigest.end() ? nullptr : &m_owners[found->second];
+    return m_owners.findByDigest(digest);
 }
 
-const Owner *CatalogueSnapshot::owner(const OwnerId &id) const
+std::shared_ptr<const Owner> CatalogueSnapshot::owner(const OwnerId &id) const
 {
-    const auto found = m_ownersById.find(id);
-    return found == m_ownersById.end() ? nullptr : &m_owners[found->second];
+    return m_owners.find(id);
 }
 
 std::shared_ptr<const Entry> CatalogueSnapshot::entry(const OwnerId &owner,
@@ -76,7 +72,7 @@
 }
 
 void CatalogueSnapshot::add(const StoredObject &object, const boost::json::object &fields,
-                            Findings &findings)
+                            std::vector<Owner> &owners, Findings &findings)
 {
     const std::string_view key = object.key;
     Findings objectFindings;
@@ -84,7 +80,7 @@
         auto owner = parseOwner(OwnerId(object.key.substr(ownerPrefix.size())), fields,
                                 objectFindings);
         if (objectFindings.isEmpty())
-            m_owners.push_back(std::move(owner));
+            owners.push_back(std::move(owner));
     } else if (key.starts_with(entryPrefix)) {
         const auto names = object.key.substr(entryPrefix.size());
         const auto slash = names.find('/');
--- a/Libraries/Catalogue/CatalogueSnapshot.h
+++ b/Libraries/Catalogue/CatalogueSnapshot.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Catalogue/CatalogueObjects.h>
+#include <Catalogue/OwnerDirectory.h>
 #include <Store/ObjectStore.h>
 
 #include <memory>
@@ -20,13 +21,16 @@
 
     [[nodiscard]] Version revision() const { return m_revision; }
     /// Returns the owner whose token has this digest, or null.
-    [[nodiscard]] const Owner *ownerByTokenDigest(const std::string &digest) const;
-    [[nodiscard]] const Owner *owner(const OwnerId &id) const;
+    [[nodiscard]] std::shared_ptr<const Owner> ownerByTokenDigest(std::string_view digest) const;
+    [[nodiscard]] std::shared_ptr<const Owner> owner(const OwnerId &id) const;
     /// Returns an entry of the owner, or null; shared, so that a request can outlive the snapshot.
     [[nodiscard]] std::shared_ptr<const Entry> entry(const OwnerId &owner,
                                                      const EntryName &name) const;
     [[nodiscard]] std::vector<std::shared_ptr<const Entry>> entriesOf(const OwnerId &owner) const;
-    [[nodiscard]] std::span<const Owner> owners() const { return m_owners; }
+    [[nodiscard]] const std::vector<std::shared_ptr<const Owner>> &owners() const
+    {
+        return m_owners.all();
+    }
     [[nodiscard]] std::span<const AgentMember> agents() const { return m_agents; }
     [[nodiscard]] std::span<const NodeMember> nodes() const { return m_nodes; }
     [[nodiscard]] const std::vector<NodeId> &nodeIds() const { return m_nodeIds; }
@@ -34,12 +38,11 @@
     [[nodiscard]] std::size_t nodeRank(const NodeId &node, std::string_view key) const;
 
 private:
-    void add(const StoredObject &object, const boost::json::object &fields, Findings &findings);
+    void add(const StoredObject &object, const boost::json::object &fields,
+             std::vector<Owner> &owners, Findings &findings);
 
     Version m_revision = noVersion;
-    std::vector<Owner> m_owners;
-    std::unordered_map<std::string, std::size_t> m_ownersByDigest;
-    std::unordered_map<OwnerId, std::size_t> m_ownersById;
+    OwnerDirectory m_owners;
     std::unordered_map<std::string, std::shared_ptr<const Entry>> m_entries;
     std::vector<AgentMember> m_agents;
     std::vector<NodeMember> m_nodes;
--- a/Libraries/Gateway/CallForwarder.cpp
+++ b/Libraries/Gateway/CallForwarder.cpp
@@ -11,16 +11,21 @@
 } // namespace
 
 bool forwardCall(HttpExchange &exchange, const std::string &body, const Endpoint &peer,
-                 Milliseconds timeout)
+                 Milliseconds timeout, HeaderChanges changes)
 {
     const auto &incoming = exchange.request();
     HttpCallOptions options;
     options.connectTimeout = connectTimeout;
     options.readTimeout = timeout;
     options.bodyTimeout = timeout;
-    auto result = HttpClient::call(
-            peer, {incoming.method, incoming.target, endToEndHeaders(incoming.headers), body},
-            options);
+    auto &omitted = changes.omitted;
+    for (const auto &header : changes.replaced.all())
+        omitted.push_back(header.name);
+    HttpRequest request{incoming.method, incoming.target,
+                        endToEndHeaders(incoming.headers, omitted), body};
+    for (const auto &header : changes.replaced.all())
+        request.headers.add(header.name, header.value);
+    auto result = HttpClient::call(peer, request, options);
     auto *answer = std::get_if<HttpResponse>(&result);
     if (answer == nullptr || answer->status == misdirectedRequestStatus || answer->status >= 500)
         return false;
--- a/Libraries/Gateway/CallHeaderNames.h
+++ b/Libraries/Gateway/CallHeaderNames.h
@@ -21,6 +21,11 @@
     std::string resumeAfter;
     /// Lists the parts of the call's prompt, in the form that sharedPromptParts() parses.
     std::string promptParts;
+    /// Carries the caller's bearer token; never sent to upstreams if calls need credentials.
+    std::string credentials = {};
+    /// Names the owner of a call to upstreams; a caller's own value is dropped if calls need
+    /// credentials.
+    std::string owner = {};
 };
 
 } // namespace Radishplank
--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -5,6 +5,8 @@
 #include <Gateway/CallFingerprint.h>
 #include <Gateway/CallForwarder.h>
 #include <Gateway/CallHeaderNames.h>
+#include <Gateway/CallerAuthenticator.h>
+#include <Gateway/ConfigurationEvidence.h>
 #include <Gateway/CrashTracker.h>
 #include <Gateway/CrashingPartDetector.h>
 #include <Gateway/EventFramer.h>
--- a/Libraries/Gateway/GatewayMetrics.cpp
+++ b/Libraries/Gateway/GatewayMetrics.cpp
@@ -10,6 +10,8 @@
     renderCounter(text, "radishplank_calls_failed_total", callsFailed);
     renderCounter(text, "radishplank_calls_cut_off_total", callsCutOff);
     renderCounter(text, "radishplank_calls_abandoned_total", callsAbandoned);
+    renderCounter(text, "radishplank_calls_unauthorized_total", callsUnauthorized);
+    renderCounter(text, "radishplank_calls_unconfirmed_total", callsUnconfirmed);
     renderCounter(text, "radishplank_calls_resumed_total", callsResumed);
     renderCounter(text, "radishplank_attempts_sent_total", attemptsSent);
     renderCounter(text, "radishplank_attempts_not_run_total", attemptsNotRun);
--- a/Libraries/Gateway/GatewayMetrics.h
+++ b/Libraries/Gateway/GatewayMetrics.h
@@ -15,6 +15,10 @@
     Counter callsCutOff;
     Counter callsRefusedAsCrashing;
     Counter callsAbandoned;
+    /// Calls refused because their token is missing or unknown.
+    Counter callsUnauthorized;
+    /// Calls refused because the configuration could not be confirmed recently.
+    Counter callsUnconfirmed;
     Counter callsResumed;
     Counter attemptsSent;
     Counter attemptsNotRun;
--- a/Libraries/Gateway/HeaderRules.cpp
+++ b/Libraries/Gateway/HeaderRules.cpp
@@ -38,8 +38,7 @@
 
 } // namespace
 
-HttpHeaders endToEndHeaders(const HttpHeaders &headers,
-                            std::initializer_list<std::string_view> omitted)
+HttpHeaders endToEndHeaders(const HttpHeaders &headers, std::span<const std::string_view> omitted)
 {
     const auto connection = headers.value("Connection");
     HttpHeaders result;
--- a/Libraries/Gateway/HeaderRules.h
+++ b/Libraries/Gateway/HeaderRules.h
@@ -2,7 +2,7 @@
 
 #include <Net/HttpMessage.h>
 
-#include <initializer_list>
+#include <span>
 #include <string_view>
 
 namespace Radishplank {
@@ -10,6 +10,6 @@
 /// Copies the end-to-end header fields: all fields except hop-by-hop fields, those listed in the
 /// `Connection` field, and the omitted ones.
 [[nodiscard]] HttpHeaders endToEndHeaders(const HttpHeaders &headers,
-                                          std::initializer_list<std::string_view> omitted = {});
+                                          std::span<const std::string_view> omitted = {});
 
 } // namespace Radishplank
--- a/Libraries/Gateway/ItemRun.cpp
+++ b/Libraries/Gateway/ItemRun.cpp
@@ -15,12 +15,19 @@
 constexpr std::size_t maxAnswerBytes = std::size_t{8} * 1024 * 1024;
 
 HttpRequest itemRequest(const UpstreamInfo &upstream, const CallHeaderNames &dialect,
-                        const std::string &host, const JobItem &item, const ItemProgress &progress)
+                        const SmallJob &job, const JobItem &item, const ItemProgress &progress)
 {
     HttpRequest request{"POST", item.path, {}, item.body};
-    request.headers = endToEndHeaders(item.headers, {dialect.attemptId, dialect.expectedUpstream,
-                                                     dialect.resumeAfter, "Host"});
-    request.headers.add("Host", host);
+    std::vector<std::string_view> omitted{dialect.attemptId, dialect.expectedUpstream,
+                                          dialect.resumeAfter, "Host"};
+    if (!job.organisation.empty()) {
+        omitted.push_back(dialect.owner);
+        omitted.push_back(dialect.credentials);
+    }
+    request.headers = endToEndHeaders(item.headers, omitted);
+    request.headers.add("Host", job.host);
+    if (!job.organisation.empty())
+        request.headers.add(dialect.owner, job.organisation);
     request.headers.add(dialect.attemptId, item.id);
     request.headers.add(dialect.expectedUpstream, upstream.id.text());
     if (progress.lastEvent)
@@ -94,7 +101,7 @@
 
 template<typename Callback>
 ItemRunEnd runOnce(UpstreamTable::Reservation &place, const CallHeaderNames &dialect,
-                   const std::string &host, const JobItem &item, ItemProgress &progress,
+                   const SmallJob &job, const JobItem &item, ItemProgress &progress,
                    ItemRunControl &control, std::size_t maxOutputBytes, Callback onAnswering)
 {
     HttpCallOptions options;
@@ -105,7 +112,7 @@
     options.match = {dialect.attemptId, item.id};
     const auto &upstream = place.upstream();
     auto opened = HttpClient::open(upstream.endpoint,
-                                   itemRequest(upstream, dialect, host, item, progress), options);
+                                   itemRequest(upstream, dialect, job, item, progress), options);
     if (const auto *failure = std::get_if<HttpCallError>(&opened)) {
         if (!control.cancellation.isCancelled())
             place.reportHealth(UpstreamHealth::Failed);
@@ -145,7 +152,7 @@
 } // namespace
 
 ItemRunEnd runItem(UpstreamTable::Reservation &place, const CallHeaderNames &dialect,
-                   const std::string &host, const JobItem &item, ItemProgress &progress,
+                   const SmallJob &job, const JobItem &item, ItemProgress &progress,
                    ItemRunControl &control, CrashingPartDetector &crashingParts,
                    std::size_t maxOutputBytes)
 {
@@ -157,7 +164,7 @@
         isAnswering = true;
     };
     const auto end
-            = runOnce(place, dialect, host, item, progress, control, maxOutputBytes, onAnswering);
+            = runOnce(place, dialect, job, item, progress, control, maxOutputBytes, onAnswering);
     if (end != ItemRunEnd::Completed && control.isPreempted)
         return ItemRunEnd::Preempted;
     if (end == ItemRunEnd::Interrupted && !isAnswering && !parts.empty()
--- a/Libraries/Gateway/ItemRun.h
+++ b/Libraries/Gateway/ItemRun.h
@@ -31,7 +31,7 @@
 /// more than `maxOutputBytes` is discarded and counts as a failed run. Informs the detector if the
 /// upstream crashes or begins to answer. Suspends the calling fiber.
 ItemRunEnd runItem(UpstreamTable::Reservation &place, const CallHeaderNames &dialect,
-                   const std::string &host, const JobItem &item, ItemProgress &progress,
+                   const SmallJob &job, const JobItem &item, ItemProgress &progress,
                    ItemRunControl &control, CrashingPartDetector &crashingParts,
                    std::size_t maxOutputBytes);
 
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -137,6 +137,12 @@
     }
 
     [[nodiscard]] bool owns(const std::string &id) const { return m_jobs.contains(id); }
+    /// Returns the organisation of a job that this process owns; nothing if it owns no such job.
+    [[nodiscard]] std::optional<std::string> organisationOf(const std::string &id) const
+    {
+        const auto job = find(id);
+        return job ? job->stored.job.organisation : std::optional<std::string>();
+    }
 
     /// Returns results of a job that this process owns; waits up to `wait` for a new one.
     Result<JobPage> read(const std::string &id, std::size_t after, Milliseconds wait)
@@ -267,6 +273,7 @@
         /// Host and path select the limited route.
         std::string host;
         std::string path;
+        std::string organisation;
         /// Tokens of submissions in flight.
         std::int64_t submittingTokens = 0;
         RetryAfterSchedule retrySchedule;
@@ -370,15 +377,19 @@
         job.unfinishedTokens -= job.stored.job.items[item.index].tokens;
     }
 
-    /// Returns the name of the limit that applies to a route's jobs; empty if there is none.
-    static std::string limitNameOf(const std::shared_ptr<const Route> &route)
+    /// Returns the name of the limit that applies to an organisation's jobs on a route; empty if
+    /// there is none.
+    static std::string limitNameOf(const std::shared_ptr<const Route> &route,
+                                   const std::string &organisation)
     {
-        return route && route->maxPendingTokens > 0 ? route->name : std::string();
+        if (!route || route->maxPendingTokens <= 0)
+            return {};
+        return organisation.empty() ? route->name : route->name + ":" + organisation;
     }
 
     [[nodiscard]] std::string limitOf(const SmallJob &job) const
     {
-        return limitNameOf(m_context.routes.find(job.host, job.path));
+        return limitNameOf(m_context.routes.find(job.host, job.path), job.organisation);
     }
 
     /// Returns how much of a limit this process uses: items without a result, submissions in flight
@@ -392,14 +403,13 @@
         if (state == m_limits.end())
             return use;
         const auto limited = m_context.routes.find(state->second.host, state->second.path);
-        if (limitNameOf(limited) == limit)
+        if (limitNameOf(limited, state->second.organisation) == limit)
             use.limit = limited->maxPendingTokens;
         use.used = state->second.submittingTokens;
         for (const auto &[id, job] : m_jobs) {
             if (job->stored.isEnded || job->unfinishedTokens == 0)
                 continue;
-            const auto route = m_context.routes.find(job->stored.job.host, job->stored.job.path);
-            if (limitNameOf(route) != limit)
+            if (limitOf(job->stored.job) != limit)
                 continue;
             use.used += job->unfinishedTokens;
         }
@@ -449,6 +459,7 @@
         auto &state = m_limits[limit];
         state.host = job.host;
         state.path = job.path;
+        state.organisation = job.organisation;
         m_claims.track(limit);
     }
 
@@ -605,7 +616,7 @@
                     = std::make_shared<UpstreamTable::ReservationPointer>(std::move(place))] {
                     auto &progress = job->progress[item.index];
                     const auto before = progress.lastEvent;
-                    const auto end = runItem(**sharedPlace, m_context.dialect, job->stored.job.host,
+                    const auto end = runItem(**sharedPlace, m_context.dialect, job->stored.job,
                                              job->stored.job.items[item.index], progress, *control,
                                              m_context.crashingParts, m_context.maxObjectBytes);
                     const auto upstream = (*sharedPlace)->upstream().id;
@@ -1151,7 +1162,7 @@
     std::unordered_map<std::string, TimePoint> m_recentEnds;
     /// Submissions with an unknown outcome, by job.
     std::map<std::string, UncertainSubmission> m_uncertainSubmissions;
-    /// By the name of the limited route.
+    /// By the name of the limit.
     std::map<std::string, LimitState> m_limits;
     Claims m_claims;
     /// Size of the outputs that are not in the store yet.
--- a/Libraries/Gateway/PeerTable.cpp
+++ b/Libraries/Gateway/PeerTable.cpp
@@ -16,6 +16,9 @@
 /// Minimum number of watchers in total, so that no process is left without current data when a
 /// network link fails.
 constexpr std::size_t minWatchers = 3;
+/// Processes that ask one process for confirmations of the configuration. With 50 processes in a
+/// zone, a confirmation passes three of them.
+constexpr std::size_t confirmationFanOut = 4;
 
 } // namespace
 
@@ -156,6 +159,34 @@
     return best == nullptr ? std::optional<Endpoint>() : best->control;
 }
 
+std::vector<Endpoint> PeerTable::confirmationSources(bool isStoreReachable, TimePoint now) const
+{
+    struct Candidate
+    {
+        /// Processes that reach the store come first, so that one of them becomes the root.
+        std::pair<bool, NodeId> rank;
+        const Endpoint *control = nullptr;
+    };
+    std::vector<Candidate> zone{{{!isStoreReachable, m_self}, nullptr}};
+    for (const auto &[node, peer] : m_peers) {
+        if (peer.zone == m_zone && isReachable(node, now))
+            zone.push_back({{!peer.isStoreReachable, node}, &peer.control});
+    }
+    std::sort(zone.begin(), zone.end(),
+              [](const auto &left, const auto &right) { return left.rank < right.rank; });
+    const auto self = static_cast<std::size_t>(
+            std::find_if(zone.begin(), zone.end(),
+                         [](const auto &each) { return each.control == nullptr; })
+            - zone.begin());
+    if (self == 0)
+        return {};
+    const auto parent = (self - 1) / confirmationFanOut;
+    std::vector<Endpoint> sources{*zone[parent].control};
+    if (parent != 0)
+        sources.push_back(*zone.front().control);
+    return sources;
+}
+
 std::optional<Endpoint> PeerTable::storeProxy(TimePoint now) const
 {
     const auto preference = [&](const Peer &peer) {
--- a/Libraries/Gateway/PeerTable.h
+++ b/Libraries/Gateway/PeerTable.h
@@ -49,6 +49,14 @@
     /// same zone.
     [[nodiscard]] std::optional<Endpoint> peerWithNewerFleet(const FleetVersion &own,
                                                              TimePoint now) const;
+    /// Returns where peers accept calls that may know a more recent confirmation of the
+    /// configuration; none if this process must ask the store.
+    ///
+    /// The reachable processes of a zone form a tree, so that each asks one other and answers a
+    /// few, and only one in each zone asks the store. The first entry is the parent in that tree;
+    /// the others replace a parent that does not answer or lags behind.
+    [[nodiscard]] std::vector<Endpoint> confirmationSources(bool isStoreReachable,
+                                                            TimePoint now) const;
     /// Returns where a peer that can proxy calls to the store accepts calls; prefers peers that
     /// watch the store, then peers in the same zone.
     [[nodiscard]] std::optional<Endpoint> storeProxy(TimePoint now) const;
--- a/Libraries/Gateway/Relay.cpp
+++ b/Libraries/Gateway/Relay.cpp
@@ -42,7 +42,7 @@
 }
 
 void Relay::serve(HttpExchange &exchange, const std::shared_ptr<const Route> &route,
-                  const std::shared_ptr<const Owner> &owner)
+                  CallerIdentity caller)
 {
     const auto arrived = SteadyClock().now();
     if (!route)
@@ -63,7 +63,7 @@
     const double draw = std::uniform_real_distribution<double>(0, 1)(threadRandomEngine());
     RelayCall call(exchange, m_upstreams, m_crashes, m_crashingParts, m_headerNames, m_metrics,
                    {route, chooseService(*route, draw), body.takeValue(), arrived, deadline,
-                    m_routes.version(), owner});
+                    m_routes.version(), std::move(caller)});
     call.run();
 }
 
--- a/Libraries/Gateway/Relay.h
+++ b/Libraries/Gateway/Relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Gateway/CallHeaderNames.h>
+#include <Gateway/CallerAuthenticator.h>
 #include <Gateway/CrashTracker.h>
 #include <Gateway/CrashingPartDetector.h>
 #include <Gateway/GatewayMetrics.h>
@@ -21,9 +22,8 @@
 
     /// Answers a call; `route` is the route that the directory has found for it, or null. Refuses a
     /// call that may last longer than the process, which is about to stop.
-    /// `owner` is the organisation that makes the call, or null.
     void serve(HttpExchange &exchange, const std::shared_ptr<const Route> &route,
-               const std::shared_ptr<const Owner> &owner);
+               CallerIdentity caller);
 
 private:
     void refuseBeforeStop(HttpExchange &exchange, const Route &route, TimePoint deadline);
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -265,15 +265,18 @@
 {
     const auto &incoming = m_exchange.request();
     HttpRequest request{incoming.method, incoming.target, {}, m_call.body};
-    if (m_lastEvent) {
-        request.headers = endToEndHeaders(incoming.headers,
-                                          {m_headerNames.timeLeft, m_headerNames.expectedUpstream,
-                                           m_headerNames.resumeAfter});
-        request.headers.add(m_headerNames.resumeAfter, std::to_string(*m_lastEvent));
-    } else {
-        request.headers = endToEndHeaders(incoming.headers,
-                                          {m_headerNames.timeLeft, m_headerNames.expectedUpstream});
+    std::vector<std::string_view> omitted{m_headerNames.timeLeft, m_headerNames.expectedUpstream};
+    if (m_lastEvent)
+        omitted.push_back(m_headerNames.resumeAfter);
+    if (m_call.caller.isRequired) {
+        omitted.push_back(m_headerNames.credentials);
+        omitted.push_back(m_headerNames.owner);
     }
+    request.headers = endToEndHeaders(incoming.headers, omitted);
+    if (m_lastEvent)
+        request.headers.add(m_headerNames.resumeAfter, std::to_string(*m_lastEvent));
+    if (m_call.caller.owner)
+        request.headers.add(m_headerNames.owner, m_call.caller.name());
     request.headers.add(m_headerNames.timeLeft, std::to_string(timeLeft().count()));
     request.headers.add(m_headerNames.expectedUpstream, upstream.id.text());
     return request;
@@ -455,6 +458,7 @@
                  {"route", m_call.route->name},
                  {"configuration", std::to_string(m_call.configuration)},
                  {"leftMs", std::to_string(timeLeft().count())},
+                 {"owner", m_call.caller.name()},
                  {"upstream", admission.reservation->upstream().id.text()},
                  {"online", std::to_string(admission.basis.online)},
                  {"batch", std::to_string(admission.basis.batch)},
@@ -481,6 +485,7 @@
 {
     logFailure(event, {{"id", id()},
                        {"route", m_call.route->name},
+                       {"owner", m_call.caller.name()},
                        {"configuration", std::to_string(m_call.configuration)},
                        {"reason", std::string(reason)},
                        {"attempts", std::to_string(m_triedUpstreams.size())},
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -2,6 +2,7 @@
 
 #include <Gateway/CallHeaderNames.h>
 #include <Gateway/CallWatch.h>
+#include <Gateway/CallerAuthenticator.h>
 #include <Gateway/CrashTracker.h>
 #include <Gateway/CrashingPartDetector.h>
 #include <Gateway/EventFramer.h>
@@ -28,8 +29,7 @@
     TimePoint deadline;
     /// Version of the configuration that contains the route.
     std::uint64_t configuration = 0;
-    /// The organisation that makes the call; null if none is known.
-    std::shared_ptr<const Owner> owner;
+    CallerIdentity caller;
 };
 
 /// Proxies one call to upstreams until one of them has answered it or no further attempt is
--- a/Libraries/Gateway/Route.h
+++ b/Libraries/Gateway/Route.h
@@ -22,6 +22,9 @@
 /// Whether a stream may resume at another upstream after the last event received.
 enum class Resumption { Forbidden, Allowed };
 
+/// Whether calls need credentials, if the configuration has organisations.
+enum class RouteAccess { Restricted, Public };
+
 struct WeightedService
 {
     std::string name;
@@ -38,6 +41,7 @@
     RouteKind kind = RouteKind::Call;
     Repetition repetition = Repetition::Forbidden;
     Resumption resumption = Resumption::Forbidden;
+    RouteAccess access = RouteAccess::Restricted;
     /// Maximum time from the arrival of a call to its final answer.
     Milliseconds timeout{0};
     /// Target time to the answer, or to the first event of a stream.
--- a/Libraries/Gateway/RouteTable.cpp
+++ b/Libraries/Gateway/RouteTable.cpp
@@ -16,9 +16,11 @@
 
 } // namespace
 
-RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes, CallerLimits limits)
+RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes, CallerLimits limits,
+                       std::optional<OwnerDirectory> owners)
     : m_version(version)
     , m_limits(limits)
+    , m_owners(std::move(owners))
 {
     for (auto &route : routes) {
         auto key = hostKey(route.host) + route.pathPrefix;
@@ -76,6 +78,32 @@
     return m_table.read([&](const RouteTable &table) { return table.find(host, path); });
 }
 
+bool RouteDirectory::hasOwners() const
+{
+    return m_table.read([](const RouteTable &table) { return table.owners().has_value(); });
+}
+
+std::shared_ptr<const Owner> RouteDirectory::ownerByDigest(std::string_view digest) const
+{
+    return m_table.read([&](const RouteTable &table) {
+        return table.owners() ? table.owners()->findByDigest(digest) : nullptr;
+    });
+}
+
+std::shared_ptr<const Owner> RouteDirectory::owner(const OwnerId &id) const
+{
+    return m_table.read([&](const RouteTable &table) {
+        return table.owners() ? table.owners()->find(id) : nullptr;
+    });
+}
+
+std::vector<std::shared_ptr<const Owner>> RouteDirectory::owners() const
+{
+    return m_table.read([](const RouteTable &table) {
+        return table.owners() ? table.owners()->all() : std::vector<std::shared_ptr<const Owner>>{};
+    });
+}
+
 std::shared_ptr<const Route> RouteDirectory::findByName(std::string_view name) const
 {
     return m_table.read([&](const RouteTable &table) { return table.findByName(name); });
--- a/Services/radishplankd/Entry/CallerApi.cpp
+++ b/Services/radishplankd/Entry/CallerApi.cpp
@@ -180,8 +180,8 @@
     const auto digest = sha256Hex(std::string_view(authorization).substr(bearerPrefix.size()));
     return m_context.configuration.read(
             [&](const CatalogueSnapshot &catalogue) -> std::optional<OwnerId> {
-                const auto *owner = catalogue.ownerByTokenDigest(digest);
-                if (owner == nullptr)
+                const auto owner = catalogue.ownerByTokenDigest(digest);
+                if (!owner)
                     return {};
                 return owner->id;
             });
@@ -219,7 +219,7 @@
 {
     const auto now = SteadyClock().now();
     const auto ownerLimits = m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
-        const auto *owner = catalogue.owner(entry.owner);
+        const auto owner = catalogue.owner(entry.owner);
         return owner == nullptr ? Limits() : owner->limits;
     });
     auto wait = m_context.limits.admit(ownerLimitKey(entry.owner), ownerLimits, now);
--- a/Services/radishplankd/Entry/LimitSharing.cpp
+++ b/Services/radishplankd/Entry/LimitSharing.cpp
@@ -43,7 +43,7 @@
             if (isEntry)
                 limits = entry->limits;
         }
-        const auto *known = catalogue.owner(owner);
+        const auto known = catalogue.owner(owner);
         if (slash == std::string::npos && known != nullptr)
             limits = known->limits;
     });
--- a/Services/radishplankd/Fleet/PlacementController.cpp
+++ b/Services/radishplankd/Fleet/PlacementController.cpp
@@ -195,7 +195,7 @@
     return m_context.configuration.read([](const CatalogueSnapshot &catalogue) {
         std::set<std::string> models;
         for (const auto &owner : catalogue.owners()) {
-            for (const auto &entry : catalogue.entriesOf(owner.id)) {
+            for (const auto &entry : catalogue.entriesOf(owner->id)) {
                 if (entry->kind == EntryKind::Model)
                     models.insert(entry->pool);
             }
--- a/Services/radishplankd/Jobs/BatchScheduler.cpp
+++ b/Services/radishplankd/Jobs/BatchScheduler.cpp
@@ -85,7 +85,7 @@
 {
     return m_context.configuration.read(
             [&](const CatalogueSnapshot &catalogue) -> std::optional<std::int64_t> {
-                const auto *known = catalogue.owner(owner);
+                const auto known = catalogue.owner(owner);
                 if (known == nullptr || known->limits.concurrentItems == 0)
                     return {};
                 return concurrencyShare(known->limits.concurrentItems, owner.text(),
@@ -223,7 +223,7 @@
     }
     m_context.configuration.read([&](const CatalogueSnapshot &catalogue) {
         for (auto &each : ranked) {
-            if (const auto *owner = catalogue.owner(each.job.owner))
+            if (const auto owner = catalogue.owner(each.job.owner))
                 each.served /= owner->weight;
         }
     });
--- a/Tests/Catalogue/TestConfigurationReplica.cpp
+++ b/Tests/Catalogue/TestConfigurationReplica.cpp
@@ -17,7 +17,7 @@
 double ownerWeight(const ConfigurationReplica &replica)
 {
     return replica.read([](const CatalogueSnapshot &catalogue) {
-        const auto *owner = catalogue.owner(OwnerId("lotka"));
+        const auto owner = catalogue.owner(OwnerId("lotka"));
         return owner == nullptr ? 0.0 : owner->weight;
     });
 }
--- a/Tests/Gateway/TestWatchers.cpp
+++ b/Tests/Gateway/TestWatchers.cpp
@@ -118,3 +118,55 @@
         CHECK_FALSE(peers.peerWithNewerFleet(own, start));
     }
 }
+
+TEST_CASE("Confirmations of the configuration pass through a tree of processes", "[Peers]")
+{
+    constexpr std::size_t processes = 50;
+    const auto nameOf = [](std::size_t index) { return "e" + std::to_string(100 + index); };
+    const auto sourcesOf = [&](std::size_t self, const std::set<std::size_t> &withoutStore = {},
+                               const std::set<std::size_t> &silent = {}) {
+        PeerTable peers(NodeId(nameOf(self)), ZoneName("zone1"));
+        for (std::size_t i = 0; i < processes; ++i) {
+            if (i == self || silent.contains(i))
+                continue;
+            auto report = reportOf(nameOf(i), "zone1", false);
+            report.control.port = static_cast<std::uint16_t>(i);
+            report.isStoreReachable = !withoutStore.contains(i);
+            peers.noteReport(report, sender, start);
+        }
+        peers.noteReport(reportOf("e000", "zone2", true), sender, start);
+        return peers.confirmationSources(!withoutStore.contains(self), start);
+    };
+
+    SECTION("One process in the zone asks the store, and each process answers only a few")
+    {
+        std::map<std::size_t, std::size_t> asked;
+        std::size_t roots = 0;
+        for (std::size_t i = 0; i < processes; ++i) {
+            const auto sources = sourcesOf(i);
+            if (sources.empty())
+                roots += 1;
+            else
+                asked[sources.front().port] += 1;
+        }
+        CHECK(roots == 1);
+        for (const auto &[process, count] : asked)
+            CHECK(count <= 4);
+    }
+    SECTION("A process that the store does not answer is not the root")
+    {
+        CHECK_FALSE(sourcesOf(0, {0}).empty());
+        CHECK(sourcesOf(1, {0}).empty());
+    }
+    SECTION("A silent process is asked by nobody")
+    {
+        CHECK(sourcesOf(1, {}, {0}).empty());
+        CHECK(sourcesOf(5, {}, {0}).front().port == 1);
+    }
+    SECTION("A process whose parent may fail also knows the root")
+    {
+        const auto sources = sourcesOf(20);
+        REQUIRE(sources.size() == 2);
+        CHECK(sources.back().port == 0);
+    }
+}
--- a/Tests/Platform/PlatformDeployment.cpp
+++ b/Tests/Platform/PlatformDeployment.cpp
@@ -106,6 +106,19 @@
 
 void PlatformDeployment::writeConfiguration(unsigned version, unsigned waitingTokens)
 {
+    writeConfiguration(version, waitingTokens, nullptr);
+}
+
+void PlatformDeployment::writeConfiguration(unsigned version, const json::array &tenants)
+{
+    writeConfiguration(version, 0, &tenants);
+}
+
+void PlatformDeployment::writeConfiguration(unsigned version, unsigned waitingTokens,
+                                            const json::array *tenants)
+{
+    auto open = route("open", "/open/", "streaming");
+    open["public"] = true;
     auto plain = route("plain", "/plain/", "streaming");
     plain["max_attempts"] = 1;
     auto resumable = route("resumable", "/resume/", "streaming");
@@ -117,14 +130,16 @@
     batch["max_wait_s"] = 60;
     if (waitingTokens > 0)
         batch["max_count"] = waitingTokens;
-    store.write("config", "main",
-                json::object{{"version", version},
-                             {"routes", json::array{plain, resumable, batch}},
-                             {"services", json::array{}},
-                             {"limits", json::object{{"max_header_bytes", 16'384},
-                                                     {"max_body_bytes", 100'000},
-                                                     {"header_timeout_ms", 3'000},
-                                                     {"idle_timeout_ms", 15'000}}}});
+    json::object configuration{{"version", version},
+                               {"routes", json::array{plain, resumable, batch, open}},
+                               {"services", json::array{}},
+                               {"limits", json::object{{"max_header_bytes", 16'384},
+                                                       {"max_body_bytes", 100'000},
+                                                       {"header_timeout_ms", 3'000},
+                                                       {"idle_timeout_ms", 15'000}}}};
+    if (tenants != nullptr)
+        configuration["tenants"] = *tenants;
+    store.write("config", "main", configuration);
 }
 
 std::string PlatformDeployment::addressOf(const std::string &name) const
@@ -181,6 +196,26 @@
              body});
 }
 
+HttpResponse PlatformDeployment::post(const std::string &entry, const std::string &path,
+                                      const std::string &body, const std::string &id,
+                                      const std::string &key)
+{
+    return callWithKey(entry, "POST", path, key, body, id);
+}
+
+HttpResponse PlatformDeployment::callWithKey(const std::string &entry, const std::string &method,
+                                             const std::string &path, const std::string &key,
+                                             const std::string &body, const std::string &id)
+{
+    HttpHeaders headers{
+            {"Host", host}, {"X-Model", "m"}, {"X-Deadline-Ms", "9000"}, {"X-Tenant", "forged"}};
+    if (!id.empty())
+        headers.add("X-Attempt-Id", id);
+    if (!key.empty())
+        headers.add("Authorization", "Bearer " + key);
+    return client.call(callers(entry), {method, path, std::move(headers), body});
+}
+
 HttpResponse PlatformDeployment::get(const std::string &entry, const std::string &path)
 {
     return client.call(callers(entry), {"GET", path, {{"Host", host}}, ""});
--- a/Tests/Platform/PlatformDeployment.h
+++ b/Tests/Platform/PlatformDeployment.h
@@ -36,6 +36,8 @@
     /// Writes a configuration with a resumable, a plain and a batch route.
     /// `waitingTokens` limits the tokens that wait on the batch route; each item has 10.
     void writeConfiguration(unsigned version, unsigned waitingTokens = 0);
+    /// As above, with organisations and their API keys; `tenants` is the platform's list of them.
+    void writeConfiguration(unsigned version, const boost::json::array &tenants);
     /// Starts an entry process and waits until it listens.
     Process &startEntry(const std::string &name, const std::vector<std::string> &settings = {});
     [[nodiscard]] Endpoint callers(const std::string &name) const;
@@ -45,7 +47,14 @@
 
     HttpResponse post(const std::string &entry, const std::string &path, const std::string &body,
                       const std::string &id);
+    /// As above, with an API key.
+    HttpResponse post(const std::string &entry, const std::string &path, const std::string &body,
+                      const std::string &id, const std::string &key);
     HttpResponse get(const std::string &entry, const std::string &path);
+    /// Sends a call about jobs with an API key.
+    HttpResponse callWithKey(const std::string &entry, const std::string &method,
+                             const std::string &path, const std::string &key,
+                             const std::string &body = "", const std::string &id = "");
     /// Returns the configuration and the upstreams that an entry process serves to its peers.
     std::string fleetOf(const std::string &entry);
     /// Submits a job whose items have the given bodies. The id of each item is its body.
@@ -71,6 +80,8 @@
     static constexpr std::int64_t firstStart = 1'700'000'000'000;
 
 private:
+    void writeConfiguration(unsigned version, unsigned waitingTokens,
+                            const boost::json::array *tenants);
     [[nodiscard]] std::string addressOf(const std::string &name) const;
 
     std::string m_directory;
