CrashingPartDetector: Try items with a blocked part less often

Callers saw servers crash under items that are tried again and again: an item with a part that crashes servers is owed, so one of all processes is tried at a time, with pauses of 1 to 8 s. Change: the pauses grow fourfold, up to 16 s, so that at most three trials fall into the rest of 50 s and none is further than 20 s from the next. Where more items with the part wait than may be tried, some have been at no server for 20 s at the end; no schedule of trials keeps both rules then.

--- a/Libraries/Gateway/CrashingPartDetector.cpp
+++ b/Libraries/Gateway/CrashingPartDetector.cpp
@@ -48,10 +48,10 @@
 
 Milliseconds itemPause(unsigned failedTrials)
 {
-    constexpr unsigned maxDoublings = 16;
-    return std::min(CrashingPartDetector::maxItemPause,
-                    CrashingPartDetector::minItemPause
-                            * (1U << std::min(failedTrials, maxDoublings)));
+    auto pause = CrashingPartDetector::minItemPause;
+    for (unsigned i = 0; i < failedTrials && pause < CrashingPartDetector::maxItemPause; ++i)
+        pause *= CrashingPartDetector::itemPauseFactor;
+    return std::min(pause, CrashingPartDetector::maxItemPause);
 }
 
 } // namespace
--- a/Libraries/Gateway/CrashingPartDetector.h
+++ b/Libraries/Gateway/CrashingPartDetector.h
@@ -95,9 +95,11 @@
     static constexpr std::size_t maxReportedParts = 1'024;
     static constexpr std::size_t maxSuspectCalls = 128;
     static constexpr std::size_t maxBlocks = 64;
-    /// Pause before the first trial of an item; doubles with each failed one.
+    /// Pause before the first trial of an item, and the factor by which each failed one extends it.
     static constexpr Milliseconds minItemPause{1'000};
-    static constexpr Milliseconds maxItemPause{8'000};
+    static constexpr unsigned itemPauseFactor = 4;
+    /// An item whose trials fail is tried at least every 20 s, so that it is not left behind.
+    static constexpr Milliseconds maxItemPause{16'000};
 
     /// `maxTrialDelay` spreads the trials of the processes, so that mostly one process tries.
     CrashingPartDetector(Duration blockTime, Duration maxTrialDelay);
