CallRunner: Exchange the known crashes before giving up a suspect request

Before it refuses a suspect request for want of upstreams, a process now exchanges crashes with its peers. Ruled out: more tries, which would crash further upstreams.

--- a/Services/radishplankd/Entry/CallRunner.cpp
+++ b/Services/radishplankd/Entry/CallRunner.cpp
@@ -51,7 +51,7 @@
                           ? m_context.fleet.choose(spec.entry->pool, spec.prefixKey, progress.tried)
                           : UpstreamPointer();
         if (!upstream)
-            return refuseExhausted(progress);
+            return refuseExhausted(spec, progress);
         if (std::exchange(progress.isRetry, false) && !mayRetryAt(*upstream))
             return failWithUnknownOutcome(spec);
         progress.tried.push_back(upstream->member().id);
@@ -86,8 +86,15 @@
     return result;
 }
 
-CallResult CallRunner::refuseExhausted(const Progress &progress)
+CallResult CallRunner::refuseExhausted(const CallSpec &spec, const Progress &progress)
 {
+    // The same request may have crashed upstreams at another process as well, which then tells the
+    // caller not to come again.
+    if (exchangeCrashes && m_context.quarantine.isSuspect(spec.fingerprint, SteadyClock().now())) {
+        exchangeCrashes();
+        if (auto barred = refuseQuarantined(spec, progress))
+            return *barred;
+    }
     const auto outcome = progress.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
     auto result = progress.sawFullQueue ? refusal(429, outcome, std::string(overloadedCode),
                                                   "every upstream that was asked is full")
@@ -174,8 +181,8 @@
     m_context.metrics.crashes.increase();
     m_context.quarantine.noteCrash(spec.fingerprint, id, SteadyClock().now());
     logStateChange("upstream-crash-suspected", {{"attempt", id.text()}});
-    if (onCrash)
-        onCrash();
+    if (exchangeCrashes)
+        exchangeCrashes();
 }
 
 std::uint64_t prefixKeyOf(const boost::json::object &request)
--- a/Services/radishplankd/Entry/CallRunner.h
+++ b/Services/radishplankd/Entry/CallRunner.h
@@ -60,8 +60,9 @@
                           const TokenSink &sink);
     /// Records an upstream crash that interrupted this attempt and that the call may have caused.
     void noteCrash(const CallSpec &spec, const AttemptId &id);
-    /// Announces a crash to the other entry processes; set by the owner of this object.
-    std::function<void()> onCrash;
+    /// Exchanges the known crashes with the other entry processes, at once; set by the owner of
+    /// this object.
+    std::function<void()> exchangeCrashes;
 
 private:
     struct Progress
@@ -77,7 +78,7 @@
 
     CallResult runOnUpstreams(const CallSpec &spec, const TokenSink &sink);
     std::optional<CallResult> refuseQuarantined(const CallSpec &spec, const Progress &progress);
-    CallResult refuseExhausted(const Progress &progress);
+    CallResult refuseExhausted(const CallSpec &spec, const Progress &progress);
     CallResult failWithUnknownOutcome(const CallSpec &spec);
     [[nodiscard]] bool mayRetryAt(const Upstream &upstream);
     AttemptResult attempt(const CallSpec &spec, Upstream &upstream, const TokenSink &sink,
--- a/Services/radishplankd/Entry/EntryDaemon.cpp
+++ b/Services/radishplankd/Entry/EntryDaemon.cpp
@@ -153,7 +153,7 @@
     LimitSharing limitSharing(context);
     controlHandler.limitSharing = &limitSharing;
     CallRunner runner(context);
-    runner.onCrash = [&sync] { sync.announceCrashes(); };
+    runner.exchangeCrashes = [&sync] { sync.exchangeCrashes(); };
     KeyedCalls keyedCalls(context, runner);
     BatchScheduler batch(context, settings.lease);
     controlHandler.demandMeter = &demand;
--- a/Services/radishplankd/Fleet/ConfigurationSync.cpp
+++ b/Services/radishplankd/Fleet/ConfigurationSync.cpp
@@ -60,7 +60,7 @@
     return answer;
 }
 
-void ConfigurationSync::announceCrashes()
+void ConfigurationSync::exchangeCrashes()
 {
     // The answers may report crashes elsewhere. Waiting for them before the retry keeps processes
     // with the same request from losing two upstreams each.
--- a/Services/radishplankd/Fleet/ConfigurationSync.h
+++ b/Services/radishplankd/Fleet/ConfigurationSync.h
@@ -26,8 +26,8 @@
     void start();
     /// Handles an exchange request: returns the changes that the peer lacks.
     ExchangeResponse answer(const ExchangeRequest &request);
-    /// Sends the known crashes to every other entry process at once.
-    void announceCrashes();
+    /// Exchanges the known crashes with every other entry process, at once.
+    void exchangeCrashes();
     /// Returns the time since the configuration of this process was known to match the store.
     [[nodiscard]] Milliseconds staleness() const;
     /// Returns whether this process watches the store instead of polling its peers.
