Limits, Gateway: Enforce the rate of an owner over all processes

Callers of an owner with a rate were never refused, however many calls they sent. The pure classes QuotaPledges, QuotaPool and QuotaClient decide, QuotaLink transports, and Relay refuses with 429 before it reads the body.

--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -16,6 +16,8 @@
 #include <Gateway/MemberRegistry.h>
 #include <Gateway/PeerLink.h>
 #include <Gateway/PromptParts.h>
+#include <Gateway/QuotaLink.h>
+#include <Gateway/QuotaMessage.h>
 #include <Gateway/Relay.h>
 #include <Gateway/RouteTable.h>
 #include <Gateway/StreamProgress.h>
--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -74,8 +74,8 @@
     }
     const auto &report = decoded.value();
     const auto now = SteadyClock().now();
-    const bool becameReachable
-            = m_peers.noteReport(report, {sender.address().to_string(), sender.port()}, now);
+    const Endpoint from{sender.address().to_string(), sender.port()};
+    const bool becameReachable = m_peers.noteReport(report, from, now);
     m_upstreams.notePeerLoads(report.node, report.loads, report.waiting, now);
     for (const auto &leaving : report.leaving)
         m_upstreams.noteLeaving(leaving);
@@ -83,6 +83,8 @@
     m_crashingParts.applyReport(report.partUpdates, now);
     if (onReport)
         onReport(report, becameReachable);
+    if (report.hasJobs && onFullReport)
+        onFullReport(report, from);
 }
 
 void PeerLink::sendLoop()
@@ -112,6 +114,8 @@
         report.partUpdates = m_crashingParts.nextReport(now);
         if (describeJobs)
             describeJobs(report);
+        if (describeQuotas)
+            describeQuotas(report);
         if (report.ownedJobs.size() > maxReportedJobs)
             report.ownedJobs.resize(maxReportedJobs);
     }
--- a/Libraries/Gateway/PeerLink.h
+++ b/Libraries/Gateway/PeerLink.h
@@ -38,6 +38,10 @@
     std::function<void(PeerReport &)> describeWaiting;
     /// Adds this process's view of the fleet to a report.
     std::function<void(PeerReport &)> describeFleet;
+    /// Adds this process's pledges for the owners' quotas to a full report.
+    std::function<void(PeerReport &)> describeQuotas;
+    /// Called for each full report that arrives, with its sender's address.
+    std::function<void(const PeerReport &, const Endpoint &sender)> onFullReport;
     /// Called for each report that arrives; `becameReachable` is true for the first report of a
     /// peer and for the first one after the peer was unreachable.
     std::function<void(const PeerReport &, bool becameReachable)> onReport;
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -3,6 +3,7 @@
 #include <Core/Core.h>
 #include <Gateway/CrashTracker.h>
 #include <Gateway/CrashingPartDetector.h>
+#include <Limits/Limits.h>
 
 #include <cstdint>
 #include <string>
@@ -33,9 +34,6 @@
     bool operator==(const OwnerStreams &) const = default;
 };
 
-/// Hashes of the names of the processes among which the homes of the owners' quotas are chosen.
-using QuotaHomes = std::vector<std::uint64_t>;
-
 /// Batch items that wait for a slot of a service at one entry process.
 struct ServiceDemand
 {
--- a/Libraries/Gateway/Relay.cpp
+++ b/Libraries/Gateway/Relay.cpp
@@ -30,7 +30,7 @@
 
 Relay::Relay(const RouteDirectory &routes, UpstreamTable &upstreams, CrashTracker &crashes,
              CrashingPartDetector &crashingParts, GatewayMetrics &metrics,
-             CallHeaderNames headerNames, const StopSchedule &stopSchedule)
+             CallHeaderNames headerNames, const StopSchedule &stopSchedule, QuotaLink &quotas)
     : m_routes(routes)
     , m_upstreams(upstreams)
     , m_crashes(crashes)
@@ -38,6 +38,7 @@
     , m_metrics(metrics)
     , m_headerNames(std::move(headerNames))
     , m_stopSchedule(stopSchedule)
+    , m_quotas(quotas)
 {
 }
 
@@ -54,17 +55,51 @@
     const auto deadline = arrived + maxDuration;
     if (!m_stopSchedule.mayTake(deadline, arrived))
         return refuseBeforeStop(exchange, *route, deadline);
+    const auto owner = caller.owner;
+    if (!owner || !m_quotas.isEnabled()) {
+        (void)relay(exchange, route, std::move(caller), arrived, deadline);
+        return;
+    }
+    // Before the body is read, so that calls above the rate take no memory for theirs.
+    if (const auto retryAfter = m_quotas.admit(*owner))
+        return refuseOverQuota(exchange, *route, caller, *retryAfter);
+    if (!relay(exchange, route, std::move(caller), arrived, deadline))
+        m_quotas.putBack(*owner);
+}
+
+bool Relay::relay(HttpExchange &exchange, const std::shared_ptr<const Route> &route,
+                  CallerIdentity caller, TimePoint arrived, TimePoint deadline)
+{
     auto body = exchange.readBody();
-    if (body.isError())
-        return answerUnreadBody(exchange, body.error());
+    if (body.isError()) {
+        answerUnreadBody(exchange, body.error());
+        return false;
+    }
     // The stop may have begun, or come closer, while the body was read.
-    if (!m_stopSchedule.mayTake(deadline, SteadyClock().now()))
-        return refuseBeforeStop(exchange, *route, deadline);
+    if (!m_stopSchedule.mayTake(deadline, SteadyClock().now())) {
+        refuseBeforeStop(exchange, *route, deadline);
+        return false;
+    }
     const double draw = std::uniform_real_distribution<double>(0, 1)(threadRandomEngine());
     RelayCall call(exchange, m_upstreams, m_crashes, m_crashingParts, m_headerNames, m_metrics,
                    {route, chooseService(*route, draw), body.takeValue(), arrived, deadline,
                     m_routes.version(), std::move(caller)});
     call.run();
+    return call.mayHaveRun();
+}
+
+void Relay::refuseOverQuota(HttpExchange &exchange, const Route &route,
+                            const CallerIdentity &caller, Milliseconds retryAfter)
+{
+    logDecision("call-over-quota",
+                {{"id", exchange.request().headers.value(m_headerNames.attemptId)},
+                 {"route", route.name},
+                 {"owner", caller.name()},
+                 {"retryAfterMs", std::to_string(retryAfter.count())}});
+    (void)exchange.respond(
+            {429,
+             {{"Content-Type", "text/plain"}, {"Retry-After", retryAfterText(retryAfter)}},
+             "the call has not run: its organisation is above its rate\n"});
 }
 
 void Relay::refuseBeforeStop(HttpExchange &exchange, const Route &route, TimePoint deadline)
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -87,6 +87,7 @@
         m_triedUpstreams.insert(admission.reservation->upstream().id);
         logAttempt(admission);
         const auto outcome = attempt(*admission.reservation);
+        m_mayHaveRun |= outcome != AttemptOutcome::NotRun;
         if (outcome == AttemptOutcome::Answered)
             return;
         if (m_watch.isStopped() && SteadyClock().now() - m_lastActivity >= minSuspiciousSilence)
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -42,6 +42,8 @@
               GatewayMetrics &metrics, IncomingCall call);
 
     void run();
+    /// Returns whether an upstream may have run the call.
+    [[nodiscard]] bool mayHaveRun() const { return m_mayHaveRun; }
 
 private:
     enum class AttemptOutcome {
@@ -102,6 +104,7 @@
     std::set<UpstreamId> m_triedUpstreams;
     unsigned m_refusals = 0;
     unsigned m_runs = 0;
+    bool m_mayHaveRun = false;
     bool m_hasStreamStarted = false;
     std::optional<Milliseconds> m_firstBytesAge;
     /// When the upstream last sent something, or when the request was sent to it.
