--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -3,7 +3,7 @@
 #include <Core/Core.h>
 #include <Gateway/CrashTracker.h>
 #include <Gateway/CrashingPartDetector.h>
-#include <Limits/Limits.h>
+#include <Limits/QuotaRules.h>
 
 #include <cstdint>
 #include <string>
--- a/Libraries/Gateway/QuotaLink.cpp
+++ b/Libraries/Gateway/QuotaLink.cpp
@@ -1,6 +1,5 @@
 #include <Gateway/QuotaLink.h>
 
-#include <Gateway/QuotaMessage.h>
 #include <Net/Await.h>
 
 #include <algorithm>
--- a/Libraries/Gateway/QuotaLink.h
+++ b/Libraries/Gateway/QuotaLink.h
@@ -2,6 +2,7 @@
 
 #include <Gateway/PeerLink.h>
 #include <Gateway/PeerTable.h>
+#include <Gateway/QuotaMessage.h>
 #include <Gateway/RouteTable.h>
 #include <Limits/Limits.h>
 #include <Net/Net.h>
--- a/Libraries/Limits/QuotaPledges.cpp
+++ b/Libraries/Limits/QuotaPledges.cpp
@@ -34,7 +34,6 @@
     , m_startedAt(startedAt)
     , m_homes{self}
     , m_chosenAt(startedAt - minChoiceInterval)
-    , m_updatedAt(startedAt)
 {
 }
 
@@ -132,7 +131,8 @@
 
 void QuotaPledges::checkSuspension(Duration now)
 {
-    if (now - m_updatedAt < suspensionTime)
+    // Before the first update, nothing counts that could have become invalid.
+    if (!m_updatedAt || now - *m_updatedAt < suspensionTime)
         return;
     m_suspensions += 1;
     m_updatedAt = now;
--- a/Libraries/Limits/QuotaPledges.h
+++ b/Libraries/Limits/QuotaPledges.h
@@ -3,6 +3,7 @@
 #include <Limits/QuotaRules.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <unordered_map>
@@ -85,7 +86,7 @@
     /// Whether a pledge has changed since the groups were determined.
     bool m_hasPledgeChanged = true;
     Duration m_groupedAt{};
-    Duration m_updatedAt;
+    std::optional<Duration> m_updatedAt;
     Duration m_ignoreReportsUntil{};
     Duration m_keepHomesUntil{};
     std::size_t m_suspensions = 0;
