Limits, Gateway: Confirm a change of homes, so that rates move without a pause

Organisations whose home changed were served from the reserve only for two seconds, the time in which pledges to the old home lapse. The old homes now confirm the report with the change; as soon as all have, the pledge moves.

--- a/Libraries/Gateway/QuotaLink.cpp
+++ b/Libraries/Gateway/QuotaLink.cpp
@@ -121,6 +121,11 @@
     refresh(now);
     if (const auto *ask = std::get_if<QuotaAsk>(&message.value()))
         return sendTo(sender, m_pool.answer(*ask, now));
+    if (const auto *receipt = std::get_if<QuotaReceipt>(&message.value())) {
+        if (m_pledges.noteReceipt(receipt->node, receipt->age))
+            m_link.announceFleet();
+        return;
+    }
     m_client.noteGrant(std::get<QuotaGrant>(message.value()), now);
     exchange(now);
 }
@@ -245,8 +250,10 @@
     if (code)
         return;
     m_addresses[node] = {address, m_settings.listen.port};
-    m_pledges.noteReport(node, {report.quotaHomes, report.previousQuotaHomes, report.bootAge},
-                         BootClock::now());
+    const bool needsReceipt = m_pledges.noteReport(
+            node, {report.quotaHomes, report.previousQuotaHomes, report.bootAge}, BootClock::now());
+    if (needsReceipt)
+        sendTo(m_addresses[node], QuotaReceipt{m_self, report.bootAge});
 }
 
 void QuotaLink::describe(PeerReport &report)
--- a/Libraries/Gateway/QuotaMessage.capnp
+++ b/Libraries/Gateway/QuotaMessage.capnp
@@ -19,9 +19,11 @@
   hasNoShare @4 :Bool;      # Whether the sender can never grant a token of this owner.
 }
 
-# Asks for tokens, or answers such an ask, in one datagram.
+# Asks for tokens, answers such an ask, or confirms a report with a change of homes, in one
+# datagram.
 struct QuotaMessage {
   id @0 :UInt64;          # Id of the ask; asks of one run of a process have ascending ids.
+                          # 0 in a receipt.
   union {
     ask :group {
       run @1 :UInt64;     # Random number of the asking process's run.
@@ -30,5 +32,9 @@
     grant :group {
       entries @3 :List(QuotaGrantEntry);
     }
+    receipt :group {
+      node @4 :UInt64;    # Hash of the sender's name.
+      ageMs @5 :UInt64;   # The age of the process in the report.
+    }
   }
 }
--- a/Libraries/Gateway/QuotaMessage.capnp.cpp
+++ b/Libraries/Gateway/QuotaMessage.capnp.cpp
@@ -219,17 +219,17 @@
   0, 5, i_d9b42d2f46314595, nullptr, nullptr, { &s_d9b42d2f46314595, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<49> b_8a2dd22b198c5307 = {
+static const ::capnp::_::AlignedData<57> b_8a2dd22b198c5307 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
       7,  83, 140,  25,  43, 210,  45, 138,
-     19,   0,   0,   0,   1,   0,   3,   0,
+     19,   0,   0,   0,   1,   0,   4,   0,
      38,  76, 169, 227, 247, 177, 197, 208,
-      1,   0,   7,   0,   0,   0,   2,   0,
+      1,   0,   7,   0,   0,   0,   3,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,   2,   1,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 175,   0,   0,   0,
+     29,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      81, 117, 111, 116,  97,  77, 101, 115,
@@ -237,25 +237,32 @@
     110, 112,  58,  81, 117, 111, 116,  97,
      77, 101, 115, 115,  97, 103, 101,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  26,   0,   0,   0,
+     97,   0,   0,   0,  26,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     76,   0,   0,   0,   2,   0,   1,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
       1,   0, 255, 255,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      51, 137,  45, 155,  77,  22,  46, 152,
-     73,   0,   0,   0,  34,   0,   0,   0,
+    101,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       2,   0, 254, 255,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     162, 237,  30,   4,   5, 201, 169, 251,
-     49,   0,   0,   0,  50,   0,   0,   0,
+     77,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      3,   0, 253, 255,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+    234,  81, 246, 251, 203, 162, 153, 237,
+     53,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -268,25 +275,27 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      97, 115, 107,   0,   0,   0,   0,   0,
-    103, 114,  97, 110, 116,   0,   0,   0, }
+    103, 114,  97, 110, 116,   0,   0,   0,
+    114, 101,  99, 101, 105, 112, 116,   0, }
 };
 ::capnp::word const* const bp_8a2dd22b198c5307 = b_8a2dd22b198c5307.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_8a2dd22b198c5307[] = {
   &s_982e164d9b2d8933,
+  &s_ed99a2cbfbf651ea,
   &s_fba9c905041eeda2,
 };
-static const uint16_t m_8a2dd22b198c5307[] = {1, 2, 0};
-static const uint16_t i_8a2dd22b198c5307[] = {1, 2, 0};
+static const uint16_t m_8a2dd22b198c5307[] = {1, 2, 0, 3};
+static const uint16_t i_8a2dd22b198c5307[] = {1, 2, 3, 0};
 const ::capnp::_::RawSchema s_8a2dd22b198c5307 = {
-  0x8a2dd22b198c5307, b_8a2dd22b198c5307.words, 49, d_8a2dd22b198c5307, m_8a2dd22b198c5307,
-  2, 3, i_8a2dd22b198c5307, nullptr, nullptr, { &s_8a2dd22b198c5307, nullptr, nullptr, 0, 0, nullptr }
+  0x8a2dd22b198c5307, b_8a2dd22b198c5307.words, 57, d_8a2dd22b198c5307, m_8a2dd22b198c5307,
+  3, 4, i_8a2dd22b198c5307, nullptr, nullptr, { &s_8a2dd22b198c5307, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<52> b_982e164d9b2d8933 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      51, 137,  45, 155,  77,  22,  46, 152,
-     32,   0,   0,   0,   1,   0,   3,   0,
+     32,   0,   0,   0,   1,   0,   4,   0,
       7,  83, 140,  25,  43, 210,  45, 138,
       1,   0,   7,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -353,7 +362,7 @@
 static const ::capnp::_::AlignedData<37> b_fba9c905041eeda2 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     162, 237,  30,   4,   5, 201, 169, 251,
-     32,   0,   0,   0,   1,   0,   3,   0,
+     32,   0,   0,   0,   1,   0,   4,   0,
       7,  83, 140,  25,  43, 210,  45, 138,
       1,   0,   7,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -402,6 +411,68 @@
   2, 1, i_fba9c905041eeda2, nullptr, nullptr, { &s_fba9c905041eeda2, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_ed99a2cbfbf651ea = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    234,  81, 246, 251, 203, 162, 153, 237,
+     32,   0,   0,   0,   1,   0,   4,   0,
+      7,  83, 140,  25,  43, 210,  45, 138,
+      1,   0,   7,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  66,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81, 117, 111, 116,  97,  77, 101, 115,
+    115,  97, 103, 101,  46,  99,  97, 112,
+    110, 112,  58,  81, 117, 111, 116,  97,
+     77, 101, 115, 115,  97, 103, 101,  46,
+    114, 101,  99, 101, 105, 112, 116,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    110, 111, 100, 101,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101,  77, 115,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ed99a2cbfbf651ea = b_ed99a2cbfbf651ea.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_ed99a2cbfbf651ea[] = {
+  &s_8a2dd22b198c5307,
+};
+static const uint16_t m_ed99a2cbfbf651ea[] = {1, 0};
+static const uint16_t i_ed99a2cbfbf651ea[] = {0, 1};
+const ::capnp::_::RawSchema s_ed99a2cbfbf651ea = {
+  0xed99a2cbfbf651ea, b_ed99a2cbfbf651ea.words, 48, d_ed99a2cbfbf651ea, m_ed99a2cbfbf651ea,
+  1, 2, i_ed99a2cbfbf651ea, nullptr, nullptr, { &s_ed99a2cbfbf651ea, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -450,6 +521,14 @@
 constexpr ::capnp::_::RawSchema const* QuotaMessage::Grant::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// QuotaMessage::Receipt
+constexpr uint16_t QuotaMessage::Receipt::_capnpPrivate::dataWordSize;
+constexpr uint16_t QuotaMessage::Receipt::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind QuotaMessage::Receipt::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* QuotaMessage::Receipt::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/Libraries/Gateway/QuotaMessage.capnp.h
+++ b/Libraries/Gateway/QuotaMessage.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(8a2dd22b198c5307);
 CAPNP_DECLARE_SCHEMA(982e164d9b2d8933);
 CAPNP_DECLARE_SCHEMA(fba9c905041eeda2);
+CAPNP_DECLARE_SCHEMA(ed99a2cbfbf651ea);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -67,12 +68,14 @@
   enum Which: uint16_t {
     ASK,
     GRANT,
+    RECEIPT,
   };
   struct Ask;
   struct Grant;
+  struct Receipt;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a2dd22b198c5307, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8a2dd22b198c5307, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -87,7 +90,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(982e164d9b2d8933, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(982e164d9b2d8933, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -102,7 +105,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fba9c905041eeda2, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fba9c905041eeda2, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaMessage::Receipt {
+  Receipt() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ed99a2cbfbf651ea, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -329,6 +347,9 @@
   inline bool isGrant() const;
   inline typename Grant::Reader getGrant() const;
 
+  inline bool isReceipt() const;
+  inline typename Receipt::Reader getReceipt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -369,6 +390,10 @@
   inline typename Grant::Builder getGrant();
   inline typename Grant::Builder initGrant();
 
+  inline bool isReceipt();
+  inline typename Receipt::Builder getReceipt();
+  inline typename Receipt::Builder initReceipt();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -562,6 +587,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class QuotaMessage::Receipt::Reader {
+public:
+  typedef Receipt Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNode() const;
+
+  inline  ::uint64_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaMessage::Receipt::Builder {
+public:
+  typedef Receipt Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNode();
+  inline void setNode( ::uint64_t value);
+
+  inline  ::uint64_t getAgeMs();
+  inline void setAgeMs( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaMessage::Receipt::Pipeline {
+public:
+  typedef Receipt Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint64_t QuotaAskEntry::Reader::getOwner() const {
@@ -772,6 +878,29 @@
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename QuotaMessage::Grant::Builder(_builder);
 }
+inline bool QuotaMessage::Reader::isReceipt() const {
+  return which() == QuotaMessage::RECEIPT;
+}
+inline bool QuotaMessage::Builder::isReceipt() {
+  return which() == QuotaMessage::RECEIPT;
+}
+inline typename QuotaMessage::Receipt::Reader QuotaMessage::Reader::getReceipt() const {
+  KJ_IREQUIRE((which() == QuotaMessage::RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return typename QuotaMessage::Receipt::Reader(_reader);
+}
+inline typename QuotaMessage::Receipt::Builder QuotaMessage::Builder::getReceipt() {
+  KJ_IREQUIRE((which() == QuotaMessage::RECEIPT),
+              "Must check which() before get()ing a union member.");
+  return typename QuotaMessage::Receipt::Builder(_builder);
+}
+inline typename QuotaMessage::Receipt::Builder QuotaMessage::Builder::initReceipt() {
+  _builder.setDataField<QuotaMessage::Which>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, QuotaMessage::RECEIPT);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
+  return typename QuotaMessage::Receipt::Builder(_builder);
+}
 inline  ::uint64_t QuotaMessage::Ask::Reader::getRun() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -854,6 +983,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t QuotaMessage::Receipt::Reader::getNode() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaMessage::Receipt::Builder::getNode() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaMessage::Receipt::Builder::setNode( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaMessage::Receipt::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaMessage::Receipt::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QuotaMessage::Receipt::Builder::setAgeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/Gateway/QuotaMessage.cpp
+++ b/Libraries/Gateway/QuotaMessage.cpp
@@ -41,6 +41,13 @@
     }
 }
 
+void encode(const QuotaReceipt &receipt, Rpc::QuotaMessage::Builder builder)
+{
+    auto group = builder.initReceipt();
+    group.setNode(receipt.node);
+    group.setAgeMs(static_cast<std::uint64_t>(receipt.age.count()));
+}
+
 std::optional<QuotaMessage> decodeReader(Rpc::QuotaMessage::Reader reader)
 {
     if (reader.isAsk()) {
@@ -51,6 +58,10 @@
         }
         return ask;
     }
+    if (reader.isReceipt()) {
+        const auto receipt = reader.getReceipt();
+        return QuotaReceipt{receipt.getNode(), Milliseconds(receipt.getAgeMs())};
+    }
     if (!reader.isGrant())
         return {};
     QuotaGrant grant{reader.getId(), {}};
--- a/Libraries/Gateway/QuotaMessage.h
+++ b/Libraries/Gateway/QuotaMessage.h
@@ -8,7 +8,7 @@
 
 namespace Radishplank {
 
-using QuotaMessage = std::variant<QuotaAsk, QuotaGrant>;
+using QuotaMessage = std::variant<QuotaAsk, QuotaGrant, QuotaReceipt>;
 
 /// Encodes a message for one datagram.
 [[nodiscard]] std::string encodeQuotaMessage(const QuotaMessage &message);
--- a/Libraries/Limits/QuotaMessages.h
+++ b/Libraries/Limits/QuotaMessages.h
@@ -58,4 +58,15 @@
     bool operator==(const QuotaGrant &) const = default;
 };
 
+/// Confirms to a member that a home has taken note of its report with a change of candidates.
+struct QuotaReceipt
+{
+    /// Hash of the name of the home.
+    std::uint64_t node = 0;
+    /// Age of the member's process in the report.
+    Milliseconds age{0};
+
+    bool operator==(const QuotaReceipt &) const = default;
+};
+
 } // namespace Radishplank
--- a/Libraries/Limits/QuotaPledges.cpp
+++ b/Libraries/Limits/QuotaPledges.cpp
@@ -37,17 +37,38 @@
 {
 }
 
-void QuotaPledges::noteReport(std::uint64_t node, QuotaPledge pledge, Duration now)
+bool QuotaPledges::noteReport(std::uint64_t node, QuotaPledge pledge, Duration now)
 {
     checkSuspension(now);
     if (node == m_self || now < m_ignoreReportsUntil)
-        return;
+        return false;
     auto &member = m_members[node];
+    // The network may deliver reports in another order. After a restart the age is much lower.
+    if (pledge.age < member.age && member.age - pledge.age < changeTime)
+        return false;
+    const auto age = pledge.age;
+    const bool needsReceipt = std::any_of(
+            pledge.previousHomes.begin(), pledge.previousHomes.end(), [&](const auto &homes) {
+                return std::find(homes.begin(), homes.end(), m_self) != homes.end();
+            });
     auto sets = setsOf(std::move(pledge));
     const bool isPledging = !sets.empty();
     m_hasPledgeChanged |= member.isPledging != isPledging || member.sets != sets
                           || now - member.heardAt > pledgeLifetime;
-    member = {now, isPledging, std::move(sets)};
+    member = {now, isPledging, age, std::move(sets)};
+    return needsReceipt;
+}
+
+bool QuotaPledges::noteReceipt(std::uint64_t home, Milliseconds age)
+{
+    for (auto &each : m_replaced) {
+        if (std::chrono::duration_cast<Milliseconds>(each.at - m_startedAt) <= age)
+            each.unconfirmed.erase(home);
+    }
+    const auto confirmed
+            = std::erase_if(m_replaced, [](const auto &each) { return each.unconfirmed.empty(); });
+    m_hasPledgeChanged |= confirmed > 0;
+    return confirmed > 0;
 }
 
 void QuotaPledges::noteLeft(std::uint64_t node)
@@ -79,8 +100,13 @@
     if (chosen == m_homes)
         return false;
     // A process pledges nothing at first, so the sets that it had until then count nowhere.
-    if (now - m_startedAt >= changeTime)
-        m_replaced.push_back({std::move(m_homes), now});
+    if (now - m_startedAt >= changeTime) {
+        std::set<std::uint64_t> unconfirmed(m_homes.begin(), m_homes.end());
+        // This process applies its own changes before it answers the next ask.
+        unconfirmed.erase(m_self);
+        if (!unconfirmed.empty())
+            m_replaced.push_back({std::move(m_homes), now, std::move(unconfirmed)});
+    }
     m_homes = std::move(chosen);
     m_hasPledgeChanged = true;
     return true;
--- a/Libraries/Limits/QuotaPledges.h
+++ b/Libraries/Limits/QuotaPledges.h
@@ -26,14 +26,20 @@
 /// BootClock. Pure.
 ///
 /// A home counts a member for an owner only if all sets that the member has announced recently map
-/// the owner to this home; so no member counts at two homes, even while the sets differ.
+/// the owner to this home; so no member counts at two homes, even while the sets differ. A replaced
+/// set is announced until all homes in it have confirmed a report with the new one, or for two
+/// seconds, after which pledges by it have lapsed.
 class QuotaPledges
 {
 public:
     QuotaPledges(std::uint64_t self, Duration startedAt);
 
-    /// Notes the full report of another member.
-    void noteReport(std::uint64_t node, QuotaPledge pledge, Duration now);
+    /// Notes the full report of another member. Returns whether the member must get a receipt,
+    /// because this process may have counted it by a set that it has replaced.
+    [[nodiscard]] bool noteReport(std::uint64_t node, QuotaPledge pledge, Duration now);
+    /// Notes the receipt of a home for a report of this process. Returns whether a report should be
+    /// sent soon, because no home counts this process by a replaced set any more.
+    [[nodiscard]] bool noteReceipt(std::uint64_t home, Milliseconds age);
     void noteLeft(std::uint64_t node);
     void setMemberCount(std::size_t count);
     /// Chooses this process's candidates anew, without the suspected ones; returns whether they
@@ -59,12 +65,16 @@
         Duration heardAt{};
         /// Whether the last report counts as a pledge.
         bool isPledging = false;
+        /// Age of its process in the last report.
+        Duration age{};
         std::vector<QuotaHomes> sets;
     };
     struct Replaced
     {
         QuotaHomes homes;
         Duration at{};
+        /// Homes in the set that may still count this process by it.
+        std::set<std::uint64_t> unconfirmed;
     };
     using Groups = std::map<std::vector<QuotaHomes>, std::size_t>;
 
--- a/Tests/Limits/TestQuotas.cpp
+++ b/Tests/Limits/TestQuotas.cpp
@@ -66,7 +66,7 @@
     std::uint64_t order = 0;
     std::size_t from = 0;
     std::size_t to = 0;
-    std::variant<std::shared_ptr<const ModelReport>, QuotaAsk, QuotaGrant> content;
+    std::variant<std::shared_ptr<const ModelReport>, QuotaAsk, QuotaGrant, QuotaReceipt> content;
 
     bool operator>(const ModelMessage &other) const
     {
@@ -275,7 +275,8 @@
     }
 
     void send(std::size_t from, std::size_t to,
-              std::variant<std::shared_ptr<const ModelReport>, QuotaAsk, QuotaGrant> content)
+              std::variant<std::shared_ptr<const ModelReport>, QuotaAsk, QuotaGrant, QuotaReceipt>
+                      content)
     {
         if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_loss)
             return;
@@ -305,13 +306,22 @@
             = std::get_if<std::shared_ptr<const ModelReport>>(&message.content)) {
             if (message.from >= m_memberCount)
                 process.pledges->setMemberCount(m_processes.size());
-            process.pledges->noteReport((*report)->node, (*report)->pledge, m_now);
+            if (process.pledges->noteReport((*report)->node, (*report)->pledge, m_now)) {
+                send(index, message.from,
+                     QuotaReceipt{process.hash,
+                                  std::chrono::duration_cast<Milliseconds>((*report)->pledge.age)});
+            }
             return;
         }
         m_datagrams += 1;
         refresh(process);
         if (const auto *ask = std::get_if<QuotaAsk>(&message.content))
             return send(index, message.from, process.pool->answer(*ask, m_now));
+        if (const auto *receipt = std::get_if<QuotaReceipt>(&message.content)) {
+            if (process.pledges->noteReceipt(receipt->node, receipt->age))
+                process.reportAt = m_now;
+            return;
+        }
         process.client->noteGrant(std::get<QuotaGrant>(message.content), m_now);
         exchange(index);
     }
@@ -642,6 +652,41 @@
     }
 }
 
+TEST_CASE(
+        "Owners whose home changes are refused for half a second at most if the old home is alive",
+        "[Quotas]")
+{
+    Model model(18, GENERATE(1, 2, 3));
+    constexpr std::size_t owners = 40;
+    for (std::size_t i = 0; i < owners; ++i)
+        model.addOwner(20, 20, steady(12));
+    model.run(warmUp + seconds(3));
+    std::vector<std::size_t> homes;
+    std::vector<std::size_t> refused;
+    for (std::size_t i = 0; i < owners; ++i) {
+        homes.push_back(model.homeOf(i));
+        refused.push_back(model.owner(i).refused);
+    }
+    model.addProcess();
+    model.run(seconds(8));
+    std::size_t moved = 0;
+    std::size_t refusedOfMoved = 0;
+    for (std::size_t i = 0; i < owners; ++i) {
+        checkBound(model, i);
+        const auto more = model.owner(i).refused - refused[i];
+        if (model.homeOf(i) == homes[i]) {
+            CHECK(more <= 2);
+            continue;
+        }
+        moved += 1;
+        refusedOfMoved += more;
+    }
+    INFO(moved << " owners moved, " << refusedOfMoved << " of their calls were refused");
+    CHECK(moved > 0);
+    // At 12 calls a second each. Without receipts, the homes would be missing for two seconds more.
+    CHECK(refusedOfMoved <= 6 * moved);
+}
+
 TEST_CASE("In a large fleet no failure lets an owner exceed its rate either", "[Quotas]")
 {
     const std::size_t processes = 300;
