Gateway: Send a call to distant room before refusing it

Callers near a full zone were refused although an upstream in another region had a free slot or ran batch items: the cost of the distance and of a peer's preemption (110 ms) exceeded that of one call ahead in the queue (87 ms), and only the cheapest upstream was compared with the longest wait. A call that cannot wait now goes to any healthy upstream with room.

--- a/Libraries/Gateway/UpstreamSelector.cpp
+++ b/Libraries/Gateway/UpstreamSelector.cpp
@@ -1,6 +1,7 @@
 #include <Gateway/UpstreamSelector.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace Radishplank {
 
@@ -79,6 +80,31 @@
     return best;
 }
 
+std::optional<UpstreamChoice>
+chooseOnlineUpstreamWithin(std::span<const UpstreamCandidate> candidates, Milliseconds maxWait,
+                           RandomEngine &random)
+{
+    const auto choice = chooseOnlineUpstream(candidates, random);
+    if (!choice || choice->wait <= maxWait)
+        return choice;
+    // The cost of a distant upstream can exceed that of a short wait nearby, but a call that cannot
+    // wait is better served there than refused.
+    std::vector<UpstreamCandidate> withRoom;
+    std::vector<std::size_t> indexes;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const auto &candidate = candidates[index];
+        if (candidate.online >= candidate.slots || !candidate.isHealthy)
+            continue;
+        withRoom.push_back(candidate);
+        indexes.push_back(index);
+    }
+    auto other = chooseOnlineUpstream(withRoom, random);
+    if (!other)
+        return choice;
+    other->index = indexes[other->index];
+    return other;
+}
+
 double batchCapacity(const UpstreamCandidate &candidate)
 {
     const unsigned total = candidate.online + candidate.batch;
--- a/Libraries/Gateway/UpstreamSelector.h
+++ b/Libraries/Gateway/UpstreamSelector.h
@@ -41,6 +41,13 @@
 [[nodiscard]] std::optional<UpstreamChoice>
 chooseOnlineUpstream(std::span<const UpstreamCandidate> candidates, RandomEngine &random);
 
+/// As chooseOnlineUpstream(), but prefers any healthy upstream with a slot that is free or that a
+/// batch item holds, however distant, to one with a longer expected wait than `maxWait`. The choice
+/// has a longer wait only if there is no such upstream.
+[[nodiscard]] std::optional<UpstreamChoice>
+chooseOnlineUpstreamWithin(std::span<const UpstreamCandidate> candidates, Milliseconds maxWait,
+                           RandomEngine &random);
+
 /// Returns the capacity of an upstream for batch items, in slots: its free slots, less a reserve
 /// for online calls that arrive before batch items can be preempted. Upstreams in other regions are
 /// weighted lower, because reports of their load are older.
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -179,7 +179,8 @@
     {
         const std::scoped_lock lock(m_mutex);
         auto found = candidates(service, excluded, SteadyClock().now());
-        const auto choice = chooseOnlineUpstream(found.entries, threadRandomEngine());
+        const auto choice
+                = chooseOnlineUpstreamWithin(found.entries, maxWait, threadRandomEngine());
         if (!choice)
             return admission;
         if (choice->wait > maxWait) {
--- a/Tests/Gateway/TestUpstreamSelector.cpp
+++ b/Tests/Gateway/TestUpstreamSelector.cpp
@@ -125,3 +125,29 @@
     CHECK(batchShare(100, 0, 1'000, 0.9) == 0);
     CHECK(batchShare(0, 10, 10, 0.9) == 0);
 }
+
+TEST_CASE("No call is refused while another upstream has room for it", "[UpstreamSelector]")
+{
+    // Guards against refusals near a full zone while batch items run, or slots are free, elsewhere.
+    RandomEngine random(1);
+    const Milliseconds noWait(0);
+    auto distant = candidateWith(5, 3, 0, Distance::OtherRegion);
+    const std::vector<UpstreamCandidate> candidates{candidateWith(8), distant};
+    CHECK(chooseOnlineUpstream(candidates, random)->index == 0);
+    const auto choice = chooseOnlineUpstreamWithin(candidates, noWait, random);
+    REQUIRE(choice);
+    CHECK(choice->index == 1);
+    CHECK(choice->mustPreempt);
+    CHECK(choice->wait == noWait);
+
+    SECTION("A wait that the call can afford is preferred to the distant upstream")
+    {
+        CHECK(chooseOnlineUpstreamWithin(candidates, Milliseconds(100), random)->index == 0);
+    }
+    SECTION("An upstream that has just failed is no such room")
+    {
+        distant.isHealthy = false;
+        const std::vector<UpstreamCandidate> others{candidateWith(8), distant};
+        CHECK(chooseOnlineUpstreamWithin(others, noWait, random)->wait > noWait);
+    }
+}
