Limits: Spread the return of callers whose patience is short

RetryAfterSchedule assumed delays of 1 to 10 s; callers of streams have 5 s and honour a third of what they have left. scheduleWithin() places them one after the other up to that bound, and starts again at its beginning when the bound is reached, because callers that all got the bound would return in the shape of the burst. Callers of schedule() see no change.

--- a/Libraries/Limits/RetryAfterSchedule.cpp
+++ b/Libraries/Limits/RetryAfterSchedule.cpp
@@ -8,11 +8,8 @@
 namespace {
 
 constexpr double averagingSeconds = 5;
-constexpr Milliseconds minimumDelay{1'000};
-/// The current completion rate does not predict a longer wait.
-constexpr Milliseconds maximumDelay{10'000};
-/// Returned when no work has completed recently.
-constexpr Milliseconds defaultDelay{2'000};
+/// Callers that are spread over the permitted time when the completion rate is not known.
+constexpr int callersWithoutRate = 8;
 
 } // namespace
 
@@ -33,14 +30,35 @@
 {
     decay(now);
     if (m_rate <= 0)
-        return defaultDelay;
+        return m_bounds.initial;
     const auto start = std::max(now, m_reservedUntil);
     const std::chrono::duration<double> needed(missing / m_rate);
-    const auto longest = std::chrono::duration<double>(maximumDelay);
+    const auto longest = std::chrono::duration<double>(m_bounds.maximum);
     m_reservedUntil = start + std::chrono::duration_cast<Duration>(std::min(needed, longest));
-    m_reservedUntil = std::min<TimePoint>(m_reservedUntil, now + maximumDelay);
-    return std::clamp(std::chrono::ceil<Milliseconds>(m_reservedUntil - now), minimumDelay,
-                      maximumDelay);
+    m_reservedUntil = std::min<TimePoint>(m_reservedUntil, now + m_bounds.maximum);
+    return std::clamp(std::chrono::ceil<Milliseconds>(m_reservedUntil - now), m_bounds.minimum,
+                      m_bounds.maximum);
+}
+
+Milliseconds RetryAfterSchedule::scheduleWithin(Milliseconds longest, double missing, TimePoint now)
+{
+    decay(now);
+    longest = std::min(longest, m_bounds.maximum);
+    if (longest <= m_bounds.minimum)
+        return longest;
+    const Duration window = longest - m_bounds.minimum;
+    Duration step = window / callersWithoutRate;
+    if (m_rate > 0) {
+        const std::chrono::duration<double> needed(missing / m_rate);
+        step = std::chrono::duration_cast<Duration>(
+                std::min<std::chrono::duration<double>>(needed, window));
+    }
+    const TimePoint earliest = now + m_bounds.minimum;
+    const TimePoint latest = now + longest;
+    m_reservedUntil = std::max(m_reservedUntil, earliest) + step;
+    if (m_reservedUntil > latest)
+        m_reservedUntil = earliest + (m_reservedUntil - latest) % window;
+    return std::chrono::ceil<Milliseconds>(m_reservedUntil - now);
 }
 
 } // namespace Radishplank
