Serving, Gateway: Let a call wait only if its first event will be in time

In a burst almost every call was slightly late: a call waited if its expected wait was below 0.6 of the target, counted from the decision, whatever the first event takes at that load. CallAdmission learns the time to the first event in a free slot and the error of the expected wait, and lets a call wait if the first event will be in its target with a probability of 0.8, counted from its arrival. Calls for which a slot is free are admitted as before. AdmissionControl also gives refused callers their times to return.

--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -2,6 +2,7 @@
 
 /// Public header of the Gateway library, which proxies calls to upstreams unchanged.
 
+#include <Gateway/AdmissionControl.h>
 #include <Gateway/CallFingerprint.h>
 #include <Gateway/CallForwarder.h>
 #include <Gateway/CallHeaderNames.h>
--- a/Libraries/Gateway/Relay.cpp
+++ b/Libraries/Gateway/Relay.cpp
@@ -29,12 +29,13 @@
 } // namespace
 
 Relay::Relay(const RouteDirectory &routes, UpstreamTable &upstreams, CrashTracker &crashes,
-             CrashingPartDetector &crashingParts, GatewayMetrics &metrics,
-             CallHeaderNames headerNames, const StopSchedule &stopSchedule)
+             CrashingPartDetector &crashingParts, AdmissionControl &admissionControl,
+             GatewayMetrics &metrics, CallHeaderNames headerNames, const StopSchedule &stopSchedule)
     : m_routes(routes)
     , m_upstreams(upstreams)
     , m_crashes(crashes)
     , m_crashingParts(crashingParts)
+    , m_admissionControl(admissionControl)
     , m_metrics(metrics)
     , m_headerNames(std::move(headerNames))
     , m_stopSchedule(stopSchedule)
@@ -61,7 +62,8 @@
     if (!m_stopSchedule.mayTake(deadline, SteadyClock().now()))
         return refuseBeforeStop(exchange, *route, deadline);
     const double draw = std::uniform_real_distribution<double>(0, 1)(threadRandomEngine());
-    RelayCall call(exchange, m_upstreams, m_crashes, m_crashingParts, m_headerNames, m_metrics,
+    RelayCall call(exchange, m_upstreams, m_crashes, m_crashingParts, m_admissionControl,
+                   m_headerNames, m_metrics,
                    {route, chooseService(*route, draw), body.takeValue(), arrived, deadline,
                     m_routes.version(), std::move(caller)});
     call.run();
--- a/Libraries/Gateway/Relay.h
+++ b/Libraries/Gateway/Relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Gateway/AdmissionControl.h>
 #include <Gateway/CallHeaderNames.h>
 #include <Gateway/CallerAuthenticator.h>
 #include <Gateway/CrashTracker.h>
@@ -17,8 +18,8 @@
 {
 public:
     Relay(const RouteDirectory &routes, UpstreamTable &upstreams, CrashTracker &crashes,
-          CrashingPartDetector &crashingParts, GatewayMetrics &metrics, CallHeaderNames headerNames,
-          const StopSchedule &stopSchedule);
+          CrashingPartDetector &crashingParts, AdmissionControl &admissionControl,
+          GatewayMetrics &metrics, CallHeaderNames headerNames, const StopSchedule &stopSchedule);
 
     /// Answers a call; `route` is the route that the directory has found for it, or null. Refuses a
     /// call that may last longer than the process, which is about to stop.
@@ -32,6 +33,7 @@
     UpstreamTable &m_upstreams;
     CrashTracker &m_crashes;
     CrashingPartDetector &m_crashingParts;
+    AdmissionControl &m_admissionControl;
     GatewayMetrics &m_metrics;
     const CallHeaderNames m_headerNames;
     const StopSchedule &m_stopSchedule;
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -5,6 +5,7 @@
 #include <Gateway/StreamProgress.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 
 namespace Radishplank {
@@ -19,9 +20,8 @@
 constexpr Milliseconds crashCheckTimeout{100};
 /// Callers that disconnect after a shorter silence do so for reasons unrelated to the upstream.
 constexpr Milliseconds minSuspiciousSilence{1'000};
-/// Share of the latency target that a call may wait for a slot; the rest covers reading its prompt,
-/// the first event and the way back.
-constexpr double slotWaitShareOfTarget = 0.6;
+/// Share of the latency target that a call usually waits for a slot at most.
+constexpr double usualWaitShareOfTarget = 0.6;
 /// Latency target of routes for which the operator configures none.
 constexpr Milliseconds defaultTarget{1'000};
 constexpr Milliseconds minRetryAfter{100};
@@ -32,11 +32,9 @@
 /// An upstream that has sent this many events of a stream has got past the beginning of its answer.
 constexpr std::size_t minEventsOfAnswer = 2;
 
-Milliseconds maxSlotWait(const Route &route)
+Milliseconds targetOf(const Route &route)
 {
-    const auto target = route.target.count() > 0 ? route.target : defaultTarget;
-    return Milliseconds(
-            static_cast<long long>(static_cast<double>(target.count()) * slotWaitShareOfTarget));
+    return route.target.count() > 0 ? route.target : defaultTarget;
 }
 
 } // namespace
@@ -49,12 +47,13 @@
 }
 
 RelayCall::RelayCall(HttpExchange &exchange, UpstreamTable &upstreams, CrashTracker &crashes,
-                     CrashingPartDetector &crashingParts, const CallHeaderNames &headerNames,
-                     GatewayMetrics &metrics, IncomingCall call)
+                     CrashingPartDetector &crashingParts, AdmissionControl &admissionControl,
+                     const CallHeaderNames &headerNames, GatewayMetrics &metrics, IncomingCall call)
     : m_exchange(exchange)
     , m_upstreams(upstreams)
     , m_crashes(crashes)
     , m_crashingParts(crashingParts)
+    , m_admissionControl(admissionControl)
     , m_headerNames(headerNames)
     , m_call(std::move(call))
     , m_fingerprint(callFingerprint(exchange.request(), m_call.body))
@@ -66,14 +65,14 @@
 
 void RelayCall::run()
 {
-    const auto maxWait = maxSlotWait(*m_call.route);
     std::optional<UpstreamInfo> silentUpstream;
     while (!m_watch.isStopped()) {
         if (refuseIfCrashing())
             return;
         // A call that has begun may wait until its deadline, because its caller cannot retry just
         // the rest.
-        const auto wait = m_runs > 0 ? timeLeft() : maxWait;
+        const auto limit = slotWaitLimit();
+        const auto wait = limit.longestWait;
         auto admission = m_upstreams.reserveOnline(m_call.service, m_triedUpstreams, wait);
         // If no other upstream is available, continue at one that has failed before.
         if (!admission.reservation && m_runs > 0)
@@ -81,11 +80,12 @@
         if (!admission.reservation) {
             if (m_runs > 0)
                 return giveUp("no upstream is available for another attempt");
-            return refuse(admission.expectedWait.value_or(maxWait),
-                          admission.expectedWait ? "no slot in time" : "no upstream to send it to");
+            return refuseForLackOfSlots(admission, limit);
         }
         m_triedUpstreams.insert(admission.reservation->upstream().id);
         logAttempt(admission);
+        m_attemptSentAt = SteadyClock().now();
+        m_attemptExpectedWait = admission.expectedWait.value_or(Milliseconds(0));
         const auto outcome = attempt(*admission.reservation);
         if (outcome == AttemptOutcome::Answered)
             return;
@@ -311,7 +311,9 @@
     // An upstream that stays silent for longer than this and the wait for a slot is lost.
     const auto pause = std::max<Milliseconds>(route.gapTarget * idleTimeoutPerGapTarget,
                                               minUpstreamIdleTimeout);
-    return pause + maxSlotWait(route);
+    return pause
+           + Milliseconds(std::llround(static_cast<double>(targetOf(route).count())
+                                       * usualWaitShareOfTarget));
 }
 
 RelayCall::AttemptOutcome RelayCall::outcomeOf(const Error &error) const
@@ -388,6 +390,17 @@
                               "the call may have run, and has no answer\n"});
 }
 
+void RelayCall::refuseForLackOfSlots(const UpstreamTable::OnlineAdmission &admission,
+                                     const AdmissionLimit &limit)
+{
+    const auto retryAfter = m_admissionControl.retryAfter(timeLeft(), SteadyClock().now());
+    if (!admission.expectedWait)
+        return refuse(retryAfter, "no upstream to send it to");
+    refuse(retryAfter,
+           "no slot in time: expected in " + std::to_string(admission.expectedWait->count())
+                   + " ms, wanted within " + std::to_string(limit.longestWait.count()) + " ms");
+}
+
 void RelayCall::refuse(Milliseconds retryAfter, std::string_view reason)
 {
     m_metrics.callsRefused.increase();
@@ -433,11 +446,39 @@
         return;
     m_firstBytesAge = age();
     m_metrics.firstEvent.record(*m_firstBytesAge);
+    recordFirstEvent();
+}
+
+void RelayCall::recordFirstEvent()
+{
+    // A later attempt resumes a stream, and its first event comes at another time.
+    if (m_runs > 0)
+        return;
+    const auto observed
+            = std::chrono::duration_cast<Milliseconds>(m_lastActivity - m_attemptSentAt);
+    m_admissionControl.noteFirstEvent(admissionClass(), m_attemptExpectedWait, observed,
+                                      m_lastActivity);
+}
+
+std::string RelayCall::admissionClass() const
+{
+    // The answer to a call comes as a whole, that to a stream event by event.
+    return m_call.route->kind == RouteKind::Stream ? "stream " + m_call.service
+                                                   : "call " + m_call.service;
+}
+
+AdmissionLimit RelayCall::slotWaitLimit() const
+{
+    if (m_runs > 0)
+        return {timeLeft(), ShareStanding::Within};
+    return m_admissionControl.limitFor({admissionClass(), age(), targetOf(*m_call.route)},
+                                       SteadyClock().now());
 }
 
 void RelayCall::noteAnswered(const UpstreamInfo &upstream, unsigned status)
 {
     m_metrics.callsAnswered.increase();
+    m_admissionControl.noteAnswered(SteadyClock().now());
     m_metrics.wholeCall.record(age());
     logDecision("call-answered",
                 {{"id", id()},
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Gateway/AdmissionControl.h>
 #include <Gateway/CallHeaderNames.h>
 #include <Gateway/CallWatch.h>
 #include <Gateway/CallerAuthenticator.h>
@@ -38,8 +39,8 @@
 {
 public:
     RelayCall(HttpExchange &exchange, UpstreamTable &upstreams, CrashTracker &crashes,
-              CrashingPartDetector &crashingParts, const CallHeaderNames &headerNames,
-              GatewayMetrics &metrics, IncomingCall call);
+              CrashingPartDetector &crashingParts, AdmissionControl &admissionControl,
+              const CallHeaderNames &headerNames, GatewayMetrics &metrics, IncomingCall call);
 
     void run();
 
@@ -76,12 +77,21 @@
     void refuseCrashing(Duration wait, std::string_view reason);
     /// Sends the final answer to a call that no upstream has answered.
     void giveUp(std::string_view reason);
+    /// Refuses a call that no upstream can begin within the limit.
+    void refuseForLackOfSlots(const UpstreamTable::OnlineAdmission &admission,
+                              const AdmissionLimit &limit);
     void refuse(Milliseconds retryAfter, std::string_view reason);
     void logAttempt(const UpstreamTable::OnlineAdmission &admission) const;
     void logFailedAttempt(const UpstreamInfo &upstream, const std::string &reason);
     void logEnd(std::string_view event, std::string_view reason) const;
     void noteAnswered(const UpstreamInfo &upstream, unsigned status);
     void recordBytesReceived();
+    /// Records how long the first attempt of the call took until its first event.
+    void recordFirstEvent();
+    /// Returns how long the call may wait for a slot.
+    [[nodiscard]] AdmissionLimit slotWaitLimit() const;
+    /// Returns the name under which the times of calls like this one are recorded.
+    [[nodiscard]] std::string admissionClass() const;
     /// Records that the upstream has begun to answer and went on.
     void noteAnswering();
     /// Returns how long the current attempt has been receiving its answer.
@@ -93,6 +103,7 @@
     UpstreamTable &m_upstreams;
     CrashTracker &m_crashes;
     CrashingPartDetector &m_crashingParts;
+    AdmissionControl &m_admissionControl;
     const CallHeaderNames &m_headerNames;
     IncomingCall m_call;
     const std::uint64_t m_fingerprint;
@@ -114,6 +125,9 @@
     std::size_t m_attemptEvents = 0;
     /// Whether the upstream of the current attempt went on after the beginning of its answer.
     bool m_isAnswering = false;
+    /// When the current attempt was sent, and its expected wait for a slot.
+    TimePoint m_attemptSentAt{};
+    Milliseconds m_attemptExpectedWait{0};
 };
 
 /// Formats a wait as the value of a Retry-After header, in seconds.
--- a/Libraries/Serving/Serving.h
+++ b/Libraries/Serving/Serving.h
@@ -6,6 +6,7 @@
 #include <Serving/AttemptRegistry.h>
 #include <Serving/AttemptRequest.h>
 #include <Serving/BatchWindow.h>
+#include <Serving/CallAdmission.h>
 #include <Serving/HeartbeatMonitor.h>
 #include <Serving/LinkAllowance.h>
 #include <Serving/Outcome.h>
