Serving, Gateway: Place calls by expected remaining work and by the pace of upstreams

WorkEstimator learns slot times and times to the first event, RemainingWork gives the rest of a stream that has run for a while, and UpstreamPace finds slow upstreams from the gaps between events. UpstreamTable keeps both per reservation, reports carry the remaining work and the observed pace, and UpstreamSelector weighs them.

TestServing and the existing cases of TestGateway pass.

--- a/Libraries/Gateway/CallHeaderNames.h
+++ b/Libraries/Gateway/CallHeaderNames.h
@@ -26,6 +26,10 @@
     /// Names the owner of a call to upstreams; a caller's own value is dropped if calls need
     /// credentials.
     std::string owner = {};
+    /// States the tokens of a request as "PROMPT,MAX_OUTPUT".
+    std::string tokenUsage = {};
+    /// States the caller's estimate of the output tokens.
+    std::string lengthHint = {};
 };
 
 } // namespace Radishplank
--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -21,3 +21,4 @@
 #include <Gateway/StreamProgress.h>
 #include <Gateway/UpstreamSelector.h>
 #include <Gateway/UpstreamTable.h>
+#include <Gateway/WorkHeaders.h>
--- a/Libraries/Gateway/GatewayMetrics.h
+++ b/Libraries/Gateway/GatewayMetrics.h
@@ -38,6 +38,14 @@
     LatencyHistogram wholeCall;
     /// Time from the submission of a job to the result of one of its items.
     LatencyHistogram itemAge;
+    /// Slot times divided by their estimates; the histogram takes a ratio of 1 for one second.
+    LatencyHistogram slotTimeRatio;
+
+    void recordSlotTimeRatio(double ratio)
+    {
+        slotTimeRatio.record(
+                std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ratio)));
+    }
 
     /// Appends all metrics in the Prometheus text format.
     void renderPrometheus(std::string &text) const;
--- a/Libraries/Gateway/ItemRun.cpp
+++ b/Libraries/Gateway/ItemRun.cpp
@@ -56,13 +56,14 @@
 /// Calls `onAnswering` with the time of the first event when the upstream goes on after it, or when
 /// the answer is complete.
 template<typename Callback>
-StreamEnd readEvents(HttpResponseStream &answer, ItemProgress &progress, std::size_t maxOutputBytes,
-                     Callback onAnswering)
+StreamEnd readEvents(UpstreamTable::Reservation &place, HttpResponseStream &answer,
+                     ItemProgress &progress, std::size_t maxOutputBytes, Callback onAnswering)
 {
     EventFramer framer;
     std::optional<TimePoint> beganAt;
     StreamProgress streamProgress(progress.lastEvent, SteadyClock().now());
     while (true) {
+        place.noteReading();
         const auto chunk = answer.readChunk();
         if (chunk.isError())
             return StreamEnd::Broken;
@@ -74,7 +75,9 @@
             onAnswering(beganAt.value_or(now));
             return StreamEnd::Complete;
         }
-        for (const auto &event : framer.feed(chunk.value())) {
+        const auto events = framer.feed(chunk.value());
+        place.noteEvents(events.size());
+        for (const auto &event : events) {
             if (beganAt)
                 onAnswering(*beganAt);
             beganAt = beganAt.value_or(now);
@@ -133,7 +136,10 @@
         answer.skipBody();
         return runEndForStatus(answer.status());
     }
-    const auto end = readEvents(answer, progress, maxOutputBytes, onAnswering);
+    const bool isWhole = !progress.lastEvent;
+    const auto end = readEvents(place, answer, progress, maxOutputBytes, onAnswering);
+    if (end == StreamEnd::Complete && isWhole)
+        (void)place.noteCompleted();
     if (end == StreamEnd::Complete)
         place.reportHealth(UpstreamHealth::Healthy);
     else if (!control.cancellation.isCancelled())
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -6,6 +6,7 @@
 #include <Gateway/ItemRun.h>
 #include <Gateway/PeerLink.h>
 #include <Gateway/RouteTable.h>
+#include <Gateway/WorkHeaders.h>
 
 #include <algorithm>
 #include <atomic>
@@ -570,8 +571,11 @@
             const double draw = std::uniform_real_distribution<double>(0, 1)(threadRandomEngine());
             const auto &service = chooseService(*route, draw);
             const auto quota = quotas.find(service);
-            auto place = quota == quotas.end() ? UpstreamTable::ReservationPointer()
-                                               : m_context.upstreams.reserveBatch(service);
+            auto place = quota == quotas.end()
+                                 ? UpstreamTable::ReservationPointer()
+                                 : m_context.upstreams.reserveBatch(service,
+                                                                    featuresOf(*item, *job, *route),
+                                                                    m_queue.slackOf(*item, now));
             if (!place) {
                 skipped.push_back(*item);
                 quotas.erase(service);
@@ -592,6 +596,16 @@
         return sharedPromptParts(headers.value(m_context.dialect.promptParts));
     }
 
+    [[nodiscard]] WorkFeatures featuresOf(const ItemKey &item, const ActiveJob &job,
+                                          const Route &route) const
+    {
+        const auto &headers = job.stored.job.items[item.index].headers;
+        auto features = workFeatures(headers, m_context.dialect);
+        features.route = stableHash(route.name);
+        features.owner = stableHash(job.stored.job.organisation);
+        return features;
+    }
+
     void startItem(const JobPointer &job, const ItemKey &item,
                    UpstreamTable::ReservationPointer place)
     {
--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -150,8 +150,7 @@
     report.control = m_settings.control;
     if (describeFleet)
         describeFleet(report);
-    for (const auto &[id, load] : m_upstreams.ownLoads())
-        report.loads.push_back({upstreamHash(id), load.online, load.batch});
+    report.loads = m_upstreams.loadsToReport();
     report.leaving = m_upstreams.leaving();
     if (describeWaiting)
         describeWaiting(report);
--- a/Libraries/Gateway/PeerLoads.h
+++ b/Libraries/Gateway/PeerLoads.h
@@ -19,6 +19,13 @@
     bool operator==(const UpstreamLoad &) const = default;
 };
 
+/// Expected slot time in milliseconds that remains of the streams at one upstream.
+struct UpstreamRemaining
+{
+    double online = 0;
+    double batch = 0;
+};
+
 /// Batch items that wait for a slot; fractional if a route splits its calls by weights.
 struct WaitingItems
 {
@@ -51,6 +58,10 @@
 
     /// Returns the sum of the peers' streams at an upstream, given the hash of its name.
     [[nodiscard]] UpstreamLoad at(std::uint64_t upstream) const;
+    /// Returns what remains of these streams now. `progress` is the part of the streams that
+    /// advances, divided by the slowness of the upstream: 1 if all run at their usual speed.
+    [[nodiscard]] UpstreamRemaining remainingAt(std::uint64_t upstream, double progress,
+                                                TimePoint now) const;
     /// Returns the sum of the items that wait at the peers for a service, given the hash of its
     /// name.
     [[nodiscard]] WaitingItems waiting(std::uint64_t service) const;
@@ -68,10 +79,30 @@
         std::vector<ServiceDemand> waiting;
     };
 
+    /// Remaining time of one class of streams as the sum of linear functions of time, in integers
+    /// so that a report can be taken out exactly as it was added.
+    struct RemainingSum
+    {
+        std::int64_t reported = 0;
+        /// Streams times the time of their report.
+        std::int64_t reportTimes = 0;
+
+        void add(unsigned streams, std::int64_t remaining, TimePoint at, std::int64_t sign);
+        [[nodiscard]] double at(unsigned streams, double progress, double minPerStream,
+                                TimePoint now) const;
+    };
+    struct Sum
+    {
+        UpstreamLoad load;
+        RemainingSum online;
+        RemainingSum batch;
+    };
+
     void remove(const Report &report);
+    static void apply(Sum &sum, const UpstreamStreams &load, TimePoint at, int sign);
 
     std::map<NodeId, Report> m_reports;
-    std::unordered_map<std::uint64_t, UpstreamLoad> m_loads;
+    std::unordered_map<std::uint64_t, Sum> m_loads;
     std::unordered_map<std::uint64_t, WaitingItems> m_waiting;
     /// Lower bound for the times of all reports.
     TimePoint m_oldestAt = TimePoint::max();
--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -10,6 +10,7 @@
   batch @2 :UInt16;
   onlineRemainingMs @3 :UInt32;  # Expected remaining slot time of the online streams; 0 if unknown.
   batchRemainingMs @4 :UInt32;   # Expected remaining slot time of the batch items; 0 if unknown.
+  paceHundredths @5 :UInt16;     # How slow the sender sees the upstream, 100 is usual; 0 if unknown.
 }
 
 # Online streams of one owner at one entry process.
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -212,6 +212,8 @@
 
   inline  ::uint32_t getBatchRemainingMs() const;
 
+  inline  ::uint16_t getPaceHundredths() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -255,6 +257,9 @@
   inline  ::uint32_t getBatchRemainingMs();
   inline void setBatchRemainingMs( ::uint32_t value);
 
+  inline  ::uint16_t getPaceHundredths();
+  inline void setPaceHundredths( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1349,6 +1354,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t UpstreamStreams::Reader::getPaceHundredths() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t UpstreamStreams::Builder::getPaceHundredths() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamStreams::Builder::setPaceHundredths( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t OwnerStreams::Reader::getOwner() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -2,6 +2,7 @@
 
 #include <Gateway/PeerReport.capnp.h>
 
+#include <algorithm>
 #include <capnp/serialize.h>
 #include <cstring>
 #include <kj/array.h>
@@ -111,7 +112,8 @@
     for (const auto load : reader.getLoads()) {
         report.loads.push_back({load.getUpstream(), load.getOnline(), load.getBatch(),
                                 Milliseconds(load.getOnlineRemainingMs()),
-                                Milliseconds(load.getBatchRemainingMs())});
+                                Milliseconds(load.getBatchRemainingMs()),
+                                load.getPaceHundredths() / 100.0});
     }
     for (const auto demand : reader.getWaiting())
         report.waiting.push_back({demand.getService(), demand.getItems(), demand.getLateItems()});
@@ -161,6 +163,8 @@
         loads[i].setBatch(static_cast<std::uint16_t>(report.loads[i].batch));
         loads[i].setOnlineRemainingMs(encodeMilliseconds(report.loads[i].onlineRemaining));
         loads[i].setBatchRemainingMs(encodeMilliseconds(report.loads[i].batchRemaining));
+        loads[i].setPaceHundredths(
+                static_cast<std::uint16_t>(std::clamp(report.loads[i].pace * 100, 0.0, 65'535.0)));
     }
     auto waiting = builder.initWaiting(static_cast<unsigned>(report.waiting.size()));
     for (unsigned i = 0; i < report.waiting.size(); ++i) {
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -21,6 +21,8 @@
     /// Expected remaining slot time of these streams; 0 if the sender does not estimate it.
     Milliseconds onlineRemaining{0};
     Milliseconds batchRemaining{0};
+    /// Slowness of the upstream as the sender observes it, 1 being usual; 0 if it is not known.
+    double pace = 0;
 };
 
 /// Online streams of one owner at one entry process.
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -39,6 +39,15 @@
             static_cast<long long>(static_cast<double>(target.count()) * slotWaitShareOfTarget));
 }
 
+WorkFeatures featuresOf(const HttpRequest &request, const CallHeaderNames &names,
+                        const IncomingCall &call)
+{
+    auto features = workFeatures(request.headers, names);
+    features.route = stableHash(call.route->name);
+    features.owner = stableHash(call.caller.name());
+    return features;
+}
+
 } // namespace
 
 std::string retryAfterText(Milliseconds wait)
@@ -59,6 +68,7 @@
     , m_call(std::move(call))
     , m_fingerprint(callFingerprint(exchange.request(), m_call.body))
     , m_parts(sharedPromptParts(exchange.request().headers.value(headerNames.promptParts)))
+    , m_features(featuresOf(exchange.request(), headerNames, m_call))
     , m_metrics(metrics)
     , m_watch(exchange, m_call.deadline)
 {
@@ -74,10 +84,11 @@
         // A call that has begun may wait until its deadline, because its caller cannot retry just
         // the rest.
         const auto wait = m_runs > 0 ? timeLeft() : maxWait;
-        auto admission = m_upstreams.reserveOnline(m_call.service, m_triedUpstreams, wait);
+        auto admission
+                = m_upstreams.reserveOnline(m_call.service, m_triedUpstreams, wait, m_features);
         // If no other upstream is available, continue at one that has failed before.
         if (!admission.reservation && m_runs > 0)
-            admission = m_upstreams.reserveOnline(m_call.service, {}, wait);
+            admission = m_upstreams.reserveOnline(m_call.service, {}, wait, m_features);
         if (!admission.reservation) {
             if (m_runs > 0)
                 return giveUp("no upstream is available for another attempt");
@@ -156,9 +167,11 @@
         answer.skipBody();
         return AttemptOutcome::NotRun;
     }
-    const auto outcome = forwardAnswer(answer);
+    const auto outcome = forwardAnswer(reservation, answer);
     if (outcome == AttemptOutcome::Answered) {
         reservation.reportHealth(UpstreamHealth::Healthy);
+        if (answer.status() >= 200 && answer.status() < 300)
+            noteCompleted(reservation);
         noteAnswered(upstream, answer.status());
     } else if (!m_watch.isStopped()) {
         reservation.reportHealth(UpstreamHealth::Failed);
@@ -169,7 +182,8 @@
     return outcome;
 }
 
-RelayCall::AttemptOutcome RelayCall::forwardAnswer(HttpResponseStream &answer)
+RelayCall::AttemptOutcome RelayCall::forwardAnswer(UpstreamTable::Reservation &reservation,
+                                                   HttpResponseStream &answer)
 {
     const bool isSuccess = answer.status() >= 200 && answer.status() < 300;
     if (m_hasStreamStarted && !isSuccess) {
@@ -179,7 +193,7 @@
         return AttemptOutcome::Interrupted;
     }
     if (isSuccess && m_call.route->kind == RouteKind::Stream)
-        return forwardEvents(answer);
+        return forwardEvents(reservation, answer);
     auto body = answer.readBody();
     if (body.isError())
         return outcomeOf(body.error());
@@ -194,7 +208,8 @@
     return AttemptOutcome::Answered;
 }
 
-RelayCall::AttemptOutcome RelayCall::forwardEvents(HttpResponseStream &answer)
+RelayCall::AttemptOutcome RelayCall::forwardEvents(UpstreamTable::Reservation &reservation,
+                                                   HttpResponseStream &answer)
 {
     if (!m_hasStreamStarted) {
         m_hasStreamStarted = true;
@@ -209,12 +224,14 @@
     EventFramer framer;
     StreamProgress progress(m_lastEvent, SteadyClock().now());
     while (true) {
+        reservation.noteReading();
         const auto chunk = answer.readChunk();
         if (chunk.isError())
             return outcomeOf(chunk.error());
         const bool isEnd = chunk.value().empty();
         const auto events = framer.feed(chunk.value());
         m_attemptEvents += events.size();
+        reservation.noteEvents(events.size());
         // A resumed stream may have no events left.
         const bool hasContent = m_attemptEvents > 0 || m_lastEvent;
         if (isEnd && (framer.isInsideEvent() || !hasContent))
@@ -435,6 +452,14 @@
     m_metrics.firstEvent.record(*m_firstBytesAge);
 }
 
+void RelayCall::noteCompleted(UpstreamTable::Reservation &reservation)
+{
+    if (m_runs > 0 || m_exchange.request().headers.find(m_headerNames.resumeAfter))
+        return;
+    if (const auto ratio = reservation.noteCompleted())
+        m_metrics.recordSlotTimeRatio(*ratio);
+}
+
 void RelayCall::noteAnswered(const UpstreamInfo &upstream, unsigned status)
 {
     m_metrics.callsAnswered.increase();
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -10,6 +10,7 @@
 #include <Gateway/PromptParts.h>
 #include <Gateway/Route.h>
 #include <Gateway/UpstreamTable.h>
+#include <Gateway/WorkHeaders.h>
 #include <Net/Net.h>
 
 #include <memory>
@@ -57,8 +58,10 @@
     /// Forwards the answer of an upstream, unless the answer says that the call has not run.
     AttemptOutcome handleAnswer(UpstreamTable::Reservation &reservation,
                                 HttpResponseStream &answer);
-    AttemptOutcome forwardAnswer(HttpResponseStream &answer);
-    AttemptOutcome forwardEvents(HttpResponseStream &answer);
+    AttemptOutcome forwardAnswer(UpstreamTable::Reservation &reservation,
+                                 HttpResponseStream &answer);
+    AttemptOutcome forwardEvents(UpstreamTable::Reservation &reservation,
+                                 HttpResponseStream &answer);
     /// Writes the events that the caller has not received yet; an error means that the caller has
     /// disconnected.
     Result<void> writeEvents(const std::vector<StreamEvent> &events);
@@ -82,6 +85,8 @@
     void logEnd(std::string_view event, std::string_view reason) const;
     void noteAnswered(const UpstreamInfo &upstream, unsigned status);
     void recordBytesReceived();
+    /// Records the slot time of a call that ran at one upstream from beginning to end.
+    void noteCompleted(UpstreamTable::Reservation &reservation);
     /// Records that the upstream has begun to answer and went on.
     void noteAnswering();
     /// Returns how long the current attempt has been receiving its answer.
@@ -97,6 +102,7 @@
     IncomingCall m_call;
     const std::uint64_t m_fingerprint;
     const PromptParts m_parts;
+    const WorkFeatures m_features;
     GatewayMetrics &m_metrics;
     CallWatch m_watch;
     std::set<UpstreamId> m_triedUpstreams;
--- a/Libraries/Gateway/UpstreamSelector.cpp
+++ b/Libraries/Gateway/UpstreamSelector.cpp
@@ -29,6 +29,23 @@
 constexpr double tieBreakCost = 4;
 /// An upstream that has failed is tried only if the others cost more than this.
 constexpr double unhealthyCost = 10'000;
+/// An upstream with a longer wait than the call accepts is chosen only if all others have one too.
+constexpr double overdueCost = 5'000;
+/// A slot that is known to be free may be taken by calls of peers whose report is still on its way:
+/// the probability if one or two slots are free, at 4 calls per second and upstream and reports
+/// that are 60 ms old.
+constexpr double lastSlotTaken = 0.25;
+constexpr double lastTwoSlotsTaken = 0.03;
+/// Value of the end of an answer against its beginning, which has a target.
+constexpr double endWeight = 0.05;
+/// How much sooner than after its mean rest, divided by the number of streams, one of several
+/// streams ends: 2 E(t)^2 / E(t^2) for answers whose lengths are log-normal with a sigma of 0.57.
+constexpr double endRateFactor = 1.45;
+/// Bounds for the mean rest of running streams, as shares of a whole stream.
+constexpr double minRestShare = 0.2;
+constexpr double maxRestShare = 2;
+/// Capacity of an upstream at which an item ends too late, relative to one where it does not.
+constexpr double tooLateFactor = 0.05;
 
 double distanceCost(Distance distance)
 {
@@ -48,6 +65,40 @@
     return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
+/// Expected time in milliseconds until `count` of the running streams of a full upstream have
+/// ended.
+double timeUntilEnds(const UpstreamCandidate &candidate, double slotTime, unsigned count)
+{
+    const double queued
+            = candidate.online > candidate.slots ? candidate.online - candidate.slots : 0;
+    const double running = std::min(candidate.online, candidate.slots);
+    const double rest = (candidate.onlineRemaining - queued * slotTime) / std::max(1.0, running);
+    const double bounded = std::clamp(rest, minRestShare * slotTime, maxRestShare * slotTime);
+    return count * endRateFactor * bounded * candidate.pace / candidate.slots;
+}
+
+/// Chooses an upstream at random, weighted by the capacity that the function returns.
+template<typename Capacity>
+std::optional<std::size_t> chooseByCapacity(std::span<const UpstreamCandidate> candidates,
+                                            RandomEngine &random, Capacity capacityOf)
+{
+    double totalCapacity = 0;
+    for (const auto &candidate : candidates)
+        totalCapacity += capacityOf(candidate);
+    double remaining = totalCapacity * randomFraction(random);
+    std::optional<std::size_t> last;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const double capacity = capacityOf(candidates[index]);
+        if (capacity <= 0)
+            continue;
+        last = index;
+        remaining -= capacity;
+        if (remaining < 0)
+            break;
+    }
+    return last;
+}
+
 } // namespace
 
 std::optional<UpstreamChoice> chooseOnlineUpstream(std::span<const UpstreamCandidate> candidates,
@@ -79,6 +130,47 @@
     return best;
 }
 
+std::optional<UpstreamChoice>
+chooseOnlineUpstreamByWork(std::span<const UpstreamCandidate> candidates, const WorkDemand &demand,
+                           Milliseconds maxWait, RandomEngine &random)
+{
+    std::optional<UpstreamChoice> best;
+    double bestCost = 0;
+    const double answerTime = demand.firstEventMs
+                              + endWeight * std::max(0.0, demand.slotTimeMs - demand.firstEventMs);
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const auto &candidate = candidates[index];
+        UpstreamChoice choice{index, false, Milliseconds(0)};
+        const unsigned total = candidate.online + candidate.batch;
+        double cost = distanceCost(candidate.distance) + tieBreakCost * randomFraction(random)
+                      + loadCost * std::min(total, candidate.slots) / candidate.slots
+                      + answerTime * candidate.pace;
+        if (candidate.online >= candidate.slots) {
+            const unsigned ahead = candidate.online - candidate.slots + 1;
+            const double wait = timeUntilEnds(candidate, demand.slotTimeMs, ahead);
+            choice.wait = Milliseconds(static_cast<long long>(wait));
+            cost += wait;
+            if (choice.wait > maxWait)
+                cost += overdueCost;
+        } else if (total >= candidate.slots) {
+            choice.mustPreempt = true;
+            cost += candidate.ownBatch > 0 ? ownPreemptionCost : peerPreemptionCost;
+        }
+        const unsigned freeOfOnline = candidate.slots - std::min(candidate.slots, candidate.online);
+        if (freeOfOnline == 1 || freeOfOnline == 2) {
+            const double taken = freeOfOnline == 1 ? lastSlotTaken : lastTwoSlotsTaken;
+            cost += taken * timeUntilEnds(candidate, demand.slotTimeMs, 1);
+        }
+        if (!candidate.isHealthy)
+            cost += unhealthyCost;
+        if (!best || cost < bestCost) {
+            best = choice;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
 double batchCapacity(const UpstreamCandidate &candidate)
 {
     const unsigned total = candidate.online + candidate.batch;
@@ -87,27 +179,27 @@
     const double capacity = candidate.slots - total - onlineReservePerCall * candidate.online;
     const double factor
             = candidate.distance == Distance::OtherRegion ? crossRegionCapacityFactor : 1;
-    return std::max(0.0, capacity) * factor;
+    // An item occupies a slot of a slow upstream longer, and ends later.
+    const double pace = std::max(1.0, candidate.pace);
+    return std::max(0.0, capacity) * factor / (pace * pace);
 }
 
 std::optional<std::size_t> chooseBatchUpstream(std::span<const UpstreamCandidate> candidates,
                                                RandomEngine &random)
 {
-    double totalCapacity = 0;
-    for (const auto &candidate : candidates)
-        totalCapacity += batchCapacity(candidate);
-    double remaining = totalCapacity * randomFraction(random);
-    std::optional<std::size_t> last;
-    for (std::size_t index = 0; index < candidates.size(); ++index) {
-        const double capacity = batchCapacity(candidates[index]);
-        if (capacity <= 0)
-            continue;
-        last = index;
-        remaining -= capacity;
-        if (remaining < 0)
-            break;
-    }
-    return last;
+    return chooseByCapacity(candidates, random, batchCapacity);
+}
+
+std::optional<std::size_t> chooseBatchUpstreamByWork(std::span<const UpstreamCandidate> candidates,
+                                                     const BatchDemand &demand,
+                                                     RandomEngine &random)
+{
+    return chooseByCapacity(candidates, random, [&](const UpstreamCandidate &candidate) {
+        const double excess = demand.slotTimeMs * (candidate.pace - 1);
+        // An item that misses its deadline anyway only avoids slow upstreams.
+        const bool isTooLate = demand.slackMs >= 0 && excess > demand.slackMs;
+        return batchCapacity(candidate) * (isTooLate ? tooLateFactor : 1);
+    });
 }
 
 std::size_t batchShare(double capacity, double waiting, double waitingOfAll, double draw)
--- a/Libraries/Gateway/UpstreamSelector.h
+++ b/Libraries/Gateway/UpstreamSelector.h
@@ -23,6 +23,18 @@
     Milliseconds holdTime{700};
     /// False during the backoff after a failure, which a successful answer ends.
     bool isHealthy = true;
+    /// Slowness relative to the other upstreams: at 3, everything takes three times as long.
+    double pace = 1;
+    /// Expected slot time in milliseconds that the online work still needs at usual pace; used
+    /// only by chooseOnlineUpstreamByWork().
+    double onlineRemaining = 0;
+};
+
+/// Expected work of a request at an upstream of usual pace, in milliseconds.
+struct WorkDemand
+{
+    double firstEventMs = 0;
+    double slotTimeMs = 0;
 };
 
 /// The upstream chosen for a call.
@@ -41,6 +53,13 @@
 [[nodiscard]] std::optional<UpstreamChoice>
 chooseOnlineUpstream(std::span<const UpstreamCandidate> candidates, RandomEngine &random);
 
+/// Chooses the upstream for an online call by the expected time to its first event, and, with a
+/// small weight, to its end: from the remaining work of what an upstream holds and from its pace.
+/// Prefers upstreams where the call waits at most `maxWait` for a slot.
+[[nodiscard]] std::optional<UpstreamChoice>
+chooseOnlineUpstreamByWork(std::span<const UpstreamCandidate> candidates, const WorkDemand &demand,
+                           Milliseconds maxWait, RandomEngine &random);
+
 /// Returns the capacity of an upstream for batch items, in slots: its free slots, less a reserve
 /// for online calls that arrive before batch items can be preempted. Upstreams in other regions are
 /// weighted lower, because reports of their load are older.
@@ -51,6 +70,18 @@
 [[nodiscard]] std::optional<std::size_t>
 chooseBatchUpstream(std::span<const UpstreamCandidate> candidates, RandomEngine &random);
 
+/// Slot time of a batch item, and by how much it may be exceeded if the item is to end before it is
+/// due. Both in milliseconds.
+struct BatchDemand
+{
+    double slotTimeMs = 0;
+    double slackMs = 0;
+};
+/// As above, but avoids upstreams that are so slow that the item would end after it is due.
+[[nodiscard]] std::optional<std::size_t>
+chooseBatchUpstreamByWork(std::span<const UpstreamCandidate> candidates, const BatchDemand &demand,
+                          RandomEngine &random);
+
 /// Returns how many of its waiting items a process may start in one scheduling round; `draw` in
 /// [0, 1) rounds the result randomly.
 ///
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -1,6 +1,8 @@
 #include <Gateway/UpstreamTable.h>
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace Radishplank {
 
@@ -10,6 +12,21 @@
 constexpr Milliseconds initialBackoff{250};
 constexpr Milliseconds maxBackoff{2'000};
 constexpr std::size_t maxLeavingEntries = 4'096;
+/// Weight of a pace that a peer reports, in usual gaps between events.
+constexpr double reportedPaceWeight = 2;
+/// A pause before reading, because the caller is slow, that makes a gap between events useless.
+constexpr Milliseconds maxReadingPause{5};
+
+double millisecondsOf(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+Duration durationOf(double milliseconds)
+{
+    return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(milliseconds));
+}
 
 } // namespace
 
@@ -23,12 +40,16 @@
 }
 
 UpstreamTable::Reservation::Reservation(UpstreamTable &table, UpstreamInfo upstream,
-                                        WorkClass workClass, std::uint64_t number)
+                                        WorkClass workClass, std::uint64_t number,
+                                        TimePoint beganAt)
     : m_table(table)
     , m_upstream(std::move(upstream))
     , m_workClass(workClass)
     , m_number(number)
+    , m_readingSince(beganAt)
 {
+    m_work.beganAt = beganAt;
+    m_work.lastEventAt = beganAt;
 }
 
 UpstreamTable::Reservation::~Reservation()
@@ -49,9 +70,29 @@
     m_table.noteLeaving({upstreamHash(m_upstream.id), m_upstream.startedAt});
 }
 
-UpstreamTable::UpstreamTable(NodeId self, Locality locality)
+void UpstreamTable::Reservation::noteReading()
+{
+    if (m_table.m_placement == PlacementRule::Work)
+        m_readingSince = SteadyClock().now();
+}
+
+void UpstreamTable::Reservation::noteEvents(std::size_t count)
+{
+    if (m_table.m_placement == PlacementRule::Work && count > 0)
+        m_table.noteEvents(*this, count);
+}
+
+std::optional<double> UpstreamTable::Reservation::noteCompleted()
+{
+    if (m_table.m_placement != PlacementRule::Work)
+        return {};
+    return m_table.noteCompleted(*this);
+}
+
+UpstreamTable::UpstreamTable(NodeId self, Locality locality, PlacementRule placement)
     : m_self(std::move(self))
     , m_locality(std::move(locality))
+    , m_placement(placement)
 {
 }
 
@@ -65,6 +106,7 @@
     const bool isNewStart = state.info.startedAt != upstream.startedAt;
     state.info = upstream;
     state.hash = upstreamHash(upstream.id);
+    state.serviceHash = Radishplank::serviceHash(upstream.service);
     if (isNewStart) {
         state.failures = 0;
         state.backoffUntil = {};
@@ -132,6 +174,8 @@
                                                     TimePoint now)
 {
     Candidates result;
+    result.entries.reserve(m_states.size());
+    result.states.reserve(m_states.size());
     m_peers.expire(now);
     for (auto &[id, state] : m_states) {
         if (state.info.service != service || state.info.isDraining || isLeaving(state)
@@ -145,12 +189,129 @@
         candidate.batch = state.own.batch + peers.batch;
         candidate.ownBatch = state.own.batch;
         candidate.isHealthy = now >= state.backoffUntil;
+        if (m_placement == PlacementRule::Work)
+            describeWork(candidate, state, now);
         result.entries.push_back(candidate);
         result.states.push_back(&state);
     }
     return result;
 }
 
+void UpstreamTable::describeWork(UpstreamCandidate &candidate, const State &state,
+                                 TimePoint now) const
+{
+    const unsigned total = candidate.online + candidate.batch;
+    candidate.pace = paceOf(state, std::min(total, candidate.slots), now);
+    // The rest of the streams matters only if slots are short.
+    if (candidate.online + 2 < candidate.slots)
+        return;
+    const double progress
+            = std::min(1.0, static_cast<double>(candidate.slots) / total) / candidate.pace;
+    candidate.onlineRemaining = ownRemaining(state, candidate.pace, now).online
+                                + m_peers.remainingAt(state.hash, progress, now).online;
+}
+
+double UpstreamTable::paceOf(const State &state, unsigned runningStreams, TimePoint now) const
+{
+    // A single silent stream may have a fault of its own, so the most recent sign of life counts.
+    Duration silence{};
+    Duration usual{};
+    double lowestRatio = 0;
+    for (const auto *reservation : state.running) {
+        const auto &work = reservation->m_work;
+        const auto readingSince = reservation->m_readingSince.load();
+        if (readingSince == TimePoint::max() || (work.events == 0 && !work.hadSlot))
+            continue;
+        const PaceGroup group{state.serviceHash, work.features.isBatch};
+        const auto expected = work.events == 0 ? durationOf(work.estimate.firstEventMs)
+                                               : m_pace.usualGap(group, runningStreams);
+        if (expected <= Duration(0))
+            continue;
+        const double ratio = millisecondsOf(now - readingSince) / millisecondsOf(expected);
+        if (usual > Duration(0) && ratio >= lowestRatio)
+            continue;
+        lowestRatio = ratio;
+        silence = now - readingSince;
+        usual = expected;
+    }
+    return m_pace.pace(state.hash, now, silence, usual);
+}
+
+UpstreamRemaining UpstreamTable::ownRemaining(const State &state, double pace, TimePoint now)
+{
+    UpstreamRemaining sum;
+    for (const auto *reservation : state.running) {
+        const auto &work = reservation->m_work;
+        const bool mayWait = work.events == 0 && !work.hadSlot;
+        const double elapsed = mayWait ? 0 : millisecondsOf(now - work.beganAt) / pace;
+        (work.features.isBatch ? sum.batch : sum.online) += work.estimate.slotTime.rest(elapsed);
+    }
+    return sum;
+}
+
+unsigned UpstreamTable::runningStreams(const State &state) const
+{
+    const auto peers = m_peers.at(state.hash);
+    const unsigned total = state.own.online + state.own.batch + peers.online + peers.batch;
+    return std::min(total, std::max(1U, state.info.slots));
+}
+
+UpstreamTable::ReservationPointer UpstreamTable::reserve(State &state, WorkClass workClass,
+                                                         TimePoint now)
+{
+    auto reservation
+            = std::make_unique<Reservation>(*this, state.info, workClass, m_nextReservation++, now);
+    if (m_placement == PlacementRule::Work)
+        state.running.push_back(reservation.get());
+    return reservation;
+}
+
+void UpstreamTable::noteEvents(Reservation &reservation, std::size_t count)
+{
+    const auto now = SteadyClock().now();
+    const auto readingSince = reservation.m_readingSince.exchange(TimePoint::max());
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_states.find(reservation.m_upstream.id);
+    if (found == m_states.end())
+        return;
+    const auto &state = found->second;
+    auto &work = reservation.m_work;
+    const bool isFirst = work.events == 0;
+    work.events += count;
+    const auto previous = std::exchange(work.lastEventAt, now);
+    if (isFirst && work.hadSlot) {
+        const auto expected = durationOf(work.estimate.firstEventMs);
+        m_pace.noteFirstEvent(state.hash, now - work.beganAt, expected, now);
+        const double pace = m_pace.pace(state.hash, now);
+        m_estimator.recordFirstEvent(work.features, millisecondsOf(now - work.beganAt) / pace, now);
+        return;
+    }
+    if (isFirst) {
+        // The wait for a slot is not visible; what remains is the usual time to the first event.
+        const double pace = m_pace.pace(state.hash, now);
+        work.beganAt = std::max(work.beganAt, now - durationOf(work.estimate.firstEventMs * pace));
+        return;
+    }
+    if (readingSince != TimePoint::max() && readingSince - previous > maxReadingPause)
+        return;
+    m_pace.noteEvents(state.hash, {state.serviceHash, work.features.isBatch}, now - previous, count,
+                      runningStreams(state), now);
+}
+
+std::optional<double> UpstreamTable::noteCompleted(const Reservation &reservation)
+{
+    const auto now = SteadyClock().now();
+    const std::scoped_lock lock(m_mutex);
+    const auto &work = reservation.m_work;
+    const double expected = work.estimate.slotTime.mean();
+    if (expected <= 0)
+        return {};
+    const double pace = m_pace.pace(upstreamHash(reservation.m_upstream.id), now);
+    const double slotTime = millisecondsOf(now - work.beganAt) / pace;
+    m_estimator.recordSlotTime(work.features, slotTime, now);
+    return slotTime / expected;
+}
+
 std::function<void()> UpstreamTable::takeCheapestPreemption(State &state) const
 {
     auto &items = state.preemptibleItems;
@@ -172,14 +333,27 @@
 
 UpstreamTable::OnlineAdmission UpstreamTable::reserveOnline(const std::string &service,
                                                             const std::set<UpstreamId> &excluded,
-                                                            Milliseconds maxWait)
+                                                            Milliseconds maxWait,
+                                                            const WorkFeatures &features)
 {
     OnlineAdmission admission;
+    const auto now = SteadyClock().now();
     std::function<void()> stop;
     {
         const std::scoped_lock lock(m_mutex);
-        auto found = candidates(service, excluded, SteadyClock().now());
-        const auto choice = chooseOnlineUpstream(found.entries, threadRandomEngine());
+        auto found = candidates(service, excluded, now);
+        WorkEstimate estimate;
+        auto known = features;
+        std::optional<UpstreamChoice> choice;
+        if (m_placement == PlacementRule::Work) {
+            known.service = serviceHash(service);
+            estimate = m_estimator.estimate(known, now);
+            choice = chooseOnlineUpstreamByWork(found.entries,
+                                                {estimate.firstEventMs, estimate.slotTime.mean()},
+                                                maxWait, threadRandomEngine());
+        } else {
+            choice = chooseOnlineUpstream(found.entries, threadRandomEngine());
+        }
         if (!choice)
             return admission;
         if (choice->wait > maxWait) {
@@ -193,8 +367,11 @@
         admission.basis = found.entries[choice->index];
         admission.expectedWait = choice->wait;
         admission.hasPreempted = static_cast<bool>(stop);
-        admission.reservation = std::make_unique<Reservation>(*this, state.info, WorkClass::Online,
-                                                              m_nextReservation++);
+        admission.reservation = reserve(state, WorkClass::Online, now);
+        auto &work = admission.reservation->m_work;
+        work.features = known;
+        work.estimate = estimate;
+        work.hadSlot = choice->wait.count() == 0 && !choice->mustPreempt;
     }
     if (stop)
         stop();
@@ -220,19 +397,35 @@
            + batchShare(capacityForLate, waiting.late, all.late, draw);
 }
 
-UpstreamTable::ReservationPointer UpstreamTable::reserveBatch(const std::string &service)
+UpstreamTable::ReservationPointer UpstreamTable::reserveBatch(const std::string &service,
+                                                              const WorkFeatures &features,
+                                                              Duration slack)
 {
     ReservationPointer reservation;
+    const auto now = SteadyClock().now();
     {
         const std::scoped_lock lock(m_mutex);
-        auto found = candidates(service, {}, SteadyClock().now());
-        const auto index = chooseBatchUpstream(found.entries, threadRandomEngine());
+        auto found = candidates(service, {}, now);
+        WorkEstimate estimate;
+        auto known = features;
+        std::optional<std::size_t> index;
+        if (m_placement == PlacementRule::Work) {
+            known.isBatch = true;
+            known.service = serviceHash(service);
+            estimate = m_estimator.estimate(known, now);
+            index = chooseBatchUpstreamByWork(found.entries,
+                                              {estimate.slotTime.mean(), millisecondsOf(slack)},
+                                              threadRandomEngine());
+        } else {
+            index = chooseBatchUpstream(found.entries, threadRandomEngine());
+        }
         if (!index)
             return {};
         auto &state = *found.states[*index];
         state.own.batch += 1;
-        reservation = std::make_unique<Reservation>(*this, state.info, WorkClass::Batch,
-                                                    m_nextReservation++);
+        reservation = reserve(state, WorkClass::Batch, now);
+        reservation->m_work.features = known;
+        reservation->m_work.estimate = estimate;
     }
     if (onLoadChange)
         onLoadChange();
@@ -254,6 +447,7 @@
         std::erase_if(state.preemptibleItems, [&](const PreemptibleItem &each) {
             return each.number == reservation.m_number;
         });
+        std::erase(state.running, &reservation);
         if (reservation.m_health == UpstreamHealth::Healthy) {
             state.failures = 0;
             state.backoffUntil = {};
@@ -272,6 +466,12 @@
 {
     const std::scoped_lock lock(m_mutex);
     m_peers.note(peer, loads, waiting, now);
+    if (m_placement != PlacementRule::Work)
+        return;
+    for (const auto &load : loads) {
+        if (load.pace > 0)
+            m_pace.notePeer(load.upstream, {load.pace, reportedPaceWeight}, now);
+    }
 }
 
 std::map<UpstreamId, UpstreamLoad> UpstreamTable::ownLoads() const
@@ -285,6 +485,44 @@
     return loads;
 }
 
+std::vector<UpstreamStreams> UpstreamTable::loadsToReport() const
+{
+    const auto now = SteadyClock().now();
+    const auto reported = [](double remaining) {
+        return Milliseconds(static_cast<long long>(std::ceil(remaining)));
+    };
+    const std::scoped_lock lock(m_mutex);
+    std::vector<UpstreamStreams> loads;
+    for (const auto &[id, state] : m_states) {
+        if (state.own.online == 0 && state.own.batch == 0)
+            continue;
+        UpstreamStreams load{state.hash, state.own.online, state.own.batch};
+        if (m_placement == PlacementRule::Work) {
+            const auto remaining = ownRemaining(state, m_pace.pace(state.hash, now), now);
+            load.onlineRemaining = reported(remaining.online);
+            load.batchRemaining = reported(remaining.batch);
+            const auto observed = m_pace.observed(state.hash, now);
+            load.pace = observed.weight > 0 ? observed.pace : 0;
+        }
+        loads.push_back(load);
+    }
+    return loads;
+}
+
+std::vector<UpstreamTable::SlowUpstream> UpstreamTable::slowest(std::size_t count) const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::vector<SlowUpstream> result;
+    for (const auto &slow : m_pace.slowest(count, SteadyClock().now())) {
+        const auto found = std::find_if(m_states.begin(), m_states.end(), [&](const auto &entry) {
+            return entry.second.hash == slow.upstream;
+        });
+        if (found != m_states.end())
+            result.push_back({found->first, slow.pace});
+    }
+    return result;
+}
+
 void UpstreamTable::preemptExcessBatch()
 {
     std::vector<std::function<void()>> stops;
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -4,7 +4,10 @@
 #include <Gateway/PeerLoads.h>
 #include <Gateway/UpstreamInfo.h>
 #include <Gateway/UpstreamSelector.h>
+#include <Serving/UpstreamPace.h>
+#include <Serving/WorkEstimator.h>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,6 +37,12 @@
     Unknown, ///< This process or the caller cancelled the attempt.
 };
 
+/// What upstreams are chosen by.
+enum class PlacementRule {
+    Count, ///< The number of streams.
+    Work,  ///< The expected remaining work, and the pace of the upstream.
+};
+
 /// The known upstreams, the load that this process has placed on each, and the loads that its peers
 /// report. Thread-safe; no operation waits.
 class UpstreamTable
@@ -44,7 +53,7 @@
     {
     public:
         Reservation(UpstreamTable &table, UpstreamInfo upstream, WorkClass workClass,
-                    std::uint64_t number);
+                    std::uint64_t number, TimePoint beganAt);
         ~Reservation();
         Reservation(const Reservation &) = delete;
         Reservation &operator=(const Reservation &) = delete;
@@ -58,18 +67,43 @@
         /// could have started and still meet its deadline.
         void onPreempt(std::function<void()> stop, Duration slack = Duration(0));
 
+        /// Records that the next events are awaited from now on. The time that passes between
+        /// noteEvents() and this call is not the upstream's.
+        void noteReading();
+        /// Records that events have arrived.
+        void noteEvents(std::size_t count);
+        /// Records that a request which ran from beginning to end has been answered. Returns the
+        /// ratio of its slot time to the estimate; nothing if there is no estimate.
+        std::optional<double> noteCompleted();
+
     private:
         friend class UpstreamTable;
 
+        /// What is known about the work of a reservation; guarded by the mutex of the table.
+        struct Work
+        {
+            WorkFeatures features;
+            WorkEstimate estimate;
+            /// When the request got its slot, as far as known.
+            TimePoint beganAt{};
+            TimePoint lastEventAt{};
+            std::size_t events = 0;
+            /// Whether a slot was free when the request was sent.
+            bool hadSlot = true;
+        };
+
         UpstreamTable &m_table;
         UpstreamInfo m_upstream;
         WorkClass m_workClass;
         std::uint64_t m_number;
         UpstreamHealth m_health = UpstreamHealth::Unknown;
+        Work m_work;
+        /// When the next events were awaited; the maximum while none are awaited.
+        std::atomic<TimePoint> m_readingSince;
     };
     using ReservationPointer = std::unique_ptr<Reservation>;
 
-    UpstreamTable(NodeId self, Locality locality);
+    UpstreamTable(NodeId self, Locality locality, PlacementRule placement = PlacementRule::Count);
 
     /// Adds or updates an upstream; returns whether this changed the table.
     bool put(const UpstreamInfo &upstream);
@@ -92,11 +126,14 @@
         std::optional<Milliseconds> expectedWait;
     };
     /// Reserves an upstream for an online call, and preempts a batch item of this process if the
-    /// call needs its slot.
+    /// call needs its slot. The features matter only if upstreams are chosen by work.
     OnlineAdmission reserveOnline(const std::string &service, const std::set<UpstreamId> &excluded,
-                                  Milliseconds maxWait);
-    /// Reserves an upstream for a batch item if a slot is free.
-    ReservationPointer reserveBatch(const std::string &service);
+                                  Milliseconds maxWait, const WorkFeatures &features = {});
+    /// Reserves an upstream for a batch item if a slot is free. `slack` tells how much later the
+    /// item could start and still meet its deadline; like the features, it matters only if
+    /// upstreams are chosen by work.
+    ReservationPointer reserveBatch(const std::string &service, const WorkFeatures &features = {},
+                                    Duration slack = Duration(0));
     /// Returns how many of its waiting items of a service this process may start in this scheduling
     /// round; to be called once per round.
     [[nodiscard]] std::size_t batchQuota(const std::string &service, WaitingItems waiting);
@@ -106,6 +143,18 @@
     void notePeerLoads(const NodeId &peer, std::span<const UpstreamStreams> loads,
                        std::span<const ServiceDemand> waiting, TimePoint now);
     [[nodiscard]] std::map<UpstreamId, UpstreamLoad> ownLoads() const;
+    /// Returns the loads of this process for a report, with the remaining work and the pace if
+    /// upstreams are chosen by work.
+    [[nodiscard]] std::vector<UpstreamStreams> loadsToReport() const;
+
+    struct SlowUpstream
+    {
+        UpstreamId id;
+        double pace = 1;
+    };
+    /// Returns the slowest upstreams, the slowest first, at most `count`.
+    [[nodiscard]] std::vector<SlowUpstream> slowest(std::size_t count) const;
+    [[nodiscard]] PlacementRule placement() const { return m_placement; }
     /// Preempts batch items of this process at upstreams that hold more work than they have slots.
     void preemptExcessBatch();
     /// Called when the loads of this process have changed, without the lock held.
@@ -122,7 +171,10 @@
     {
         UpstreamInfo info;
         std::uint64_t hash = 0;
+        std::uint64_t serviceHash = 0;
         UpstreamLoad own;
+        /// Reservations of this process; only maintained if upstreams are chosen by work.
+        std::vector<const Reservation *> running;
         std::vector<PreemptibleItem> preemptibleItems;
         unsigned failures = 0;
         TimePoint backoffUntil{};
@@ -136,14 +188,27 @@
     [[nodiscard]] bool isLeaving(const State &state) const;
     [[nodiscard]] Candidates candidates(const std::string &service,
                                         const std::set<UpstreamId> &excluded, TimePoint now);
+    /// Adds pace and remaining work to the load of a candidate.
+    void describeWork(UpstreamCandidate &candidate, const State &state, TimePoint now) const;
+    [[nodiscard]] double paceOf(const State &state, unsigned runningStreams, TimePoint now) const;
+    /// Returns what remains of the reservations of this process, in milliseconds at usual pace.
+    [[nodiscard]] static UpstreamRemaining ownRemaining(const State &state, double pace,
+                                                        TimePoint now);
+    [[nodiscard]] unsigned runningStreams(const State &state) const;
+    ReservationPointer reserve(State &state, WorkClass workClass, TimePoint now);
+    void noteEvents(Reservation &reservation, std::size_t count);
+    std::optional<double> noteCompleted(const Reservation &reservation);
     void release(const Reservation &reservation);
     [[nodiscard]] std::function<void()> takeCheapestPreemption(State &state) const;
 
     const NodeId m_self;
     const Locality m_locality;
+    const PlacementRule m_placement;
     mutable std::mutex m_mutex;
     std::map<UpstreamId, State> m_states;
     PeerLoads m_peers;
+    WorkEstimator m_estimator;
+    UpstreamPace m_pace;
     /// By hash of the upstream: the latest start known to be shutting down. Kept also while the
     /// upstream is not in the table.
     std::map<std::uint64_t, std::int64_t> m_leaving;
--- a/Libraries/Serving/Serving.h
+++ b/Libraries/Serving/Serving.h
@@ -10,8 +10,11 @@
 #include <Serving/LinkAllowance.h>
 #include <Serving/Outcome.h>
 #include <Serving/Quarantine.h>
+#include <Serving/RemainingWork.h>
 #include <Serving/RetryBudget.h>
 #include <Serving/Router.h>
 #include <Serving/SlotScheduler.h>
 #include <Serving/StopSchedule.h>
 #include <Serving/TokenBucket.h>
+#include <Serving/UpstreamPace.h>
+#include <Serving/WorkEstimator.h>
