--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 #include <utility>
 
 namespace Radishplank {
@@ -14,6 +15,9 @@
 constexpr std::size_t maxLeavingEntries = 4'096;
 /// Weight of a pace that a peer reports, in usual gaps between events.
 constexpr double reportedPaceWeight = 2;
+/// Slowness from which an upstream is logged as slow, and below which it has recovered.
+constexpr double slowPace = 2;
+constexpr double usualPace = 1.25;
 /// A pause before reading, because the caller is slow, that makes a gap between events useless.
 constexpr Milliseconds maxReadingPause{5};
 
@@ -274,7 +278,7 @@
     const auto found = m_states.find(reservation.m_upstream.id);
     if (found == m_states.end())
         return;
-    const auto &state = found->second;
+    auto &state = found->second;
     auto &work = reservation.m_work;
     const bool isFirst = work.events == 0;
     work.events += count;
@@ -296,6 +300,21 @@
         return;
     m_pace.noteEvents(state.hash, {state.serviceHash, work.features.isBatch}, now - previous, count,
                       runningStreams(state), now);
+    logPaceChange(state, now);
+}
+
+void UpstreamTable::logPaceChange(State &state, TimePoint now) const
+{
+    const double pace = m_pace.pace(state.hash, now);
+    const bool isSlow = state.isSlow ? pace > usualPace : pace >= slowPace;
+    if (isSlow == state.isSlow)
+        return;
+    state.isSlow = isSlow;
+    char text[16];
+    std::snprintf(text, sizeof text, "%.2f", pace);
+    logStateChange(
+            "upstream-pace",
+            {{"upstream", state.info.id.text()}, {"pace", text}, {"slow", isSlow ? "yes" : "no"}});
 }
 
 std::optional<double> UpstreamTable::noteCompleted(const Reservation &reservation)
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -178,6 +178,7 @@
         std::vector<PreemptibleItem> preemptibleItems;
         unsigned failures = 0;
         TimePoint backoffUntil{};
+        bool isSlow = false;
     };
     struct Candidates
     {
@@ -195,6 +196,8 @@
     [[nodiscard]] static UpstreamRemaining ownRemaining(const State &state, double pace,
                                                         TimePoint now);
     [[nodiscard]] unsigned runningStreams(const State &state) const;
+    /// Logs when an upstream becomes slow and when it has recovered.
+    void logPaceChange(State &state, TimePoint now) const;
     ReservationPointer reserve(State &state, WorkClass workClass, TimePoint now);
     void noteEvents(Reservation &reservation, std::size_t count);
     std::optional<double> noteCompleted(const Reservation &reservation);
--- a/Tests/Gateway/TestUpstreamSelector.cpp
+++ b/Tests/Gateway/TestUpstreamSelector.cpp
@@ -81,6 +81,83 @@
     }
 }
 
+TEST_CASE("A call placed by work goes where its first event is expected soonest",
+          "[UpstreamSelector]")
+{
+    RandomEngine random(1);
+    const WorkDemand demand{110, 700};
+    constexpr Milliseconds maxWait{180};
+    const auto full = [](double remaining) {
+        auto candidate = candidateWith(8);
+        candidate.onlineRemaining = remaining;
+        return candidate;
+    };
+    const auto slow = [](unsigned online, double pace) {
+        auto candidate = candidateWith(online);
+        candidate.onlineRemaining = online * 484.0;
+        candidate.pace = pace;
+        return candidate;
+    };
+    // Costs have a random part, so that the smaller cost wins in most draws only.
+    const auto shareOfFirst = [&](const UpstreamCandidate &first, const UpstreamCandidate &second) {
+        const std::vector<UpstreamCandidate> candidates{first, second};
+        int chosen = 0;
+        for (int i = 0; i < 1'000; ++i)
+            chosen += chooseOnlineUpstreamByWork(candidates, demand, maxWait, random)->index == 0;
+        return chosen / 1'000.0;
+    };
+
+    SECTION("where streams are about to end, among upstreams with as many")
+    {
+        CHECK(shareOfFirst(full(8 * 150), full(8 * 700)) > 0.9);
+    }
+    SECTION("not to a slow upstream with few streams")
+    {
+        CHECK(shareOfFirst(slow(5, 1), slow(1, 3)) > 0.99);
+        CHECK(shareOfFirst(slow(5, 1), slow(1, 5)) > 0.99);
+
+        SECTION("unless the others are full")
+        {
+            CHECK(shareOfFirst(slow(10, 1), slow(0, 1.8)) < 0.1);
+        }
+        SECTION("A call is not refused for its wait while a slot is free elsewhere, though slow")
+        {
+            const std::vector<UpstreamCandidate> candidates{slow(12, 1), slow(0, 8)};
+            CHECK(chooseOnlineUpstreamByWork(candidates, demand, maxWait, random)->index == 1);
+        }
+    }
+    SECTION("The wait counts as many times as the upstream is slow")
+    {
+        const auto waitAt = [&](double pace) {
+            const std::vector<UpstreamCandidate> candidates{slow(9, pace)};
+            return chooseOnlineUpstreamByWork(candidates, demand, maxWait, random)->wait;
+        };
+        CHECK(waitAt(3) >= 2.9 * waitAt(1));
+        CHECK(waitAt(1) > Milliseconds(100));
+        CHECK(waitAt(1) < Milliseconds(250));
+    }
+    SECTION("not to one that has failed, and to one in another region only if it saves much")
+    {
+        auto failed = candidateWith(0);
+        failed.isHealthy = false;
+        CHECK(shareOfFirst(failed, slow(9, 1)) == 0);
+        CHECK(shareOfFirst(candidateWith(0, 0, 0, Distance::OtherRegion), slow(5, 1)) < 0.01);
+        CHECK(shareOfFirst(candidateWith(0, 0, 0, Distance::OtherRegion), slow(10, 1)) > 0.9);
+    }
+    SECTION("Batch items avoid slow upstreams, most of all where they would end too late")
+    {
+        const std::vector<UpstreamCandidate> candidates{slow(0, 1), slow(0, 2)};
+        const auto shareOfSlow = [&](const BatchDemand &item) {
+            int chosen = 0;
+            for (int i = 0; i < 4'000; ++i)
+                chosen += chooseBatchUpstreamByWork(candidates, item, random) == 1;
+            return chosen / 4'000.0;
+        };
+        CHECK(shareOfSlow({4'500, 10'000}) == Approx(0.2).margin(0.03));
+        CHECK(shareOfSlow({4'500, 2'000}) < 0.03);
+    }
+}
+
 TEST_CASE("A batch item uses only free slots", "[UpstreamSelector]")
 {
     RandomEngine random(1);
--- a/Tests/Gateway/TestUpstreamTable.cpp
+++ b/Tests/Gateway/TestUpstreamTable.cpp
@@ -1,5 +1,6 @@
 #include <Gateway/Gateway.h>
 
+#include <array>
 #include <catch2/catch.hpp>
 
 using namespace Radishplank;
@@ -213,3 +214,73 @@
               == UpstreamId("a"));
     }
 }
+
+TEST_CASE("Reports tell the remaining work only if upstreams are chosen by work", "[UpstreamTable]")
+{
+    const auto placement = GENERATE(PlacementRule::Count, PlacementRule::Work);
+    UpstreamTable table(NodeId("entry1"), localityInZone1(), placement);
+    table.put(upstreamNamed("a"));
+    const auto call = table.reserveOnline("service", {}, anyWait);
+    const auto item = table.reserveBatch("service");
+    REQUIRE(item);
+    call.reservation->noteEvents(1);
+    const auto ratio = call.reservation->noteCompleted();
+    const auto loads = table.loadsToReport();
+    REQUIRE(loads.size() == 1);
+    CHECK(loads[0].online == 1);
+    CHECK(loads[0].batch == 1);
+    if (placement == PlacementRule::Count) {
+        // Old processes and those with placement by count send the same bytes.
+        CHECK(loads[0].onlineRemaining.count() == 0);
+        CHECK(loads[0].batchRemaining.count() == 0);
+        CHECK(loads[0].pace == 0);
+        CHECK_FALSE(ratio);
+    } else {
+        CHECK(loads[0].onlineRemaining > Milliseconds(400));
+        CHECK(loads[0].batchRemaining > Milliseconds(3'000));
+        CHECK(ratio);
+    }
+}
+
+TEST_CASE("Calls avoid an upstream that a peer reports as slow", "[UpstreamTable]")
+{
+    UpstreamTable table(NodeId("entry1"), localityInZone1(), PlacementRule::Work);
+    table.put(upstreamNamed("a"));
+    table.put(upstreamNamed("b"));
+    const auto callsAtA = [&] {
+        int count = 0;
+        for (int i = 0; i < 50; ++i) {
+            const auto admission = table.reserveOnline("service", {}, anyWait);
+            count += admission.reservation->upstream().id == UpstreamId("a");
+        }
+        return count;
+    };
+    CHECK(callsAtA() > 10);
+    const std::vector<UpstreamStreams> slow{
+            {upstreamHash(UpstreamId("a")), 1, 0, Milliseconds(400), Milliseconds(0), 4}};
+    for (int i = 0; i < 5; ++i)
+        table.notePeerLoads(NodeId("entry2"), slow, {}, SteadyClock().now());
+    CHECK(callsAtA() == 0);
+    REQUIRE(table.slowest(3).size() == 1);
+    CHECK(table.slowest(3)[0].id == UpstreamId("a"));
+}
+
+TEST_CASE("The statements of a request about its work are read", "[WorkHeaders]")
+{
+    CallHeaderNames names;
+    names.tokenUsage = "X-Token-Usage";
+    names.lengthHint = "X-Length-Hint";
+    const auto read = [&](const std::string &usage, const std::string &hint) {
+        HttpHeaders headers;
+        headers.add("x-token-usage", usage);
+        headers.add("x-length-hint", hint);
+        const auto features = workFeatures(headers, names);
+        return std::array{features.promptTokens, features.maxOutputTokens, features.lengthHint};
+    };
+    CHECK(read("350,128", "60") == std::array{350U, 128U, 60U});
+    CHECK(read(" 350 , 128", " 60.5") == std::array{350U, 128U, 60U});
+    CHECK(read("350", "") == std::array{350U, 0U, 0U});
+    CHECK(read(",128", "-3") == std::array{0U, 128U, 0U});
+    CHECK(read("99999999999999999999,x", "long") == std::array{0U, 0U, 0U});
+    CHECK(workFeatures({}, {}).promptTokens == 0);
+}
