--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -24,3 +24,4 @@
 #include <Gateway/StreamProgress.h>
 #include <Gateway/UpstreamSelector.h>
 #include <Gateway/UpstreamTable.h>
+#include <Gateway/WorkHeaders.h>
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -11,6 +11,7 @@
 #include <Gateway/PromptParts.h>
 #include <Gateway/Route.h>
 #include <Gateway/UpstreamTable.h>
+#include <Gateway/WorkHeaders.h>
 #include <Net/Net.h>
 
 #include <memory>
@@ -60,8 +61,10 @@
     /// Forwards the answer of an upstream, unless the answer says that the call has not run.
     AttemptOutcome handleAnswer(UpstreamTable::Reservation &reservation,
                                 HttpResponseStream &answer);
-    AttemptOutcome forwardAnswer(HttpResponseStream &answer);
-    AttemptOutcome forwardEvents(HttpResponseStream &answer);
+    AttemptOutcome forwardAnswer(UpstreamTable::Reservation &reservation,
+                                 HttpResponseStream &answer);
+    AttemptOutcome forwardEvents(UpstreamTable::Reservation &reservation,
+                                 HttpResponseStream &answer);
     /// Writes the events that the caller has not received yet; an error means that the caller has
     /// disconnected.
     Result<void> writeEvents(const std::vector<StreamEvent> &events);
@@ -94,6 +97,8 @@
     [[nodiscard]] AdmissionLimit slotWaitLimit() const;
     /// Returns the name under which the times of calls like this one are recorded.
     [[nodiscard]] std::string admissionClass() const;
+    /// Records the slot time of a call that ran at one upstream from beginning to end.
+    void noteCompleted(UpstreamTable::Reservation &reservation);
     /// Records that the upstream has begun to answer and went on.
     void noteAnswering();
     /// Returns how long the current attempt has been receiving its answer.
@@ -110,6 +115,7 @@
     IncomingCall m_call;
     const std::uint64_t m_fingerprint;
     const PromptParts m_parts;
+    const WorkFeatures m_features;
     GatewayMetrics &m_metrics;
     CallWatch m_watch;
     std::set<UpstreamId> m_triedUpstreams;
