--- a/Libraries/Limits/QuotaClient.cpp
+++ b/Libraries/Limits/QuotaClient.cpp
@@ -40,6 +40,8 @@
 constexpr Milliseconds maxRetryAfter{10'000};
 /// How long an owner's home without shares is not asked again; members' pledges take two seconds.
 constexpr Milliseconds withoutShareTime{100};
+/// Keeps the datagrams small; the other owners follow with the next ask.
+constexpr std::size_t maxEntriesPerAsk = 500;
 /// Bounds what one ask may take for expected calls.
 constexpr unsigned maxAhead = 1'000;
 
@@ -192,6 +194,8 @@
     for (const auto home : homesToAsk) {
         AddressedAsk addressed{home, {m_run, ++m_lastAskId, {}}};
         for (const auto id : ownersByHome[home]) {
+            if (addressed.ask.entries.size() >= maxEntriesPerAsk)
+                break;
             auto &owner = m_owners.at(id);
             if (const auto entry = dueEntry(owner, sharedRenewalMargin, now)) {
                 noteAsked(owner, *entry, now);
--- a/Tests/Limits/TestQuotas.cpp
+++ b/Tests/Limits/TestQuotas.cpp
@@ -716,3 +716,174 @@
     checkBound(model, large);
     checkBound(model, small);
 }
+
+TEST_CASE("A process decides without waiting long if its owner's home is silent", "[Quotas]")
+{
+    const QuotaLimit limit{1, 10, 10};
+    const Duration start = seconds(100);
+    QuotaClient client(rules, 77, start);
+    client.setLimits(std::vector{limit});
+    client.setHomes({5});
+    client.setMemberCount(18);
+    const auto waitInVain = [&](Duration at) {
+        const auto decision = client.admit(1, at);
+        REQUIRE(std::holds_alternative<QuotaClient::Waiting>(decision));
+        CHECK(client.takeAsks(at).size() == 1);
+        CHECK(client.takeAsks(at + Milliseconds(20)).empty());
+        CHECK(client.takeDecisions(at + Milliseconds(40)).empty());
+        CHECK(client.takeAsks(at + Milliseconds(60)).size() == 1);
+        const auto decided = client.takeDecisions(at + Milliseconds(120));
+        REQUIRE(decided.size() == 1);
+        return decided.front();
+    };
+
+    SECTION("It admits one call per window, which the rules leave over")
+    {
+        const auto now = start + seconds(10);
+        CHECK_FALSE(waitInVain(now).retryAfter);
+        CHECK(std::holds_alternative<QuotaClient::Refused>(
+                client.admit(1, now + Milliseconds(130))));
+        CHECK(waitInVain(now + seconds(4)).retryAfter);
+        CHECK_FALSE(waitInVain(now + seconds(6)).retryAfter);
+    }
+    SECTION("and none in its first window, as it may have admitted some before a restart")
+    {
+        CHECK(waitInVain(start + seconds(3)).retryAfter);
+    }
+    SECTION("An answer that comes too late is of no use")
+    {
+        const auto now = start + seconds(10);
+        (void)client.admit(1, now);
+        const auto ask = client.takeAsks(now).front().ask;
+        (void)client.takeDecisions(now + Milliseconds(300));
+        client.noteGrant({ask.id, {{1, 5, Milliseconds(0), Milliseconds(200), false}}},
+                         now + Milliseconds(300));
+        CHECK_FALSE(std::holds_alternative<QuotaClient::Admitted>(
+                client.admit(1, now + Milliseconds(310))));
+    }
+    SECTION("It is suspected after some asks, so that the shares move to another home")
+    {
+        const auto now = start + seconds(10);
+        for (int i = 0; i < 30; ++i) {
+            (void)client.admit(1, now + Milliseconds(20 * i));
+            (void)client.takeAsks(now + Milliseconds(20 * i));
+            if (i < 20)
+                CHECK(client.suspects(now + Milliseconds(20 * i)).empty());
+        }
+        CHECK(client.suspects(now + Milliseconds(600)) == std::set<std::uint64_t>{5});
+        CHECK(client.suspects(now + seconds(6)).empty());
+    }
+}
+
+TEST_CASE("The token of a call that has not run is used by the next call", "[Quotas]")
+{
+    const Duration now = seconds(100);
+    QuotaClient client(rules, 77, seconds(50));
+    client.setLimits(std::vector{QuotaLimit{1, 10, 10}});
+    client.setHomes({5});
+    client.setMemberCount(18);
+    REQUIRE(std::holds_alternative<QuotaClient::Waiting>(client.admit(1, now)));
+    const auto ask = client.takeAsks(now).front().ask;
+    client.noteGrant({ask.id, {{1, 1, Milliseconds(0), Milliseconds(500), false}}}, now);
+    REQUIRE(client.takeDecisions(now).size() == 1);
+
+    SECTION("if it is put back in time")
+    {
+        client.putBack(1, now + Milliseconds(50));
+        CHECK(std::holds_alternative<QuotaClient::Admitted>(
+                client.admit(1, now + Milliseconds(60))));
+        CHECK_FALSE(std::holds_alternative<QuotaClient::Admitted>(
+                client.admit(1, now + Milliseconds(70))));
+    }
+    SECTION("but not after its lifetime")
+    {
+        client.putBack(1, now + Milliseconds(500));
+        CHECK_FALSE(std::holds_alternative<QuotaClient::Admitted>(
+                client.admit(1, now + Milliseconds(510))));
+    }
+    SECTION("nor after the home was told of its use, and may have granted another one for it")
+    {
+        REQUIRE(std::holds_alternative<QuotaClient::Waiting>(
+                client.admit(1, now + Milliseconds(150))));
+        CHECK(client.takeAsks(now + Milliseconds(150)).front().ask.entries.front().used == 1);
+        client.putBack(1, now + Milliseconds(160));
+        CHECK_FALSE(std::holds_alternative<QuotaClient::Admitted>(
+                client.admit(1, now + Milliseconds(170))));
+    }
+}
+
+TEST_CASE("A member counts at one home only", "[Quotas]")
+{
+    constexpr std::uint64_t self = 10;
+    constexpr std::uint64_t other = 20;
+    const Duration start = seconds(100);
+    QuotaPledges pledges(self, start);
+    pledges.setMemberCount(2);
+    // Two owners with different homes among both processes.
+    std::uint64_t owner = 1;
+    while (quotaHomeOf(owner, QuotaHomes{self, other}) != self)
+        owner += 1;
+    const auto report = [&](QuotaHomes homes, std::vector<QuotaHomes> previous, Duration at) {
+        return pledges.noteReport(other, {std::move(homes), std::move(previous), at - seconds(50)},
+                                  at);
+    };
+    const auto share = [&](Duration at) {
+        (void)pledges.update(at);
+        return pledges.shareOf(owner).pledged;
+    };
+    for (int i = 0; i <= 30; ++i) {
+        const auto at = start + Milliseconds(100 * i);
+        CHECK_FALSE(report({self, other}, {}, at));
+        (void)pledges.chooseHomes({}, at);
+        // Nothing of its own in the first two seconds.
+        CHECK(share(at) == (i < 20 ? 1U : 2U));
+    }
+    const auto now = start + Milliseconds(3'000);
+
+    SECTION("not at the old one after it has announced another set, and that is confirmed")
+    {
+        CHECK(report({other}, {{self, other}}, now + Milliseconds(10)));
+        CHECK(share(now + Milliseconds(10)) == 1);
+        SECTION("not even if an earlier report arrives late")
+        {
+            CHECK_FALSE(pledges.noteReport(
+                    other, {{self, other}, {}, now - Milliseconds(100) - seconds(50)},
+                    now + Milliseconds(20)));
+            CHECK(share(now + Milliseconds(20)) == 1);
+        }
+    }
+    SECTION("not at the new one while the old one may count it")
+    {
+        CHECK(report({self, other}, {{other}}, now + Milliseconds(10)) == false);
+        CHECK(share(now + Milliseconds(10)) == 1);
+    }
+    SECTION("not after it has been silent")
+    {
+        for (int i = 1; i <= 13; ++i)
+            (void)pledges.update(now + Milliseconds(100 * i));
+        CHECK(pledges.shareOf(owner).pledged == 1);
+    }
+    SECTION("not at a home that was suspended, by reports that waited for it")
+    {
+        const auto later = now + seconds(3);
+        CHECK_FALSE(report({self, other}, {}, later));
+        CHECK(share(later) == 1);
+        CHECK(share(later + Milliseconds(150)) == 1);
+        CHECK_FALSE(report({self, other}, {}, later + Milliseconds(300)));
+        CHECK(share(later + Milliseconds(300)) == 2);
+    }
+    SECTION("not by a member that has just started")
+    {
+        (void)pledges.noteReport(other, {{self, other}, {}, seconds(1)}, now + Milliseconds(10));
+        CHECK(share(now + Milliseconds(10)) == 1);
+    }
+    SECTION("This process announces a replaced set until its homes confirm the change")
+    {
+        REQUIRE(pledges.chooseHomes({other}, now + Milliseconds(460)));
+        const auto announced = pledges.ownPledge(now + Milliseconds(460));
+        CHECK(announced.previousHomes == std::vector<QuotaHomes>{{self, other}});
+        CHECK_FALSE(pledges.noteReceipt(other, Milliseconds(3'400)));
+        CHECK(pledges.noteReceipt(other, Milliseconds(3'460)));
+        CHECK(pledges.ownPledge(now + Milliseconds(510)).previousHomes.empty());
+    }
+}
