--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -43,6 +43,7 @@
                         const IncomingCall &call)
 {
     auto features = workFeatures(request.headers, names);
+    features.isStream = call.route->kind == RouteKind::Stream;
     features.route = stableHash(call.route->name);
     features.owner = stableHash(call.caller.name());
     return features;
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -224,7 +224,8 @@
     for (const auto *reservation : state.running) {
         const auto &work = reservation->m_work;
         const auto readingSince = reservation->m_readingSince.load();
-        if (readingSince == TimePoint::max() || (work.events == 0 && !work.hadSlot))
+        if (readingSince == TimePoint::max() || !work.features.isStream
+            || (work.events == 0 && !work.hadSlot))
             continue;
         const PaceGroup group{state.serviceHash, work.features.isBatch};
         const auto expected = work.events == 0 ? durationOf(work.estimate.firstEventMs)
--- a/Libraries/Serving/WorkEstimator.h
+++ b/Libraries/Serving/WorkEstimator.h
@@ -14,6 +14,8 @@
 struct WorkFeatures
 {
     bool isBatch = false;
+    /// Whether the answer is a stream of events; otherwise it arrives as a whole at its end.
+    bool isStream = true;
     /// Hashes of the names of service, route and owner.
     std::uint64_t service = 0;
     std::uint64_t route = 0;
--- a/Tests/Gateway/TestUpstreamTable.cpp
+++ b/Tests/Gateway/TestUpstreamTable.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace Radishplank;
 
@@ -265,6 +266,19 @@
     CHECK(table.slowest(3)[0].id == UpstreamId("a"));
 }
 
+TEST_CASE("Silence makes an upstream slow only under streams", "[UpstreamTable]")
+{
+    UpstreamTable table(NodeId("entry1"), localityInZone1(), PlacementRule::Work);
+    table.put(upstreamNamed("a"));
+    WorkFeatures features;
+    features.isStream = GENERATE(true, false);
+    const auto call = table.reserveOnline("service", {}, anyWait, features);
+    // Several times as long as a first event takes, but not as a whole answer.
+    std::this_thread::sleep_for(Milliseconds(500));
+    const auto next = table.reserveOnline("service", {}, anyWait, features);
+    CHECK((next.basis.pace > 1.5) == features.isStream);
+}
+
 TEST_CASE("The statements of a request about its work are read", "[WorkHeaders]")
 {
     CallHeaderNames names;
