Gateway: Keep calls placed by work in their zone and spare items

The random part of the cost that spreads calls is larger than the costs of a hop to another zone and of a preemption, so that calls would have crossed zones and stopped items for no gain. Both cost more now in placement by work. The shares of late calls in TestWorkPlacement, which has one zone and no items, are unchanged.

--- a/Libraries/Gateway/UpstreamSelector.cpp
+++ b/Libraries/Gateway/UpstreamSelector.cpp
@@ -41,6 +41,10 @@
 /// age, and fill the upstream that seems best if only a few milliseconds decide: with tieBreakCost
 /// 2% of the calls of TestWorkPlacement are late although a third of the slots is free.
 constexpr double spreadCost = 8;
+/// Costs of a hop to another zone and of preempting an item of this process in placement by work:
+/// large enough against spreadCost to keep most calls in their zone and to spare most items.
+constexpr double spreadCrossZoneCost = 10;
+constexpr double spreadPreemptionCost = 30;
 /// Value of a millisecond before the first event, and of one between it and the end.
 constexpr double firstEventWeight = 0.25;
 constexpr double endWeight = 0.02;
@@ -69,6 +73,11 @@
     return crossRegionCost;
 }
 
+double spreadDistanceCost(Distance distance)
+{
+    return distance == Distance::SameRegion ? spreadCrossZoneCost : distanceCost(distance);
+}
+
 double randomFraction(RandomEngine &random)
 {
     return std::uniform_real_distribution<double>(0, 1)(random);
@@ -164,7 +173,7 @@
         const auto &candidate = candidates[index];
         UpstreamChoice choice{index, false, Milliseconds(0)};
         const unsigned total = candidate.online + candidate.batch;
-        double cost = distanceCost(candidate.distance) + spreadCost * logOfExponential(random)
+        double cost = spreadDistanceCost(candidate.distance) + spreadCost * logOfExponential(random)
                       + loadCost * std::min(total, candidate.slots) / candidate.slots
                       + endWeight * answerRest * candidate.pace;
         double wait = 0;
@@ -176,7 +185,7 @@
                 cost += overdueCost;
         } else if (total >= candidate.slots) {
             choice.mustPreempt = true;
-            cost += candidate.ownBatch > 0 ? ownPreemptionCost : peerPreemptionCost;
+            cost += candidate.ownBatch > 0 ? spreadPreemptionCost : peerPreemptionCost;
         }
         const double firstEvent = wait + demand.firstEventMs * candidate.pace;
         const auto freeSlots = candidate.slots - std::min(candidate.slots, candidate.online);
