--- a/Libraries/Gateway/QuotaLink.cpp
+++ b/Libraries/Gateway/QuotaLink.cpp
@@ -16,6 +16,8 @@
 /// Without calls only the pledges are checked. Well below the time after which QuotaPledges takes
 /// the process for suspended.
 constexpr Milliseconds idleInterval{50};
+/// How often a process whose configuration has no owners looks for some.
+constexpr Milliseconds withoutOwnersInterval{500};
 constexpr std::size_t maxDatagramBytes = 65'000;
 /// Asks to this process itself that follow from each other in one step.
 constexpr int maxLocalRounds = 4;
@@ -133,6 +135,10 @@
 void QuotaLink::stepLoop()
 {
     while (true) {
+        if (!m_routes.hasOwners()) {
+            boost::this_fiber::sleep_for(withoutOwnersInterval);
+            continue;
+        }
         const auto now = BootClock::now();
         refresh(now);
         exchange(now);
@@ -258,6 +264,8 @@
 
 void QuotaLink::describe(PeerReport &report)
 {
+    if (!m_routes.hasOwners())
+        return;
     const auto now = BootClock::now();
     if (m_pledges.chooseHomes(m_client.suspects(now), now)) {
         m_client.setHomes(m_pledges.homes());
