QuotaPledges: Pledge at once after a start if all members are heard

One that hears all members chooses the same homes as before its restart, so its share counts once. The first calls are admitted within 2 s of the restart in the model (none before). Ruled out: starting with full buckets, which doubles the burst.

--- a/Libraries/Limits/QuotaPledges.cpp
+++ b/Libraries/Limits/QuotaPledges.cpp
@@ -89,18 +89,25 @@
     if (now - m_chosenAt < minChoiceInterval || now < m_keepHomesUntil)
         return false;
     m_chosenAt = now;
+    const bool wasNew = now - m_startedAt < changeTime;
     QuotaHomes chosen{m_self};
     for (const auto &[node, member] : m_members) {
         if (now - member.heardAt <= silenceTimeout && !suspects.contains(node))
             chosen.push_back(node);
     }
+    // Before a restart this process may have pledged to others. If it hears every member, it
+    // chooses the same homes as then, unless one was silent just before the restart; its single
+    // share could then count twice until the earlier pledge lapses. Waiting would leave all owners
+    // without a home for two seconds when all processes restart at once.
+    if (wasNew && m_memberCount > 0 && chosen.size() >= m_memberCount)
+        m_startedAt = now - changeTime;
     std::sort(chosen.begin(), chosen.end());
     if (chosen.size() > maxHomes)
         chosen.resize(maxHomes);
     if (chosen == m_homes)
         return false;
     // A process pledges nothing at first, so the sets that it had until then count nowhere.
-    if (now - m_startedAt >= changeTime) {
+    if (!wasNew) {
         std::set<std::uint64_t> unconfirmed(m_homes.begin(), m_homes.end());
         // This process applies its own changes before it answers the next ask.
         unconfirmed.erase(m_self);
--- a/Libraries/Limits/QuotaPledges.h
+++ b/Libraries/Limits/QuotaPledges.h
@@ -84,7 +84,8 @@
     [[nodiscard]] static std::vector<QuotaHomes> setsOf(QuotaPledge pledge);
 
     const std::uint64_t m_self;
-    const Duration m_startedAt;
+    /// From changeTime after this on, the process pledges its shares.
+    Duration m_startedAt;
     std::size_t m_memberCount = 0;
     QuotaHomes m_homes;
     std::vector<Replaced> m_replaced;
--- a/Tests/Limits/TestQuotas.cpp
+++ b/Tests/Limits/TestQuotas.cpp
@@ -687,6 +687,21 @@
     CHECK(refusedOfMoved <= 6 * moved);
 }
 
+TEST_CASE("After a restart of all processes, owners are soon served again", "[Quotas]")
+{
+    Model model(18, GENERATE(1, 2, 3));
+    const auto owner = model.addOwner(60, 60, steady(40));
+    model.run(warmUp + seconds(3));
+    const auto restartedAt = model.now();
+    for (std::size_t i = 0; i < 18; ++i)
+        model.startLater(i, Milliseconds(200 + 20 * static_cast<int>(i)));
+    model.run(seconds(8));
+    // The last process starts after 0.54 s. Waiting until every earlier pledge has lapsed left all
+    // owners without a home for two seconds more.
+    CHECK(model.admittedBetween(owner, restartedAt, restartedAt + seconds(2)) > 0);
+    checkBound(model, owner);
+}
+
 TEST_CASE("In a large fleet no failure lets an owner exceed its rate either", "[Quotas]")
 {
     const std::size_t processes = 300;
@@ -812,13 +827,57 @@
     }
 }
 
-TEST_CASE("A member counts at one home only", "[Quotas]")
+TEST_CASE("A process that hears all members pledges its shares at once", "[Quotas]")
 {
     constexpr std::uint64_t self = 10;
     constexpr std::uint64_t other = 20;
     const Duration start = seconds(100);
     QuotaPledges pledges(self, start);
     pledges.setMemberCount(2);
+    std::uint64_t owner = 1;
+    while (quotaHomeOf(owner, QuotaHomes{self, other}) != self)
+        owner += 1;
+    const auto ownAge = [&](Duration at) { return pledges.ownPledge(at).age; };
+    (void)pledges.chooseHomes({}, start);
+    CHECK(ownAge(start) == Duration(0));
+
+    SECTION("also if it has just started")
+    {
+        const auto at = start + Milliseconds(500);
+        (void)pledges.noteReport(other, {{self, other}, {}, seconds(50)}, at);
+        (void)pledges.update(at);
+        CHECK(pledges.shareOf(owner).pledged == 1);
+        (void)pledges.chooseHomes({}, at);
+        (void)pledges.update(at);
+        CHECK(pledges.shareOf(owner).pledged == 2);
+        CHECK(ownAge(at) >= seconds(2));
+
+        SECTION("and from then on announces the sets that it replaces")
+        {
+            const auto later = at + Milliseconds(460);
+            REQUIRE(pledges.chooseHomes({other}, later));
+            CHECK(pledges.ownPledge(later).previousHomes == std::vector<QuotaHomes>{{self, other}});
+        }
+    }
+    SECTION("but not if one is suspected")
+    {
+        const auto at = start + Milliseconds(500);
+        (void)pledges.noteReport(other, {{self, other}, {}, seconds(50)}, at);
+        (void)pledges.chooseHomes({other}, at);
+        (void)pledges.update(at);
+        // Only the share of the other process.
+        CHECK(pledges.shareOf(owner).pledged == 1);
+    }
+}
+
+TEST_CASE("A member counts at one home only", "[Quotas]")
+{
+    constexpr std::uint64_t self = 10;
+    constexpr std::uint64_t other = 20;
+    const Duration start = seconds(100);
+    QuotaPledges pledges(self, start);
+    // A third member is not heard, so that this process waits before it pledges.
+    pledges.setMemberCount(3);
     // Two owners with different homes among both processes.
     std::uint64_t owner = 1;
     while (quotaHomeOf(owner, QuotaHomes{self, other}) != self)
