Serving, Gateway: Divide scarce slots among owners by max-min fairness

While two of 73 owners sent 8 x their load, 330 of the 661 calls of all owners were late: whoever sent most filled the queues of all upstreams. Under saturation, an owner that has held more than its max-min share over the last second now gets only slots that are free, and one below its share may wait longer than others. Peers report their streams by owner (ownerLoads). Higher priorities are served first, the owner's before the route's. With a single owner, or none, nothing changes. Refusals are counted by reason and, for the largest owners, by owner; their log line tells the expected and the longest permitted wait.

--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -15,6 +15,7 @@
 #include <Gateway/HeaderRules.h>
 #include <Gateway/JobService.h>
 #include <Gateway/MemberRegistry.h>
+#include <Gateway/OwnerLoads.h>
 #include <Gateway/PeerLink.h>
 #include <Gateway/PromptParts.h>
 #include <Gateway/Relay.h>
--- a/Libraries/Gateway/GatewayMetrics.cpp
+++ b/Libraries/Gateway/GatewayMetrics.cpp
@@ -6,6 +6,11 @@
 {
     renderCounter(text, "radishplank_calls_answered_total", callsAnswered);
     renderCounter(text, "radishplank_calls_refused_total", callsRefused);
+    renderCounter(text, "radishplank_calls_refused_for_wait_total", callsRefusedForWait);
+    renderCounter(text, "radishplank_calls_refused_for_share_total", callsRefusedForShare);
+    renderCounter(text, "radishplank_calls_refused_without_upstream_total",
+                  callsRefusedWithoutUpstream);
+    renderCounter(text, "radishplank_calls_unread_total", callsUnread);
     renderCounter(text, "radishplank_calls_refused_as_crashing_total", callsRefusedAsCrashing);
     renderCounter(text, "radishplank_calls_failed_total", callsFailed);
     renderCounter(text, "radishplank_calls_cut_off_total", callsCutOff);
@@ -29,6 +34,8 @@
     renderCounter(text, "radishplank_log_lines_left_out_total", logLinesDropped());
     firstEvent.renderPrometheus(text, "radishplank_first_event_seconds");
     wholeCall.renderPrometheus(text, "radishplank_call_seconds");
+    expectedWait.renderPrometheus(text, "radishplank_expected_wait_seconds");
+    firstEventAfterWait.renderPrometheus(text, "radishplank_first_event_after_wait_seconds");
     itemAge.renderPrometheus(text, "radishplank_item_age_seconds");
 }
 
--- a/Libraries/Gateway/GatewayMetrics.h
+++ b/Libraries/Gateway/GatewayMetrics.h
@@ -11,6 +11,13 @@
 {
     Counter callsAnswered;
     Counter callsRefused;
+    /// Calls refused because no slot was expected in time, because their owners held more than
+    /// their shares of the slots, and because no upstream was known.
+    Counter callsRefusedForWait;
+    Counter callsRefusedForShare;
+    Counter callsRefusedWithoutUpstream;
+    /// Streams ended because their callers did not read them.
+    Counter callsUnread;
     Counter callsFailed;
     Counter callsCutOff;
     Counter callsRefusedAsCrashing;
@@ -36,6 +43,10 @@
     /// Time from the arrival of a call to the first bytes of its answer, and to the last.
     LatencyHistogram firstEvent;
     LatencyHistogram wholeCall;
+    /// Of calls sent to upstreams without a free slot: the expected wait for a slot, and the time
+    /// from sending to the first bytes.
+    LatencyHistogram expectedWait;
+    LatencyHistogram firstEventAfterWait;
     /// Time from the submission of a job to the result of one of its items.
     LatencyHistogram itemAge;
 
--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -19,12 +19,13 @@
 
 PeerLink::PeerLink(FiberThreads &threads, PeerTable &peers, UpstreamTable &upstreams,
                    CrashTracker &crashes, CrashingPartDetector &crashingParts,
-                   PeerLinkSettings settings)
+                   AdmissionControl &admissionControl, PeerLinkSettings settings)
     : m_threads(threads)
     , m_peers(peers)
     , m_upstreams(upstreams)
     , m_crashes(crashes)
     , m_crashingParts(crashingParts)
+    , m_admissionControl(admissionControl)
     , m_settings(std::move(settings))
     , m_socket(threads.context(0))
 {
@@ -77,6 +78,7 @@
     const bool becameReachable
             = m_peers.noteReport(report, {sender.address().to_string(), sender.port()}, now);
     m_upstreams.notePeerLoads(report.node, report.loads, report.waiting, now);
+    m_admissionControl.notePeerStreams(report.node, report.ownerLoads, now);
     for (const auto &leaving : report.leaving)
         m_upstreams.noteLeaving(leaving);
     m_crashes.applyReport(report.crashUpdates, now);
@@ -152,6 +154,7 @@
         describeFleet(report);
     for (const auto &[id, load] : m_upstreams.ownLoads())
         report.loads.push_back({upstreamHash(id), load.online, load.batch});
+    report.ownerLoads = m_admissionControl.ownStreams();
     report.leaving = m_upstreams.leaving();
     if (describeWaiting)
         describeWaiting(report);
--- a/Libraries/Gateway/PeerLink.h
+++ b/Libraries/Gateway/PeerLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Gateway/AdmissionControl.h>
 #include <Gateway/CrashTracker.h>
 #include <Gateway/CrashingPartDetector.h>
 #include <Gateway/PeerTable.h>
@@ -30,7 +31,8 @@
 {
 public:
     PeerLink(FiberThreads &threads, PeerTable &peers, UpstreamTable &upstreams,
-             CrashTracker &crashes, CrashingPartDetector &crashingParts, PeerLinkSettings settings);
+             CrashTracker &crashes, CrashingPartDetector &crashingParts,
+             AdmissionControl &admissionControl, PeerLinkSettings settings);
 
     /// Adds this process's jobs to a full report.
     std::function<void(PeerReport &)> describeJobs;
@@ -67,6 +69,7 @@
     UpstreamTable &m_upstreams;
     CrashTracker &m_crashes;
     CrashingPartDetector &m_crashingParts;
+    AdmissionControl &m_admissionControl;
     PeerLinkSettings m_settings;
     boost::asio::ip::udp::socket m_socket;
     std::map<Endpoint, TimePoint> m_sentAt;
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -58,6 +58,7 @@
     , m_call(std::move(call))
     , m_fingerprint(callFingerprint(exchange.request(), m_call.body))
     , m_parts(sharedPromptParts(exchange.request().headers.value(headerNames.promptParts)))
+    , m_owner(ownerHash(m_call.caller.name()))
     , m_metrics(metrics)
     , m_watch(exchange, m_call.deadline)
 {
@@ -84,6 +85,8 @@
         }
         m_triedUpstreams.insert(admission.reservation->upstream().id);
         logAttempt(admission);
+        std::optional<AdmissionControl::OwnerStream> ownerStream(std::in_place, m_admissionControl,
+                                                                 m_owner);
         m_attemptSentAt = SteadyClock().now();
         m_attemptExpectedWait = admission.expectedWait.value_or(Milliseconds(0));
         const auto outcome = attempt(*admission.reservation);
@@ -394,11 +397,18 @@
                                      const AdmissionLimit &limit)
 {
     const auto retryAfter = m_admissionControl.retryAfter(timeLeft(), SteadyClock().now());
-    if (!admission.expectedWait)
+    m_admissionControl.noteRefused(m_owner);
+    if (!admission.expectedWait) {
+        m_metrics.callsRefusedWithoutUpstream.increase();
         return refuse(retryAfter, "no upstream to send it to");
-    refuse(retryAfter,
-           "no slot in time: expected in " + std::to_string(admission.expectedWait->count())
-                   + " ms, wanted within " + std::to_string(limit.longestWait.count()) + " ms");
+    }
+    const bool isAboveShare = limit.standing == ShareStanding::Above;
+    (isAboveShare ? m_metrics.callsRefusedForShare : m_metrics.callsRefusedForWait).increase();
+    const std::string cause = isAboveShare ? "its owner holds its share of the slots, none is free"
+                                           : "no slot in time";
+    refuse(retryAfter, cause + ": expected in " + std::to_string(admission.expectedWait->count())
+                               + " ms, wanted within " + std::to_string(limit.longestWait.count())
+                               + " ms");
 }
 
 void RelayCall::refuse(Milliseconds retryAfter, std::string_view reason)
@@ -456,6 +466,8 @@
         return;
     const auto observed
             = std::chrono::duration_cast<Milliseconds>(m_lastActivity - m_attemptSentAt);
+    if (m_attemptExpectedWait.count() > 0)
+        m_metrics.firstEventAfterWait.record(observed);
     m_admissionControl.noteFirstEvent(admissionClass(), m_attemptExpectedWait, observed,
                                       m_lastActivity);
 }
@@ -471,8 +483,15 @@
 {
     if (m_runs > 0)
         return {timeLeft(), ShareStanding::Within};
-    return m_admissionControl.limitFor({admissionClass(), age(), targetOf(*m_call.route)},
-                                       SteadyClock().now());
+    return m_admissionControl.limitFor(
+            {admissionClass(), age(), targetOf(*m_call.route), m_owner, priority()},
+            m_upstreams.slots(), SteadyClock().now());
+}
+
+unsigned RelayCall::priority() const
+{
+    const auto &owner = m_call.caller.owner;
+    return owner && owner->priority ? *owner->priority : m_call.route->priority;
 }
 
 void RelayCall::noteAnswered(const UpstreamInfo &upstream, unsigned status)
@@ -494,6 +513,8 @@
 {
     if (m_runs > 0)
         m_metrics.callsResumed.increase();
+    if (admission.expectedWait && admission.expectedWait->count() > 0)
+        m_metrics.expectedWait.record(*admission.expectedWait);
     logDecision(m_runs > 0 ? "call-resumed" : "attempt-sent",
                 {{"id", id()},
                  {"route", m_call.route->name},
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -90,6 +90,8 @@
     void recordFirstEvent();
     /// Returns how long the call may wait for a slot.
     [[nodiscard]] AdmissionLimit slotWaitLimit() const;
+    /// Returns the priority of the call: that of its owner, otherwise that of its route.
+    [[nodiscard]] unsigned priority() const;
     /// Returns the name under which the times of calls like this one are recorded.
     [[nodiscard]] std::string admissionClass() const;
     /// Records that the upstream has begun to answer and went on.
@@ -108,6 +110,8 @@
     IncomingCall m_call;
     const std::uint64_t m_fingerprint;
     const PromptParts m_parts;
+    /// Hash of the name of the owner, as ownerHash() gives it.
+    const std::uint64_t m_owner;
     GatewayMetrics &m_metrics;
     CallWatch m_watch;
     std::set<UpstreamId> m_triedUpstreams;
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -286,6 +286,17 @@
     return loads;
 }
 
+unsigned UpstreamTable::slots() const
+{
+    const std::scoped_lock lock(m_mutex);
+    unsigned sum = 0;
+    for (const auto &[id, state] : m_states) {
+        if (!state.info.isDraining && !isLeaving(state))
+            sum += std::max(1U, state.info.slots);
+    }
+    return sum;
+}
+
 void UpstreamTable::preemptExcessBatch()
 {
     std::vector<std::function<void()>> stops;
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -106,6 +106,8 @@
     void notePeerLoads(const NodeId &peer, std::span<const UpstreamStreams> loads,
                        std::span<const ServiceDemand> waiting, TimePoint now);
     [[nodiscard]] std::map<UpstreamId, UpstreamLoad> ownLoads() const;
+    /// Returns the number of slots of all upstreams that take work.
+    [[nodiscard]] unsigned slots() const;
     /// Preempts batch items of this process at upstreams that hold more work than they have slots.
     void preemptExcessBatch();
     /// Called when the loads of this process have changed, without the lock held.
--- a/Libraries/Serving/CallAdmission.h
+++ b/Libraries/Serving/CallAdmission.h
@@ -11,9 +11,9 @@
 
 /// How the slots that an owner holds compare with its max-min fair share of all slots.
 enum class ShareStanding {
-    Below,  ///< The owner would still be within its share with one more slot.
+    Below,  ///< The owner holds no more than its share.
     Within, ///< There is no other owner, so that nothing has to be divided.
-    Above,  ///< One more slot would exceed the owner's share.
+    Above,  ///< The owner holds more than its share.
 };
 
 /// Decides how long a call may be expected to wait for a slot.
--- a/Libraries/Serving/Serving.h
+++ b/Libraries/Serving/Serving.h
@@ -10,6 +10,7 @@
 #include <Serving/HeartbeatMonitor.h>
 #include <Serving/LinkAllowance.h>
 #include <Serving/Outcome.h>
+#include <Serving/OwnerShares.h>
 #include <Serving/Quarantine.h>
 #include <Serving/RetryBudget.h>
 #include <Serving/Router.h>
--- a/Tests/Gateway/TestAdmissionControl.cpp
+++ b/Tests/Gateway/TestAdmissionControl.cpp
@@ -34,6 +34,16 @@
     int lost = 0;
 
     [[nodiscard]] int served() const { return inTarget + returnedInTarget; }
+    Tally &operator+=(const Tally &other)
+    {
+        calls += other.calls;
+        inTarget += other.inTarget;
+        late += other.late;
+        refused += other.refused;
+        returnedInTarget += other.returnedInTarget;
+        lost += other.lost;
+        return *this;
+    }
 };
 
 enum class Rule {
@@ -64,8 +74,18 @@
         , m_load(std::move(load))
         , m_tallies(static_cast<std::size_t>(m_load.owners))
     {
+        std::vector<Owner> owners;
+        for (int owner = 0; m_load.owners > 1 && owner < m_load.owners; ++owner) {
+            owners.emplace_back();
+            owners.back().id = OwnerId(nameOf(owner));
+        }
+        std::optional<OwnerDirectory> directory;
+        if (!owners.empty())
+            directory.emplace(std::move(owners));
+        m_routes.publish(std::make_unique<const RouteTable>(1, std::vector<Route>(), CallerLimits(),
+                                                            std::move(directory)));
         for (int process = 0; process < processCount; ++process)
-            m_controls.push_back(std::make_unique<AdmissionControl>());
+            m_controls.push_back(std::make_unique<AdmissionControl>(m_routes));
         for (int upstream = 0; upstream < zoneCount * upstreamsPerZone; ++upstream)
             m_upstreams.emplace_back();
         for (m_ms = 0; m_ms < m_load.lengthMs + deadlineMs; ++m_ms)
@@ -79,14 +99,8 @@
     [[nodiscard]] Tally sum() const
     {
         Tally sum;
-        for (const auto &each : m_tallies) {
-            sum.calls += each.calls;
-            sum.inTarget += each.inTarget;
-            sum.late += each.late;
-            sum.refused += each.refused;
-            sum.returnedInTarget += each.returnedInTarget;
-            sum.lost += each.lost;
-        }
+        for (const auto &each : m_tallies)
+            sum += each;
         return sum;
     }
     [[nodiscard]] int refusedWithRoom() const { return m_refusedWithRoom; }
@@ -108,6 +122,7 @@
         int expectedWaitMs = 0;
         int upstream = 0;
         int runMs = 0;
+        std::shared_ptr<AdmissionControl::OwnerStream> stream;
     };
     struct Upstream
     {
@@ -119,6 +134,7 @@
     };
 
     [[nodiscard]] TimePoint now() const { return TimePoint(Milliseconds(1'000'000 + m_ms)); }
+    [[nodiscard]] static std::string nameOf(int owner) { return "owner" + std::to_string(owner); }
     [[nodiscard]] static int zoneOf(int upstream) { return upstream / upstreamsPerZone; }
     [[nodiscard]] bool isLost(int zone) const
     {
@@ -201,6 +217,13 @@
     {
         for (auto &upstream : m_upstreams)
             upstream.reported = upstream.own;
+        for (std::size_t from = 0; from < processCount; ++from) {
+            const auto streams = m_controls[from]->ownStreams();
+            for (std::size_t to = 0; to < processCount; ++to) {
+                if (to != from)
+                    m_controls[to]->notePeerStreams(NodeId(std::to_string(from)), streams, now());
+            }
+        }
     }
 
     void arrive(Call call)
@@ -232,7 +255,10 @@
         auto &control = *m_controls[process];
         const auto limit
                 = m_rule == Rule::AdmissionControl
-                          ? control.limitFor({"service", Milliseconds(0), Milliseconds(targetMs)},
+                          ? control.limitFor({"service", Milliseconds(0), Milliseconds(targetMs),
+                                              ownerHash(nameOf(call.owner)), 0},
+                                             static_cast<unsigned>(indexes.size())
+                                                     * slotsPerUpstream,
                                              now())
                                     .longestWait
                           : Milliseconds(targetMs * 6 / 10);
@@ -246,6 +272,8 @@
         call.expectedWaitMs = static_cast<int>(choice->wait.count());
         call.runMs = static_cast<int>(std::lognormal_distribution<double>(6.35, 0.57)(m_random));
         upstream.own[process] += 1;
+        call.stream = std::make_shared<AdmissionControl::OwnerStream>(
+                control, ownerHash(nameOf(call.owner)));
         if (choice->mustPreempt && upstream.batch > 0)
             upstream.batch -= 1;
         upstream.waiting.push_back(call);
@@ -272,6 +300,7 @@
 
     Rule m_rule;
     Load m_load;
+    RouteDirectory m_routes;
     /// Separate, so that the callers are the same under each rule.
     RandomEngine m_arrivals{7};
     RandomEngine m_random{8};
@@ -333,6 +362,50 @@
     }
 }
 
+TEST_CASE("Owners below their shares do not pay for those above", "[AdmissionControl]")
+{
+    Load load;
+    int noisy = 0;
+    const auto compare = [&] {
+        const Fleet before(Rule::FixedShareOfTarget, load);
+        const Fleet after(Rule::AdmissionControl, load);
+        Tally quiet;
+        Tally quietBefore;
+        for (int owner = noisy; owner < load.owners; ++owner) {
+            quiet += after.of(owner);
+            quietBefore += before.of(owner);
+        }
+        INFO("late " << quietBefore.late << " -> " << quiet.late << ", refused "
+                     << quietBefore.refused << " -> " << quiet.refused << ", served in target "
+                     << quietBefore.served() << " -> " << quiet.served() << " of " << quiet.calls);
+        CHECK(quiet.late < 0.75 * quietBefore.late);
+        CHECK(quiet.refused < 0.75 * quietBefore.refused);
+        CHECK(quiet.served() > 0.83 * quiet.calls);
+        // Nobody is starved, and nothing that the quiet owners leave is wasted.
+        for (int owner = 0; owner < load.owners; ++owner) {
+            INFO("owner " << owner);
+            CHECK(after.of(owner).served() > 0.45 * after.of(owner).calls);
+        }
+        CHECK(after.sum().served() >= before.sum().served());
+        CHECK(after.meanOccupancy(4'000, 6'000) > 0.97);
+    };
+
+    SECTION("one owner with eight times its load")
+    {
+        load.owners = 10;
+        noisy = 1;
+        load.owner = [](int owner, int ms) { return owner == 0 && isInBurst(ms) ? 8 : 1; };
+        compare();
+    }
+    SECTION("twenty owners with three times their load")
+    {
+        load.owners = 40;
+        noisy = 20;
+        load.owner = [](int owner, int ms) { return owner < 20 && isInBurst(ms) ? 3 : 1; };
+        compare();
+    }
+}
+
 TEST_CASE("A load that the upstreams can serve is served as before", "[AdmissionControl]")
 {
     // Guards against refusals in deployments that have room.
@@ -346,7 +419,8 @@
 TEST_CASE("Refused callers return one after the other", "[AdmissionControl]")
 {
     // Guards against a second wave: callers that are refused together and return together.
-    AdmissionControl control;
+    const RouteDirectory routes;
+    AdmissionControl control(routes);
     TimePoint now{std::chrono::seconds(1'000)};
     const Milliseconds timeLeft(4'500);
     SECTION("also at a process that has answered nothing yet")
@@ -381,3 +455,24 @@
         CHECK(control.retryAfter(Milliseconds(900), now) == Milliseconds(300));
     }
 }
+
+TEST_CASE("Metrics name only the largest owners", "[AdmissionControl]")
+{
+    // Guards against a time series for each of thousands of owners.
+    std::vector<Owner> owners(20);
+    for (std::size_t index = 0; index < owners.size(); ++index)
+        owners[index].id = OwnerId("owner" + std::to_string(index));
+    RouteDirectory routes;
+    routes.publish(std::make_unique<const RouteTable>(1, std::vector<Route>(), CallerLimits(),
+                                                      OwnerDirectory(owners)));
+    AdmissionControl control(routes);
+    std::vector<OwnerStreams> streams;
+    for (unsigned index = 0; index < owners.size(); ++index)
+        streams.push_back({ownerHash(owners[index].id.text()), index + 1});
+    control.notePeerStreams(NodeId("entry2"), streams, SteadyClock().now());
+    std::string text;
+    control.renderPrometheus(text);
+    CHECK(text.find("radishplank_owner_streams{owner=\"owner19\"} 20\n") != std::string::npos);
+    CHECK(text.find("owner11\"") == std::string::npos);
+    CHECK(text.find("radishplank_owner_streams{owner=\"\"} 78\n") != std::string::npos);
+}
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -28,7 +28,7 @@
         , node(name)
         , upstreams(node, {})
         , peers(node, ZoneName("zone1"))
-        , link(threads, peers, upstreams, crashes, crashingParts, {})
+        , link(threads, peers, upstreams, crashes, crashingParts, admissionControl, {})
         , service({threads,
                    routes,
                    upstreams,
@@ -98,6 +98,7 @@
     PeerTable peers;
     CrashTracker crashes{std::chrono::minutes(10), 100};
     CrashingPartDetector crashingParts{std::chrono::minutes(10), Milliseconds(0)};
+    AdmissionControl admissionControl{routes};
     PeerLink link;
     GatewayMetrics metrics;
     Service service;
