Gateway: Free an upstream from callers that read slowly

A stream was written to its caller in the fiber that read it from the upstream, so a caller that did not read blocked the upstream for up to 30 s (an upstream cuts off what stays unread for seconds) and kept its slot. StreamDelivery writes in a fiber of its own: the upstream is read to its end, its slot is free then, and the rest is delivered late.

--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -20,6 +20,7 @@
 #include <Gateway/PromptParts.h>
 #include <Gateway/Relay.h>
 #include <Gateway/RouteTable.h>
+#include <Gateway/StreamDelivery.h>
 #include <Gateway/StreamProgress.h>
 #include <Gateway/UpstreamSelector.h>
 #include <Gateway/UpstreamTable.h>
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -90,9 +90,15 @@
         m_attemptSentAt = SteadyClock().now();
         m_attemptExpectedWait = admission.expectedWait.value_or(Milliseconds(0));
         const auto outcome = attempt(*admission.reservation);
-        if (outcome == AttemptOutcome::Answered)
-            return;
-        if (m_watch.isStopped() && SteadyClock().now() - m_lastActivity >= minSuspiciousSilence)
+        if (outcome == AttemptOutcome::Answered) {
+            const auto upstream = admission.reservation->upstream();
+            // The caller may take its time to read the rest.
+            admission.reservation.reset();
+            ownerStream.reset();
+            return finishAnswered(upstream);
+        }
+        if (m_watch.isStopped() && !m_isUnread
+            && SteadyClock().now() - m_lastActivity >= minSuspiciousSilence)
             silentUpstream = admission.reservation->upstream();
         if (outcome == AttemptOutcome::NotRun)
             m_refusals += 1;
@@ -162,7 +168,7 @@
     const auto outcome = forwardAnswer(answer);
     if (outcome == AttemptOutcome::Answered) {
         reservation.reportHealth(UpstreamHealth::Healthy);
-        noteAnswered(upstream, answer.status());
+        m_answerStatus = answer.status();
     } else if (!m_watch.isStopped()) {
         reservation.reportHealth(UpstreamHealth::Failed);
         logFailedAttempt(upstream, "the answer was interrupted");
@@ -207,6 +213,7 @@
             m_watch.noteCallerLeft();
             return AttemptOutcome::Interrupted;
         }
+        m_delivery.emplace(m_exchange);
     }
     const bool isResumable = m_call.route->resumption == Resumption::Allowed;
     EventFramer framer;
@@ -231,7 +238,7 @@
             noteAnswering();
         Result<void> written;
         if (!isResumable || isEnd)
-            written = m_exchange.writeStream(chunk.value());
+            written = m_delivery->write(chunk.value());
         else {
             written = writeEvents(events);
             const auto now = SteadyClock().now();
@@ -239,9 +246,8 @@
             if (progress.isStalled(upstreamIdleTimeout(), now))
                 return AttemptOutcome::Interrupted;
         }
-        if (!written.isError() && isEnd)
-            written = m_exchange.endStream();
         if (written.isError()) {
+            m_isUnread = written.error().kind == ErrorKind::Timeout;
             m_watch.noteCallerLeft();
             return AttemptOutcome::Interrupted;
         }
@@ -261,7 +267,7 @@
             m_lastEvent = event.id;
         bytes += event.raw;
     }
-    return m_exchange.writeStream(bytes);
+    return m_delivery->write(bytes);
 }
 
 HttpRequest RelayCall::requestFor(const UpstreamInfo &upstream) const
@@ -372,7 +378,10 @@
 {
     if (m_watch.stopReason() == StopReason::CallerLeft) {
         m_metrics.callsAbandoned.increase();
-        logEnd("call-abandoned", "the caller has disconnected");
+        if (m_isUnread)
+            m_metrics.callsUnread.increase();
+        logEnd("call-abandoned",
+               m_isUnread ? "the caller does not read its stream" : "the caller has disconnected");
         m_exchange.abandon();
         return;
     }
@@ -494,10 +503,19 @@
     return owner && owner->priority ? *owner->priority : m_call.route->priority;
 }
 
+void RelayCall::finishAnswered(const UpstreamInfo &upstream)
+{
+    m_admissionControl.noteAnswered(SteadyClock().now());
+    if (m_delivery && m_delivery->finish().isError()) {
+        m_watch.noteCallerLeft();
+        return giveUp("the caller has disconnected");
+    }
+    noteAnswered(upstream, m_answerStatus);
+}
+
 void RelayCall::noteAnswered(const UpstreamInfo &upstream, unsigned status)
 {
     m_metrics.callsAnswered.increase();
-    m_admissionControl.noteAnswered(SteadyClock().now());
     m_metrics.wholeCall.record(age());
     logDecision("call-answered",
                 {{"id", id()},
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -10,6 +10,7 @@
 #include <Gateway/GatewayMetrics.h>
 #include <Gateway/PromptParts.h>
 #include <Gateway/Route.h>
+#include <Gateway/StreamDelivery.h>
 #include <Gateway/UpstreamTable.h>
 #include <Net/Net.h>
 
@@ -90,6 +91,8 @@
     void recordFirstEvent();
     /// Returns how long the call may wait for a slot.
     [[nodiscard]] AdmissionLimit slotWaitLimit() const;
+    /// Delivers what the caller has not read yet of a complete answer, and records the end.
+    void finishAnswered(const UpstreamInfo &upstream);
     /// Returns the priority of the call: that of its owner, otherwise that of its route.
     [[nodiscard]] unsigned priority() const;
     /// Returns the name under which the times of calls like this one are recorded.
@@ -132,6 +135,10 @@
     /// When the current attempt was sent, and its expected wait for a slot.
     TimePoint m_attemptSentAt{};
     Milliseconds m_attemptExpectedWait{0};
+    unsigned m_answerStatus = 0;
+    bool m_isUnread = false;
+    /// Last, so that a write in progress ends before the other members are destroyed.
+    std::optional<StreamDelivery> m_delivery;
 };
 
 /// Formats a wait as the value of a Retry-After header, in seconds.
