--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -15,12 +15,14 @@
 #include <Gateway/HeaderRules.h>
 #include <Gateway/JobService.h>
 #include <Gateway/MemberRegistry.h>
+#include <Gateway/OwnerLoads.h>
 #include <Gateway/PeerLink.h>
 #include <Gateway/PromptParts.h>
 #include <Gateway/QuotaLink.h>
 #include <Gateway/QuotaMessage.h>
 #include <Gateway/Relay.h>
 #include <Gateway/RouteTable.h>
+#include <Gateway/StreamDelivery.h>
 #include <Gateway/StreamProgress.h>
 #include <Gateway/UpstreamSelector.h>
 #include <Gateway/UpstreamTable.h>
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -69,6 +69,7 @@
     , m_fingerprint(callFingerprint(exchange.request(), m_call.body))
     , m_parts(sharedPromptParts(exchange.request().headers.value(headerNames.promptParts)))
     , m_features(featuresOf(exchange.request(), headerNames, m_call))
+    , m_owner(ownerHash(m_call.caller.name()))
     , m_metrics(metrics)
     , m_watch(exchange, m_call.deadline)
 {
@@ -96,13 +97,21 @@
         }
         m_triedUpstreams.insert(admission.reservation->upstream().id);
         logAttempt(admission);
+        std::optional<AdmissionControl::OwnerStream> ownerStream(std::in_place, m_admissionControl,
+                                                                 m_owner);
         m_attemptSentAt = SteadyClock().now();
         m_attemptExpectedWait = admission.expectedWait.value_or(Milliseconds(0));
         const auto outcome = attempt(*admission.reservation);
         m_mayHaveRun |= outcome != AttemptOutcome::NotRun;
-        if (outcome == AttemptOutcome::Answered)
-            return;
-        if (m_watch.isStopped() && SteadyClock().now() - m_lastActivity >= minSuspiciousSilence)
+        if (outcome == AttemptOutcome::Answered) {
+            const auto upstream = admission.reservation->upstream();
+            // The caller may take its time to read the rest.
+            admission.reservation.reset();
+            ownerStream.reset();
+            return finishAnswered(upstream);
+        }
+        if (m_watch.isStopped() && !m_isUnread
+            && SteadyClock().now() - m_lastActivity >= minSuspiciousSilence)
             silentUpstream = admission.reservation->upstream();
         if (outcome == AttemptOutcome::NotRun)
             m_refusals += 1;
@@ -174,7 +183,7 @@
         reservation.reportHealth(UpstreamHealth::Healthy);
         if (answer.status() >= 200 && answer.status() < 300)
             noteCompleted(reservation);
-        noteAnswered(upstream, answer.status());
+        m_answerStatus = answer.status();
     } else if (!m_watch.isStopped()) {
         reservation.reportHealth(UpstreamHealth::Failed);
         logFailedAttempt(upstream, "the answer was interrupted");
@@ -221,6 +230,7 @@
             m_watch.noteCallerLeft();
             return AttemptOutcome::Interrupted;
         }
+        m_delivery.emplace(m_exchange);
     }
     const bool isResumable = m_call.route->resumption == Resumption::Allowed;
     EventFramer framer;
@@ -247,7 +257,7 @@
             noteAnswering();
         Result<void> written;
         if (!isResumable || isEnd)
-            written = m_exchange.writeStream(chunk.value());
+            written = m_delivery->write(chunk.value());
         else {
             written = writeEvents(events);
             const auto now = SteadyClock().now();
@@ -255,9 +265,8 @@
             if (progress.isStalled(upstreamIdleTimeout(), now))
                 return AttemptOutcome::Interrupted;
         }
-        if (!written.isError() && isEnd)
-            written = m_exchange.endStream();
         if (written.isError()) {
+            m_isUnread = written.error().kind == ErrorKind::Timeout;
             m_watch.noteCallerLeft();
             return AttemptOutcome::Interrupted;
         }
@@ -277,7 +286,7 @@
             m_lastEvent = event.id;
         bytes += event.raw;
     }
-    return m_exchange.writeStream(bytes);
+    return m_delivery->write(bytes);
 }
 
 HttpRequest RelayCall::requestFor(const UpstreamInfo &upstream) const
@@ -388,7 +397,10 @@
 {
     if (m_watch.stopReason() == StopReason::CallerLeft) {
         m_metrics.callsAbandoned.increase();
-        logEnd("call-abandoned", "the caller has disconnected");
+        if (m_isUnread)
+            m_metrics.callsUnread.increase();
+        logEnd("call-abandoned",
+               m_isUnread ? "the caller does not read its stream" : "the caller has disconnected");
         m_exchange.abandon();
         return;
     }
@@ -413,11 +425,18 @@
                                      const AdmissionLimit &limit)
 {
     const auto retryAfter = m_admissionControl.retryAfter(timeLeft(), SteadyClock().now());
-    if (!admission.expectedWait)
+    m_admissionControl.noteRefused(m_owner);
+    if (!admission.expectedWait) {
+        m_metrics.callsRefusedWithoutUpstream.increase();
         return refuse(retryAfter, "no upstream to send it to");
-    refuse(retryAfter,
-           "no slot in time: expected in " + std::to_string(admission.expectedWait->count())
-                   + " ms, wanted within " + std::to_string(limit.longestWait.count()) + " ms");
+    }
+    const bool isAboveShare = limit.standing == ShareStanding::Above;
+    (isAboveShare ? m_metrics.callsRefusedForShare : m_metrics.callsRefusedForWait).increase();
+    const std::string cause = isAboveShare ? "its owner holds its share of the slots, none is free"
+                                           : "no slot in time";
+    refuse(retryAfter, cause + ": expected in " + std::to_string(admission.expectedWait->count())
+                               + " ms, wanted within " + std::to_string(limit.longestWait.count())
+                               + " ms");
 }
 
 void RelayCall::refuse(Milliseconds retryAfter, std::string_view reason)
@@ -475,6 +494,8 @@
         return;
     const auto observed
             = std::chrono::duration_cast<Milliseconds>(m_lastActivity - m_attemptSentAt);
+    if (m_attemptExpectedWait.count() > 0)
+        m_metrics.firstEventAfterWait.record(observed);
     m_admissionControl.noteFirstEvent(admissionClass(), m_attemptExpectedWait, observed,
                                       m_lastActivity);
 }
@@ -490,8 +511,25 @@
 {
     if (m_runs > 0)
         return {timeLeft(), ShareStanding::Within};
-    return m_admissionControl.limitFor({admissionClass(), age(), targetOf(*m_call.route)},
-                                       SteadyClock().now());
+    return m_admissionControl.limitFor(
+            {admissionClass(), age(), targetOf(*m_call.route), m_owner, priority()},
+            m_upstreams.slots(), SteadyClock().now());
+}
+
+unsigned RelayCall::priority() const
+{
+    const auto &owner = m_call.caller.owner;
+    return owner && owner->priority ? *owner->priority : m_call.route->priority;
+}
+
+void RelayCall::finishAnswered(const UpstreamInfo &upstream)
+{
+    m_admissionControl.noteAnswered(SteadyClock().now());
+    if (m_delivery && m_delivery->finish().isError()) {
+        m_watch.noteCallerLeft();
+        return giveUp("the caller has disconnected");
+    }
+    noteAnswered(upstream, m_answerStatus);
 }
 
 void RelayCall::noteCompleted(UpstreamTable::Reservation &reservation)
@@ -505,7 +543,6 @@
 void RelayCall::noteAnswered(const UpstreamInfo &upstream, unsigned status)
 {
     m_metrics.callsAnswered.increase();
-    m_admissionControl.noteAnswered(SteadyClock().now());
     m_metrics.wholeCall.record(age());
     logDecision("call-answered",
                 {{"id", id()},
@@ -521,6 +558,8 @@
 {
     if (m_runs > 0)
         m_metrics.callsResumed.increase();
+    if (admission.expectedWait && admission.expectedWait->count() > 0)
+        m_metrics.expectedWait.record(*admission.expectedWait);
     logDecision(m_runs > 0 ? "call-resumed" : "attempt-sent",
                 {{"id", id()},
                  {"route", m_call.route->name},
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -543,6 +543,17 @@
     return result;
 }
 
+unsigned UpstreamTable::slots() const
+{
+    const std::scoped_lock lock(m_mutex);
+    unsigned sum = 0;
+    for (const auto &[id, state] : m_states) {
+        if (!state.info.isDraining && !isLeaving(state))
+            sum += std::max(1U, state.info.slots);
+    }
+    return sum;
+}
+
 void UpstreamTable::preemptExcessBatch()
 {
     std::vector<std::function<void()>> stops;
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -155,6 +155,8 @@
     /// Returns the slowest upstreams, the slowest first, at most `count`.
     [[nodiscard]] std::vector<SlowUpstream> slowest(std::size_t count) const;
     [[nodiscard]] PlacementRule placement() const { return m_placement; }
+    /// Returns the number of slots of all upstreams that take work.
+    [[nodiscard]] unsigned slots() const;
     /// Preempts batch items of this process at upstreams that hold more work than they have slots.
     void preemptExcessBatch();
     /// Called when the loads of this process have changed, without the lock held.
