--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -111,6 +111,7 @@
     state.info = upstream;
     state.hash = upstreamHash(upstream.id);
     state.serviceHash = Radishplank::serviceHash(upstream.service);
+    state.distance = m_locality.distanceTo(upstream.zone);
     if (isNewStart) {
         state.failures = 0;
         state.backoffUntil = {};
@@ -187,7 +188,7 @@
             continue;
         const auto peers = m_peers.at(state.hash);
         UpstreamCandidate candidate;
-        candidate.distance = m_locality.distanceTo(state.info.zone);
+        candidate.distance = state.distance;
         candidate.slots = std::max(1U, state.info.slots);
         candidate.online = state.own.online + peers.online;
         candidate.batch = state.own.batch + peers.batch;
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -172,6 +172,7 @@
         UpstreamInfo info;
         std::uint64_t hash = 0;
         std::uint64_t serviceHash = 0;
+        Distance distance = Distance::SameZone;
         UpstreamLoad own;
         /// Reservations of this process; only maintained if upstreams are chosen by work.
         std::vector<const Reservation *> running;
--- a/Libraries/Serving/UpstreamPace.cpp
+++ b/Libraries/Serving/UpstreamPace.cpp
@@ -172,7 +172,7 @@
             sum += silenceWeight * std::min(maxLogRatio, std::log(ratio));
         }
     }
-    if (sum == 0)
+    if (std::abs(sum) <= insignificantLogRatio * weight)
         return 1;
     return std::clamp(std::exp(significant(sum / weight)), minPace, maxPace);
 }
