--- a/Tests/Integration/Process.h
+++ b/Tests/Integration/Process.h
@@ -26,6 +26,7 @@
     /// Waits for the process to exit and returns its exit status, or the negated signal number.
     int waitForEnd();
     [[nodiscard]] bool isRunning();
+    [[nodiscard]] int id() const { return m_processId; }
     [[nodiscard]] std::string logText() const;
 
 private:
