Net: Limit what all connections and calls of a process hold together

What callers saw: bodies of legal size ended an entry process although their sum was limited, and stalled ones kept everybody else out for the 30 s of their timeout.

Cause: bodies grew in strings that double. glibc raises its threshold for mapped blocks with each freed one, so that freed blocks stay in the heap. Beside that, the kernel's receive buffers grow to megabytes. Ruled out as the main cause: buffers of connections and discarded input (trailers, 3 MB above the idle process) and fiber stacks (356 idle connections, 15 MB).

Change: MemoryBudget counts connections, buffers, bodies and unread responses. When it runs short, the holder with the largest product of bytes and time without progress is refused (503, not run) or closed; requests that have been handed on never. Idle connections are closed above a share of the descriptors, then new ones. Bodies are assembled in pieces that are not copied as they grow. A request refers to its body instead of copying it. MemoryBudget::limitProcess() sets the limits; without it, the limits of before apply, but a full server now refuses the stalled body, not the new one.

Evidence: TestNet 300 assertions in 15 cases pass.

--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -1,7 +1,9 @@
 #include <Net/HttpClient.h>
 
 #include <Net/Await.h>
+#include <Net/BodyBuffer.h>
 #include <Net/FiberThreads.h>
+#include <Net/MemoryBudget.h>
 
 #include <algorithm>
 #include <atomic>
@@ -231,14 +233,14 @@
     {
         const auto deadline
                 = SteadyClock().now() + std::max(m_options.bodyTimeout, m_options.readTimeout);
-        std::string body;
+        BodyBuffer body;
         while (true) {
             const auto chunk = TRY(readChunkUntil(
                     std::min<TimePoint>(deadline, SteadyClock().now() + m_options.readTimeout)));
             if (chunk.empty())
-                return body;
+                return body.take();
             TRY(reserveBodyBytes(chunk.size()));
-            body += chunk;
+            body.append(chunk);
         }
     }
 
@@ -307,7 +309,7 @@
         if (m_bodyBytes > m_options.bodyBytes)
             return Error{ErrorKind::TooLarge,
                          "the answer of " + m_endpoint.text() + " is too large"};
-        if (total > maxTotalBodyBytes) {
+        if (total > maxTotalBodyBytes || !m_account.tryHold(m_bodyBytes, SteadyClock().now())) {
             return Error{ErrorKind::Unavailable, "reading from " + m_endpoint.text()
                                                          + ": too many bytes of answers are held"};
         }
@@ -386,6 +388,7 @@
     unsigned m_status = 0;
     /// Bytes that readBody() has read.
     std::size_t m_bodyBytes = 0;
+    MemoryAccount m_account{MemoryBudget::ofProcess()};
     std::size_t m_skippedBytes = 0;
 };
 
@@ -429,9 +432,12 @@
     return connection;
 }
 
-http::request<http::string_body> toMessage(const Endpoint &endpoint, const HttpRequest &request)
+/// A request whose body is a view, as requests can have large bodies.
+using RequestMessage = http::request<http::span_body<const char>>;
+
+RequestMessage toMessage(const Endpoint &endpoint, const HttpRequest &request)
 {
-    http::request<http::string_body> message;
+    RequestMessage message;
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
@@ -439,14 +445,13 @@
         message.set(http::field::host, endpoint.text());
     for (const auto &header : request.headers.all())
         message.insert(header.name, header.value);
-    message.body() = request.body;
+    message.body() = {request.body.data(), request.body.size()};
     message.prepare_payload();
     return message;
 }
 
 HttpClient::OpenResult sendOn(ConnectionPointer connection, const Endpoint &endpoint,
-                              const http::request<http::string_body> &message,
-                              const HttpCallOptions &options)
+                              const RequestMessage &message, const HttpCallOptions &options)
 {
     if (isCancelled(options)) {
         return HttpCallError{
@@ -488,6 +493,9 @@
                                         const HttpCallOptions &options)
 {
     const auto message = toMessage(endpoint, request);
+    // The caller holds the request until the response begins.
+    MemoryAccount account(MemoryBudget::ofProcess());
+    account.hold(request.body.size(), SteadyClock().now());
     ConnectionPointer connection;
     if (options.reuse == ConnectionReuse::Allowed)
         connection = ConnectionPool::ofThread().acquire(endpoint);
--- a/Libraries/Net/HttpConnection.cpp
+++ b/Libraries/Net/HttpConnection.cpp
@@ -1,5 +1,7 @@
 #include <Net/HttpConnection.h>
 
+#include <Net/BodyBuffer.h>
+
 #include <algorithm>
 #include <cerrno>
 #include <sys/socket.h>
@@ -16,6 +18,13 @@
 /// Buffered bytes beyond the largest head: the parser cannot process the size line of a chunk with
 /// its extensions, or the trailers, before it has them all.
 constexpr std::size_t framingBytes = std::size_t{16} * 1024;
+/// What a connection holds besides its buffers: the used part of its fiber's stack, and the parser
+/// with the head.
+constexpr std::size_t connectionBytes = std::size_t{24} * 1024;
+/// Buffer that an idle connection keeps, which is enough for most heads.
+constexpr std::size_t idleBufferBytes = std::size_t{4} * 1024;
+/// Shorter responses fit in the kernel's buffer and do not wait for the client.
+constexpr std::size_t countedResponseBytes = std::size_t{16} * 1024;
 /// How long a client may go on sending after the last response on its connection.
 constexpr Milliseconds lingerTime{1'000};
 
@@ -29,18 +38,57 @@
 } // namespace
 
 HttpConnection::HttpConnection(tcp::socket socket, const HttpServerLimitsHolder &limits,
-                               const std::atomic<ServerPhase> &phase,
-                               std::atomic<std::size_t> &bufferedBodyBytes)
+                               const std::atomic<ServerPhase> &phase, MemoryBudget &bodyBudget)
     : m_stream(std::move(socket))
     , m_limitsHolder(limits)
     , m_limits(limits.load())
     , m_phase(phase)
-    , m_totalBodyBytes(bufferedBodyBytes)
+    , m_self(std::make_shared<HttpConnection *>(this))
+    , m_account(MemoryBudget::ofProcess(), evictor())
+    , m_bodyAccount(bodyBudget, evictor())
 {
     boost::system::error_code ignored;
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
 }
 
+bool HttpConnection::tryConnect()
+{
+    const auto now = SteadyClock().now();
+    return m_account.tryConnect(now) && m_account.tryEnter(HolderStage::Idle, now)
+           && m_account.tryHold(ownBytes(), now);
+}
+
+std::function<void()> HttpConnection::evictor()
+{
+    return [executor = m_stream.get_executor(), self = std::weak_ptr(m_self)] {
+        boost::asio::post(executor, [self] {
+            // The connection is destroyed on this thread only.
+            const auto connection = self.lock();
+            if (connection && (*connection)->m_isInterruptible)
+                (*connection)->m_stream.cancel();
+        });
+    };
+}
+
+template<typename Initiator>
+IoResult HttpConnection::awaitInterruptible(Initiator &&initiate)
+{
+    m_isInterruptible = true;
+    const auto outcome = awaitIo(std::forward<Initiator>(initiate));
+    m_isInterruptible = false;
+    return outcome;
+}
+
+bool HttpConnection::isEvicted() const
+{
+    return m_account.isEvicted() || m_bodyAccount.isEvicted();
+}
+
+std::size_t HttpConnection::ownBytes() const
+{
+    return connectionBytes + m_buffer.capacity();
+}
+
 bool HttpConnection::readHead(bool isFirst)
 {
     m_limits = m_limitsHolder.load();
@@ -50,14 +98,20 @@
     m_buffer.max_size(std::max(m_buffer.size(), m_limits->headerBytes + framingBytes));
     m_isUsed = !isFirst;
     auto now = SteadyClock().now();
+    if (m_buffer.size() == 0 && m_buffer.capacity() > idleBufferBytes)
+        m_buffer.shrink_to_fit();
+    if (!m_account.tryEnter(HolderStage::Idle, now) || !m_account.tryHold(ownBytes(), now))
+        return false;
     const auto firstHeadDeadline = now + m_limits->headerTimeout;
     if (m_buffer.size() == 0) {
         if (!waitForRequest(isFirst ? firstHeadDeadline : now + m_limits->idleTimeout))
             return false;
+        // The next request has arrived; an eviction in the meantime was for an idle connection.
+        m_account.keep();
         now = SteadyClock().now();
     }
     m_stream.expires_at(isFirst ? firstHeadDeadline : now + m_limits->headerTimeout);
-    const auto outcome = awaitIo([&](auto handler) {
+    const auto outcome = awaitInterruptible([&](auto handler) {
         http::async_read_header(m_stream, m_buffer, *m_parser, std::move(handler));
     });
     if (outcome.code) {
@@ -65,7 +119,8 @@
         return false;
     }
     storeHead();
-    return true;
+    m_account.keep();
+    return m_account.tryEnter(HolderStage::Running, SteadyClock().now());
 }
 
 bool HttpConnection::finishExchange()
@@ -73,11 +128,11 @@
     if (m_disconnectCallback)
         *m_disconnectCallback = {};
     m_disconnectCallback.reset();
-    releaseBodyBytes();
+    releaseBody();
     if (!m_hasResponded && !m_isAbandoned)
         (void)respond({500, {}, ""});
     m_stream.expires_never();
-    if (m_mustClose)
+    if (m_mustClose || isEvicted())
         return false;
     // One deadline for the whole rest, as in readBody().
     const auto deadline = SteadyClock().now() + m_limits->bodyTimeout;
@@ -112,14 +167,35 @@
 {
     // One deadline for the whole body, so that a slow sender cannot hold the connection forever.
     const auto deadline = SteadyClock().now() + m_limits->bodyTimeout;
-    std::string body;
+    TRY(sendContinue());
+    if (m_parser->is_done())
+        return std::string();
+    const auto now = SteadyClock().now();
+    if (!m_account.tryEnter(HolderStage::Receiving, now)
+        || !m_bodyAccount.tryEnter(HolderStage::Receiving, now))
+        return refuseForMemory();
+    // Beast reads no more at once than the buffer has room for.
+    if (m_parser->content_length().value_or(bodyChunkBytes) > idleBufferBytes)
+        m_buffer.reserve(bodyChunkBytes);
+    BodyBuffer body;
     while (true) {
-        auto chunk = TRY(readChunkUntil(deadline));
-        if (chunk.empty())
-            return body;
-        TRY(reserveBodyBytes(chunk.size()));
-        body += chunk;
+        const auto count = TRY(readInto(body.prepare(), deadline));
+        if (count == 0)
+            break;
+        body.commit(count);
+        TRY(holdBody(count));
     }
+    TRY(enterRunning());
+    return body.take();
+}
+
+Result<void> HttpConnection::enterRunning()
+{
+    const auto now = SteadyClock().now();
+    if (!m_account.tryEnter(HolderStage::Running, now)
+        || !m_bodyAccount.tryEnter(HolderStage::Running, now))
+        return refuseForMemory();
+    return {};
 }
 
 Result<std::string> HttpConnection::readBodyChunk()
@@ -134,12 +210,30 @@
     fillHead(message, response.headers);
     message.body() = std::move(response.body);
     message.prepare_payload();
+    beginSending(message.body().size());
     m_stream.expires_after(m_limits->writeTimeout);
-    const auto outcome = awaitIo(
+    const auto outcome = awaitInterruptible(
             [&](auto handler) { http::async_write(m_stream, message, std::move(handler)); });
+    endSending();
     return afterWrite(outcome.code);
 }
 
+void HttpConnection::beginSending(std::size_t bytes)
+{
+    if (bytes < countedResponseBytes)
+        return;
+    const auto now = SteadyClock().now();
+    (void)m_account.tryEnter(HolderStage::Sending, now);
+    m_account.hold(ownBytes() + m_bodyBytes + bytes, now);
+}
+
+void HttpConnection::endSending()
+{
+    const auto now = SteadyClock().now();
+    (void)m_account.tryEnter(HolderStage::Running, now);
+    m_account.hold(ownBytes() + m_bodyBytes, now);
+}
+
 Result<void> HttpConnection::beginStream(unsigned status, HttpHeaders headers)
 {
     m_hasResponded = true;
@@ -158,12 +252,15 @@
 {
     if (chunk.empty())
         return {};
+    beginSending(chunk.size());
     m_stream.expires_after(m_limits->writeTimeout);
-    const auto outcome = awaitIo([&](auto handler) {
+    const auto outcome = awaitInterruptible([&](auto handler) {
         boost::asio::async_write(
                 m_stream, http::make_chunk(boost::asio::const_buffer(chunk.data(), chunk.size())),
                 std::move(handler));
     });
+    if (chunk.size() >= countedResponseBytes)
+        endSending();
     return afterWrite(outcome.code);
 }
 
@@ -200,53 +297,73 @@
 }
 
 Result<std::string> HttpConnection::readChunkUntil(TimePoint deadline)
+{
+    std::string chunk(bodyChunkBytes, '\0');
+    chunk.resize(TRY(readInto(chunk, deadline)));
+    return chunk;
+}
+
+Result<std::size_t> HttpConnection::readInto(std::span<char> space, TimePoint deadline)
 {
     TRY(sendContinue());
     if (m_parser->is_done())
-        return std::string();
-    std::string chunk(bodyChunkBytes, '\0');
+        return std::size_t{0};
+    if (isEvicted())
+        return refuseForMemory();
     auto &body = m_parser->get().body();
-    body.data = chunk.data();
-    body.size = chunk.size();
+    body.data = space.data();
+    body.size = space.size();
     body.more = true;
     m_stream.expires_at(deadline);
-    const auto outcome = awaitIo([&](auto handler) {
+    const auto outcome = awaitInterruptible([&](auto handler) {
         http::async_read(m_stream, m_buffer, *m_parser, std::move(handler));
     });
     if (outcome.code == http::error::buffer_overflow) {
         m_mustClose = true;
         return Error{ErrorKind::TooLarge, "the framing of the body is too large"};
     }
+    if (outcome.code == boost::asio::error::operation_aborted && isEvicted())
+        return refuseForMemory();
     if (outcome.code && outcome.code != http::error::need_buffer) {
         m_mustClose = true;
         return ioError("reading the body", outcome.code);
     }
-    chunk.resize(chunk.size() - body.size);
-    return chunk;
+    return space.size() - body.size;
 }
 
-Result<void> HttpConnection::reserveBodyBytes(std::size_t bytes)
+Result<void> HttpConnection::holdBody(std::size_t bytes)
 {
-    if (m_bufferedBodyBytes + bytes > m_limits->bodyBytes) {
+    m_bodyBytes += bytes;
+    if (m_bodyBytes > m_limits->bodyBytes) {
         m_mustClose = true;
         return Error{ErrorKind::TooLarge,
                      "the body is larger than " + std::to_string(m_limits->bodyBytes) + " bytes"};
     }
-    m_bufferedBodyBytes += bytes;
-    if (m_totalBodyBytes.fetch_add(bytes) + bytes <= m_limits->totalBodyBytes)
-        return {};
-    m_mustClose = true;
-    return Error{ErrorKind::Unavailable, "too many bytes of bodies are being read now"};
+    const auto now = SteadyClock().now();
+    if (!m_bodyAccount.tryHold(m_bodyBytes, now)
+        || !m_account.tryHold(ownBytes() + m_bodyBytes, now))
+        return refuseForMemory();
+    return {};
+}
+
+void HttpConnection::releaseBody()
+{
+    const auto now = SteadyClock().now();
+    m_bodyBytes = 0;
+    m_bodyAccount.hold(0, now);
+    m_account.hold(ownBytes(), now);
 }
 
-void HttpConnection::releaseBodyBytes()
+Error HttpConnection::refuseForMemory()
 {
-    m_totalBodyBytes -= m_bufferedBodyBytes;
-    m_bufferedBodyBytes = 0;
+    m_mustClose = true;
+    releaseBody();
+    return {ErrorKind::Unavailable, "too many bytes of bodies are being read now"};
 }
 
 void HttpConnection::discardInput()
 {
+    m_buffer = boost::beast::flat_buffer();
     // Bytes that are unread at the close would reset the connection, and the client would lose the
     // rest of the response.
     const auto deadline = SteadyClock().now() + lingerTime;
@@ -288,7 +405,9 @@
     m_isIdle = true;
     m_stream.expires_at(deadline);
     char first = 0;
+    m_isInterruptible = true;
     auto outcome = readByte(first);
+    m_isInterruptible = false;
     // The server is closing idle connections, but the next request has already arrived.
     if (outcome.code == boost::asio::error::operation_aborted && hasPendingBytes())
         outcome = readByte(first);
--- a/Libraries/Net/HttpConnection.h
+++ b/Libraries/Net/HttpConnection.h
@@ -2,11 +2,13 @@
 
 #include <Net/Await.h>
 #include <Net/HttpServer.h>
+#include <Net/MemoryBudget.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <span>
 
 namespace Radishplank {
 
@@ -14,10 +16,12 @@
 class HttpConnection : public HttpExchange
 {
 public:
+    /// `bodyBudget` counts the bodies that the server holds.
     HttpConnection(boost::asio::ip::tcp::socket socket, const HttpServerLimitsHolder &limits,
-                   const std::atomic<ServerPhase> &phase,
-                   std::atomic<std::size_t> &bufferedBodyBytes);
+                   const std::atomic<ServerPhase> &phase, MemoryBudget &bodyBudget);
 
+    /// Counts this connection among those of the process; returns false if there are too many.
+    bool tryConnect();
     /// Waits for the next request line and headers; returns false if the connection must close.
     bool readHead(bool isFirst);
     /// Discards the rest of the request body so that the next request can follow; returns false if
@@ -50,9 +54,26 @@
 
 private:
     Result<std::string> readChunkUntil(TimePoint deadline);
-    /// Counts buffered body bytes against the limits for one body and for all bodies.
-    Result<void> reserveBodyBytes(std::size_t bytes);
-    void releaseBodyBytes();
+    /// Reads the next bytes of the body and returns their number; 0 marks the end of the body.
+    Result<std::size_t> readInto(std::span<char> space, TimePoint deadline);
+    /// Counts further bytes of the body against all limits.
+    Result<void> holdBody(std::size_t bytes);
+    void releaseBody();
+    /// Returns the error with which a request is refused that has to give its memory back.
+    Error refuseForMemory();
+    /// Marks the request as handed on; fails if it has to give its memory back instead.
+    Result<void> enterRunning();
+    /// Returns the function by which the budgets interrupt this connection.
+    std::function<void()> evictor();
+    /// As awaitIo(), but an eviction cancels the operation.
+    template<typename Initiator>
+    IoResult awaitInterruptible(Initiator &&initiate);
+    [[nodiscard]] bool isEvicted() const;
+    /// Returns the bytes of this connection besides bodies.
+    [[nodiscard]] std::size_t ownBytes() const;
+    /// Counts a response while the client takes it.
+    void beginSending(std::size_t bytes);
+    void endSending();
     /// Discards what the client still sends until it closes the connection, for a limited time.
     void discardInput();
     /// Returns whether the client has sent bytes that have not been read.
@@ -76,8 +97,12 @@
     /// The limits in force when the current request began.
     std::shared_ptr<const HttpServerLimits> m_limits;
     const std::atomic<ServerPhase> &m_phase;
-    std::atomic<std::size_t> &m_totalBodyBytes;
-    std::size_t m_bufferedBodyBytes = 0;
+    /// Lets the budgets find out whether this connection still exists.
+    std::shared_ptr<HttpConnection *> m_self;
+    MemoryAccount m_account;
+    MemoryAccount m_bodyAccount;
+    /// Bytes of the body that are held for the current exchange.
+    std::size_t m_bodyBytes = 0;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::buffer_body>> m_parser;
     HttpRequest m_request;
@@ -86,6 +111,8 @@
     bool m_isAbandoned = false;
     bool m_expectsContinue = false;
     bool m_isIdle = false;
+    /// Whether the fiber waits for I/O that an eviction cancels.
+    bool m_isInterruptible = false;
     /// Whether the connection has received a request.
     bool m_isUsed = false;
     /// Shared with the wait for the client's disconnect, which can complete after the exchange.
--- a/Libraries/Net/HttpServer.cpp
+++ b/Libraries/Net/HttpServer.cpp
@@ -15,7 +15,10 @@
 
 namespace {
 
-constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+constexpr Milliseconds acceptRetryDelay{50};
+constexpr Milliseconds closingPollInterval{1};
+/// A connection that a handler holds up may close late; new ones are then accepted again.
+constexpr int maxClosingPolls = 100;
 /// Clients that connect for a request send it within this time.
 constexpr Milliseconds firstRequestTime{200};
 constexpr Milliseconds closePollInterval{20};
@@ -30,6 +33,7 @@
         , limits(std::make_shared<const HttpServerLimits>(serverLimits))
         , handler(std::move(requestHandler))
         , acceptor(fiberThreads.context(0))
+        , bodyBudget({serverLimits.totalBodyBytes})
     {
     }
 
@@ -41,7 +45,7 @@
     std::atomic<bool> isAccepting{true};
     std::atomic<std::size_t> activeExchanges{0};
     std::atomic<std::size_t> openConnections{0};
-    std::atomic<std::size_t> bufferedBodyBytes{0};
+    MemoryBudget bodyBudget;
     std::mutex connectionsMutex;
     std::unordered_set<HttpConnection *> connections;
 };
@@ -51,8 +55,11 @@
 template<typename State>
 void serveConnection(const std::shared_ptr<State> &state, tcp::socket socket)
 {
-    HttpConnection connection(std::move(socket), state->limits, state->phase,
-                              state->bufferedBodyBytes);
+    HttpConnection connection(std::move(socket), state->limits, state->phase, state->bodyBudget);
+    if (!connection.tryConnect()) {
+        state->openConnections -= 1;
+        return;
+    }
     {
         const std::scoped_lock lock(state->connectionsMutex);
         state->connections.insert(&connection);
@@ -103,11 +110,31 @@
     state->isAccepting = false;
 }
 
+void pause(Milliseconds duration)
+{
+    boost::asio::steady_timer timer(FiberThreads::currentContext(), duration);
+    (void)awaitIo([&](auto handler) {
+        timer.async_wait([handler](boost::system::error_code code) mutable { handler(code, 0); });
+    });
+}
+
+/// Waits while idle connections are being closed for new ones. Otherwise a burst of connections
+/// would reach the limit above which new ones are closed, those of ordinary clients among them.
+void waitForClosingConnections()
+{
+    for (int i = 0; i < maxClosingPolls && MemoryBudget::ofProcess().isClosingConnections(); ++i)
+        pause(closingPollInterval);
+}
+
 template<typename State>
 void acceptConnections(const std::shared_ptr<State> &state)
 {
     std::size_t nextThread = 0;
     while (state->phase < ServerPhase::ClosingIdle) {
+        waitForClosingConnections();
+        // A cancellation during the wait has not reached the accept operation below.
+        if (state->phase >= ServerPhase::ClosingIdle)
+            break;
         const std::size_t threadIndex = nextThread++ % state->threads.threadCount();
         auto socket = std::make_shared<tcp::socket>(state->threads.context(threadIndex));
         const auto outcome = awaitIo([&](auto handler) {
@@ -119,11 +146,7 @@
             break;
         if (outcome.code) {
             // Most likely out of file descriptors; retry after a delay.
-            boost::asio::steady_timer timer(FiberThreads::currentContext(), acceptRetryDelay);
-            (void)awaitIo([&](auto handler) {
-                timer.async_wait(
-                        [handler](boost::system::error_code code) mutable { handler(code, 0); });
-            });
+            pause(acceptRetryDelay);
             continue;
         }
         spawnConnection(state, threadIndex, socket);
@@ -147,6 +170,12 @@
         state->acceptor.set_option(tcp::acceptor::reuse_address(true), code);
     if (!code)
         state->acceptor.bind(endpoint, code);
+    // Accepted connections inherit the buffer's size, which must be known when they are opened.
+    const int receiveBufferBytes = MemoryBudget::ofProcess().limits().receiveBufferBytes;
+    if (!code && receiveBufferBytes > 0) {
+        state->acceptor.set_option(
+                boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), code);
+    }
     if (!code)
         state->acceptor.listen(boost::asio::socket_base::max_listen_connections, code);
     if (code) {
@@ -172,6 +201,7 @@
 
 void HttpServer::setLimits(const HttpServerLimits &limits)
 {
+    m_implementation->bodyBudget.setLimits({limits.totalBodyBytes});
     m_implementation->limits.store(std::make_shared<const HttpServerLimits>(limits));
 }
 
