platform, radishplankd: Derive the memory budget from the machine's limits

An agent refuses a body for lack of memory with 503, as the attempt has not run; 413 is left to bodies that are too large.

--- a/Services/radishplankd/Agent/Agent.cpp
+++ b/Services/radishplankd/Agent/Agent.cpp
@@ -2,6 +2,8 @@
 
 #include "Agent/UpstreamCall.h"
 
+#include <Net/MemoryBudget.h>
+
 #include <boost/fiber/operations.hpp>
 #include <charconv>
 
@@ -106,7 +108,8 @@
     auto order = readOrder(id, headers);
     auto body = exchange.readBody();
     if (body.isError()) {
-        (void)exchange.respond(refusal(413, body.error().message));
+        const bool isTooLarge = body.error().kind == ErrorKind::TooLarge;
+        (void)exchange.respond(refusal(isTooLarge ? 413 : 503, body.error().message));
         return;
     }
     order.body = body.takeValue();
@@ -466,6 +469,7 @@
     renderCounter(text, "radishplank_agent_upstream_lost_total", m_upstreamLosses);
     renderCounter(text, "radishplank_agent_reattached_total", m_reattached);
     renderCounter(text, "radishplank_agent_orders_refused_total", m_orders.refused());
+    MemoryBudget::ofProcess().renderPrometheus(text);
     return text;
 }
 
--- a/Services/radishplankd/Agent/AgentDaemon.cpp
+++ b/Services/radishplankd/Agent/AgentDaemon.cpp
@@ -5,6 +5,7 @@
 #include "Fleet/MemberRegistration.h"
 #include "Operator/OperatorApi.h"
 
+#include <Net/MemoryBudget.h>
 #include <Placement/Placement.h>
 
 #include <boost/fiber/operations.hpp>
@@ -98,6 +99,7 @@
 Result<void> runAgentDaemon(const AgentRoleSettings &settings)
 {
     const auto &common = settings.common;
+    MemoryBudget::limitProcess(common.memoryLimit, common.descriptorLimit);
     FiberThreads threads(common.threads);
     Agent agent(threads, agentSettings(settings));
     HttpObjectStore store(common.store, common.storeTimeout);
--- a/Services/radishplankd/Common/DaemonSettings.cpp
+++ b/Services/radishplankd/Common/DaemonSettings.cpp
@@ -35,6 +35,10 @@
     settings.bind(&values.threads, "threads", "COUNT", "Number of threads that run fibers.");
     settings.bind(&values.drainTimeout, "drain-timeout", "MILLISECONDS",
                   "Longest wait for running work at a graceful shutdown.");
+    settings.bind(&values.memoryLimit, "memory-limit", "MB",
+                  "Memory of the machine, which limits buffers and connections; 0 if unknown.");
+    settings.bind(&values.descriptorLimit, "descriptor-limit", "COUNT",
+                  "File descriptors that the process may open; 0 if unknown.");
     settings.bind(&values.logFormat, "log-format", "text|json", "Format of the log lines.");
     settings.bind(&values.readyFile, "ready-file", "PATH",
                   "File that is written with the addresses of this process once it serves.");
--- a/Services/radishplankd/Common/DaemonSettings.h
+++ b/Services/radishplankd/Common/DaemonSettings.h
@@ -19,6 +19,9 @@
     std::string operatorToken;
     std::uint64_t threads = 2;
     Milliseconds drainTimeout{120'000};
+    /// Memory in MB and file descriptors of this process; 0 if unknown.
+    std::uint64_t memoryLimit = 0;
+    std::uint64_t descriptorLimit = 0;
     std::string logFormat = "text";
     std::string readyFile;
 };
--- a/Services/radishplankd/Entry/EntryDaemon.cpp
+++ b/Services/radishplankd/Entry/EntryDaemon.cpp
@@ -9,6 +9,8 @@
 #include "Jobs/StoreSweeper.h"
 #include "Operator/OperatorApi.h"
 
+#include <Net/MemoryBudget.h>
+
 #include <boost/fiber/operations.hpp>
 #include <thread>
 
@@ -117,6 +119,7 @@
 {
     const auto &common = settings.common;
     const NodeId node(common.node);
+    MemoryBudget::limitProcess(common.memoryLimit, common.descriptorLimit);
     FiberThreads threads(common.threads);
     HttpObjectStore store(common.store, common.storeTimeout);
     EntryControl controlHandler;
--- a/Services/radishplankd/Operator/OperatorApi.cpp
+++ b/Services/radishplankd/Operator/OperatorApi.cpp
@@ -2,6 +2,8 @@
 
 #include "Entry/ApiAnswer.h"
 
+#include <Net/MemoryBudget.h>
+
 #include <boost/fiber/operations.hpp>
 #include <charconv>
 
@@ -242,6 +244,7 @@
     renderCounter(text, "radishplank_control_calls_failed_total", m_context.control.callsFailed());
     renderGauge(text, "radishplank_configuration_revision",
                 static_cast<double>(m_context.configuration.revision()));
+    MemoryBudget::ofProcess().renderPrometheus(text);
     metrics.firstToken.renderPrometheus(text, "radishplank_first_token_seconds");
     metrics.wholeAnswer.renderPrometheus(text, "radishplank_whole_answer_seconds");
     (void)exchange.respond({200, {{"Content-Type", std::string(prometheusType)}}, text});
