Serving: Split large fleets into cells of processes and upstreams

In a fleet of 300 processes each one looked at all 3,000 upstreams for every choice, and had to know the loads that all others placed there.

FleetPartition cuts the processes of each zone, and the upstreams of each service and zone, ordered by hash, into ranges of equal size, one for each cell; above 64 processes a cell has 32 to 63. UpstreamSubset tells which process uses which upstreams. Nothing uses them yet.

Ruled out: rendezvous hash for each pair, with which every two processes share some upstreams.

--- a/Libraries/Serving/Serving.h
+++ b/Libraries/Serving/Serving.h
@@ -6,6 +6,7 @@
 #include <Serving/AttemptRegistry.h>
 #include <Serving/AttemptRequest.h>
 #include <Serving/BatchWindow.h>
+#include <Serving/FleetPartition.h>
 #include <Serving/HeartbeatMonitor.h>
 #include <Serving/LinkAllowance.h>
 #include <Serving/Outcome.h>
@@ -15,3 +16,4 @@
 #include <Serving/SlotScheduler.h>
 #include <Serving/StopSchedule.h>
 #include <Serving/TokenBucket.h>
+#include <Serving/UpstreamSubset.h>
