Gateway: Pass newer versions of a large fleet through a tree

In a fleet of 300 processes with 3,000 upstreams the busiest process sent and received 4.9 MB/s, and the median 0.7. The process of a zone that learnt first of a change served the list of upstreams to all others of its zone at once, because each asks a peer with a newer version, and at that moment there is one.

Above 64 processes FleetSourceTree orders the processes of a zone by name, those that watch the store first, in a tree with a fan-out of 4. A process waits for its parent, after 0.5 s asks the parent's predecessors, and after 1 s any peer with the newer version. PeerTable::nextFleetSource uses it; smaller fleets ask as before.

--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -10,6 +10,7 @@
 #include <Gateway/CrashTracker.h>
 #include <Gateway/CrashingPartDetector.h>
 #include <Gateway/EventFramer.h>
+#include <Gateway/FleetSourceTree.h>
 #include <Gateway/GatewayMetrics.h>
 #include <Gateway/HeaderRules.h>
 #include <Gateway/JobService.h>
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -67,6 +67,7 @@
     /// Hash of the list of upstreams.
     std::uint64_t upstreamDigest = 0;
 
+    bool operator==(const FleetVersion &) const = default;
     /// Returns whether `other` has a newer configuration or list of upstreams.
     [[nodiscard]] bool isBehind(const FleetVersion &other) const
     {
--- a/Libraries/Gateway/PeerTable.cpp
+++ b/Libraries/Gateway/PeerTable.cpp
@@ -159,6 +159,35 @@
     return best == nullptr ? std::optional<Endpoint>() : best->control;
 }
 
+std::optional<Endpoint> PeerTable::nextFleetSource(const FleetVersion &own, bool isWatching,
+                                                   TimePoint now)
+{
+    if (!isLargeFleet())
+        return peerWithNewerFleet(own, now);
+    std::vector<FleetSourceCandidate> candidates;
+    std::vector<const Endpoint *> controls;
+    bool isAnyNewer = false;
+    for (const auto &[node, peer] : m_peers) {
+        if (!isReachable(node, now))
+            continue;
+        const bool isNewer = own.isBehind(peer.fleet);
+        isAnyNewer |= isNewer;
+        candidates.push_back({node.text(), peer.zone == m_zone, peer.isWatching, isNewer});
+        controls.push_back(&peer.control);
+    }
+    if (!isAnyNewer) {
+        m_outdatedSince.reset();
+        return {};
+    }
+    if (!m_outdatedSince || own != m_outdatedFleet) {
+        m_outdatedFleet = own;
+        m_outdatedSince = now;
+    }
+    const auto waited = std::chrono::duration_cast<Milliseconds>(now - *m_outdatedSince);
+    const auto index = FleetSourceTree::choose(m_self.text(), isWatching, candidates, waited);
+    return index ? *controls[*index] : std::optional<Endpoint>();
+}
+
 std::vector<Endpoint> PeerTable::confirmationSources(bool isStoreReachable, TimePoint now) const
 {
     struct Candidate
--- a/Libraries/Gateway/PeerTable.h
+++ b/Libraries/Gateway/PeerTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Gateway/FleetSourceTree.h>
 #include <Gateway/PeerReport.h>
 
 #include <map>
@@ -27,6 +28,9 @@
     /// Returns the number of entry processes, including this one; 0 if it is not known yet.
     [[nodiscard]] std::size_t processCount() const;
 
+    /// Returns whether there are too many processes for each to deal with every other.
+    [[nodiscard]] bool isLargeFleet() const { return m_peers.size() + 1 > maxSmallFleet; }
+
     struct Destination
     {
         Endpoint datagramEndpoint;
@@ -49,6 +53,11 @@
     /// same zone.
     [[nodiscard]] std::optional<Endpoint> peerWithNewerFleet(const FleetVersion &own,
                                                              TimePoint now) const;
+    /// Returns where the peer accepts calls that this process should ask for a newer version of the
+    /// fleet now. In a large fleet the requests pass through a tree; see FleetSourceTree.
+    /// `isWatching` tells whether this process watches the store itself.
+    std::optional<Endpoint> nextFleetSource(const FleetVersion &own, bool isWatching,
+                                            TimePoint now);
     /// Returns where peers accept calls that may know a more recent confirmation of the
     /// configuration; none if this process must ask the store.
     ///
@@ -96,6 +105,10 @@
     const ZoneName m_zone;
     std::map<NodeId, Peer> m_peers;
     bool m_areMembersListed = false;
+    /// The version that this process had when it last learnt that a peer has a newer one, and when
+    /// it learnt that.
+    FleetVersion m_outdatedFleet;
+    std::optional<TimePoint> m_outdatedSince;
 };
 
 } // namespace Radishplank
