--- a/Tests/Platform/PlatformDeployment.cpp
+++ b/Tests/Platform/PlatformDeployment.cpp
@@ -221,9 +221,9 @@
     return client.call(callers(entry), {"GET", path, {{"Host", host}}, ""});
 }
 
-std::string PlatformDeployment::fleetOf(const std::string &entry)
+std::string PlatformDeployment::fleetOf(const std::string &entry, const std::string &query)
 {
-    return client.call({addressOf(entry), controlPort}, {"GET", "/fleet", {}, ""}).body;
+    return client.call({addressOf(entry), controlPort}, {"GET", "/fleet" + query, {}, ""}).body;
 }
 
 HttpResponse PlatformDeployment::submit(const std::string &entry, const std::string &job,
--- a/Tests/Platform/PlatformDeployment.h
+++ b/Tests/Platform/PlatformDeployment.h
@@ -56,7 +56,8 @@
                              const std::string &path, const std::string &key,
                              const std::string &body = "", const std::string &id = "");
     /// Returns the configuration and the upstreams that an entry process serves to its peers.
-    std::string fleetOf(const std::string &entry);
+    /// `query` is appended to the path.
+    std::string fleetOf(const std::string &entry, const std::string &query = "");
     /// Submits a job whose items have the given bodies. The id of each item is its body.
     HttpResponse submit(const std::string &entry, const std::string &job,
                         const std::vector<std::string> &bodies);
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -232,6 +232,57 @@
             return response.headers.value("X-Response-Seal") == "seal-of-i-2";
         }));
     }
+    SECTION("A process gets only the changes that it lacks from a peer")
+    {
+        const auto stateSince = [&](std::int64_t revision) {
+            return boost::json::parse(
+                           deployment.fleetOf("entry1", "?since=" + std::to_string(revision)))
+                    .as_object();
+        };
+        const auto before = revisionOf(deployment.fleetOf("entry1"));
+        deployment.addServer("i-2");
+        boost::json::object state;
+        REQUIRE(eventually([&] {
+            state = stateSince(before);
+            return state.at("upstreams").as_array().size() == 1;
+        }));
+        CHECK(state.at("upstreams").as_array()[0].at("key") == "servers/i-2");
+        deployment.store.remove("servers", "i-2");
+        REQUIRE(eventually([&] {
+            state = stateSince(before);
+            return !state.at("removed").as_array().empty();
+        }));
+        CHECK(state.at("removed").as_array()[0] == "servers/i-2");
+        CHECK(state.at("upstreams").as_array().empty());
+
+        SECTION("and everything if the peer does not know its revision")
+        {
+            CHECK_FALSE(stateSince(1).contains("since"));
+            CHECK(stateSince(1).at("upstreams").as_array().size() == 1);
+            CHECK_FALSE(stateSince(before + 1'000).contains("since"));
+        }
+    }
+    SECTION("In a large fleet, a process that the store rejects learns of changes from a peer")
+    {
+        for (unsigned i = 0; i < 80; ++i) {
+            deployment.store.write("radishplank-members", "silent" + std::to_string(i),
+                                   R"({"zone":"z9","datagrams":"127.9.9.9:9"})");
+        }
+        StoreProxy proxy(deployment.store.endpoint());
+        deployment.startEntry("entry2", {"--store=" + proxy.endpoint().text()});
+        deployment.waitUntilReady("entry2");
+        proxy.refuse(true);
+        for (const auto *id : {"i-2", "i-3"}) {
+            deployment.addServer(id);
+            CHECK(eventually(
+                    [&] { return deployment.fleetOf("entry2").find(id) != std::string::npos; }));
+        }
+        deployment.store.remove("servers", "i-2");
+        CHECK(eventually([&] {
+            return deployment.fleetOf("entry2").find("servers/i-2") == std::string::npos;
+        }));
+        CHECK(deployment.fleetOf("entry2").find("servers/i-3") != std::string::npos);
+    }
     SECTION("A removal that one process defers after an outage is not undone at its peers")
     {
         StoreProxy proxy(deployment.store.endpoint());
