--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -10,14 +10,17 @@
 #include <Gateway/CrashTracker.h>
 #include <Gateway/CrashingPartDetector.h>
 #include <Gateway/EventFramer.h>
+#include <Gateway/FleetReporter.h>
 #include <Gateway/FleetSourceTree.h>
 #include <Gateway/GatewayMetrics.h>
 #include <Gateway/HeaderRules.h>
 #include <Gateway/JobService.h>
 #include <Gateway/MemberRegistry.h>
 #include <Gateway/PeerLink.h>
+#include <Gateway/PeerTraffic.h>
 #include <Gateway/PromptParts.h>
 #include <Gateway/Relay.h>
+#include <Gateway/ReportRelay.h>
 #include <Gateway/RouteTable.h>
 #include <Gateway/StreamProgress.h>
 #include <Gateway/UpstreamSelector.h>
--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -27,6 +27,7 @@
     , m_crashingParts(crashingParts)
     , m_settings(std::move(settings))
     , m_socket(threads.context(0))
+    , m_reporter(m_settings.node, m_settings.position)
 {
 }
 
@@ -74,6 +75,9 @@
     }
     const auto &report = decoded.value();
     const auto now = SteadyClock().now();
+    m_traffic.noteReceived(kindOf(report), bytes.size());
+    if (m_peers.isLargeFleet())
+        m_reporter.note(report, now);
     const bool becameReachable
             = m_peers.noteReport(report, {sender.address().to_string(), sender.port()}, now);
     m_upstreams.notePeerLoads(report.node, report.loads, report.waiting, now);
@@ -83,6 +87,23 @@
     m_crashingParts.applyReport(report.partUpdates, now);
     if (onReport)
         onReport(report, becameReachable);
+    applyRelayed(report, now);
+}
+
+void PeerLink::applyRelayed(const PeerReport &report, TimePoint now)
+{
+    for (const auto &heard : report.heard)
+        m_peers.noteHeard(heard, now);
+    for (const auto &[age, relayed] : report.relayed) {
+        const Endpoint sender{relayed.control.address, m_settings.listen.port};
+        const auto becameReachable = m_peers.noteRelayedReport(relayed, age, sender, now);
+        if (!becameReachable)
+            continue;
+        m_crashes.applyReport(relayed.crashUpdates, now - age);
+        m_crashingParts.applyReport(relayed.partUpdates, now - age);
+        if (onReport)
+            onReport(relayed, *becameReachable);
+    }
 }
 
 void PeerLink::sendLoop()
@@ -92,7 +113,7 @@
     m_crashingParts.onUrgentReport = m_crashes.onUrgentReport;
     while (true) {
         const auto now = SteadyClock().now();
-        if (m_hasLoadChanged || m_mustSendFullReport
+        if (m_hasLoadChanged || m_mustSendFullReport || m_mustAnnounceFleet
             || now - m_fullReportSentAt >= fullReportInterval)
             sendReports(now);
         boost::this_fiber::sleep_for(sendInterval);
@@ -102,11 +123,13 @@
 void PeerLink::sendReports(TimePoint now)
 {
     m_hasLoadChanged = false;
-    const bool isFull = m_mustSendFullReport || now - m_fullReportSentAt >= fullReportInterval;
+    const bool isPeriodic = now - m_fullReportSentAt >= fullReportInterval;
+    const bool isUrgent = m_mustSendFullReport;
+    const bool isFull = isUrgent || m_mustAnnounceFleet || isPeriodic;
     auto report = loadReport();
     if (isFull) {
         m_mustSendFullReport = false;
-        m_fullReportSentAt = now;
+        m_mustAnnounceFleet = false;
         report.hasJobs = true;
         report.crashUpdates = m_crashes.nextReport(now);
         report.partUpdates = m_crashingParts.nextReport(now);
@@ -115,6 +138,17 @@
         if (report.ownedJobs.size() > maxReportedJobs)
             report.ownedJobs.resize(maxReportedJobs);
     }
+    if (m_peers.isLargeFleet()) {
+        if (isPeriodic)
+            m_fullReportSentAt = now;
+        const auto occasion = isUrgent     ? ReportOccasion::Urgent
+                              : isPeriodic ? ReportOccasion::Periodic
+                              : isFull     ? ReportOccasion::FleetChange
+                                           : ReportOccasion::LoadChange;
+        return sendInLargeFleet(report, occasion, now);
+    }
+    if (isFull)
+        m_fullReportSentAt = now;
     const auto bytes = encodePeerReport(report);
     const auto destinations = m_peers.destinations();
     PeerCounts counts;
@@ -131,23 +165,46 @@
             continue;
         }
         sentAt = now;
-        sendTo(destination.datagramEndpoint, bytes);
+        sendTo(destination.datagramEndpoint, bytes, isFull ? ReportKind::Full : ReportKind::Load);
     }
-    if (!isFull)
-        return;
+    if (isFull)
+        sendToSeeds(bytes);
+}
+
+void PeerLink::sendToSeeds(const std::string &bytes)
+{
     for (const auto &seed : m_settings.seeds) {
         const Endpoint datagramEndpoint{seed.address, m_settings.listen.port};
         if (seed.address != m_settings.listen.address && !m_sentAt.contains(datagramEndpoint))
-            sendTo(datagramEndpoint, bytes);
+            sendTo(datagramEndpoint, bytes, ReportKind::Full);
     }
 }
 
+void PeerLink::sendInLargeFleet(const PeerReport &report, ReportOccasion occasion, TimePoint now)
+{
+    const auto subset = m_upstreams.subset();
+    const auto peers = m_peers.reportPeers(now);
+    const auto datagrams = m_reporter.datagrams(report, occasion, subset.get(), peers, now);
+    m_upstreams.restrictTo(m_reporter.position(), m_reporter.cells());
+    m_loadPropagationTime = m_reporter.loadPropagationTime();
+    if (m_reporter.hasUnsentLoads())
+        m_hasLoadChanged = true;
+    for (const auto &datagram : datagrams)
+        sendTo(datagram.to, datagram.bytes, datagram.kind);
+    if (occasion != ReportOccasion::Periodic || m_settings.seeds.empty())
+        return;
+    for (const auto &peer : peers)
+        m_sentAt.try_emplace(peer.datagramEndpoint, now);
+    sendToSeeds(encodePeerReport(report));
+}
+
 PeerReport PeerLink::loadReport() const
 {
     PeerReport report;
     report.node = m_settings.node;
     report.zone = m_settings.position.zone;
     report.control = m_settings.control;
+    report.relaysReports = true;
     if (describeFleet)
         describeFleet(report);
     for (const auto &[id, load] : m_upstreams.ownLoads())
@@ -174,12 +231,13 @@
         report.isLeaving = true;
         const auto bytes = encodePeerReport(report);
         for (const auto &destination : m_peers.destinations())
-            sendTo(destination.datagramEndpoint, bytes);
+            sendTo(destination.datagramEndpoint, bytes, ReportKind::Full);
     });
 }
 
-void PeerLink::sendTo(const Endpoint &destination, const std::string &bytes)
+void PeerLink::sendTo(const Endpoint &destination, const std::string &bytes, ReportKind kind)
 {
+    m_traffic.noteSent(kind, bytes.size());
     boost::system::error_code code;
     const auto address = boost::asio::ip::make_address(destination.address, code);
     // A datagram that cannot be sent is not retried: the next report supersedes it.
--- a/Libraries/Gateway/PeerLink.h
+++ b/Libraries/Gateway/PeerLink.h
@@ -2,7 +2,9 @@
 
 #include <Gateway/CrashTracker.h>
 #include <Gateway/CrashingPartDetector.h>
+#include <Gateway/FleetReporter.h>
 #include <Gateway/PeerTable.h>
+#include <Gateway/PeerTraffic.h>
 #include <Gateway/UpstreamTable.h>
 #include <Net/Net.h>
 
@@ -38,8 +40,8 @@
     std::function<void(PeerReport &)> describeWaiting;
     /// Adds this process's view of the fleet to a report.
     std::function<void(PeerReport &)> describeFleet;
-    /// Called for each report that arrives; `becameReachable` is true for the first report of a
-    /// peer and for the first one after the peer was unreachable.
+    /// Called for each report that arrives, also through a relay; `becameReachable` is true for the
+    /// first report of a peer and for the first one after the peer was unreachable.
     std::function<void(const PeerReport &, bool becameReachable)> onReport;
 
     Result<void> start();
@@ -48,7 +50,8 @@
     /// Sends a full report soon.
     void announceJobs() { m_mustSendFullReport = true; }
     /// Sends a full report soon, because this process has newer information about the fleet.
-    void announceFleet() { m_mustSendFullReport = true; }
+    void announceFleet() { m_mustAnnounceFleet = true; }
+    [[nodiscard]] const PeerTraffic &traffic() const { return m_traffic; }
     /// Replaces the peers that get reports before the list of members is known.
     void setSeeds(std::vector<Endpoint> seeds);
     /// Informs the peers that this process is shutting down.
@@ -59,8 +62,12 @@
     void handleDatagram(std::string_view bytes, const boost::asio::ip::udp::endpoint &sender);
     void sendLoop();
     void sendReports(TimePoint now);
+    void sendInLargeFleet(const PeerReport &report, ReportOccasion occasion, TimePoint now);
+    /// Sends a full report to the seeds that are not known as peers.
+    void sendToSeeds(const std::string &bytes);
+    void applyRelayed(const PeerReport &report, TimePoint now);
     [[nodiscard]] PeerReport loadReport() const;
-    void sendTo(const Endpoint &destination, const std::string &bytes);
+    void sendTo(const Endpoint &destination, const std::string &bytes, ReportKind kind);
 
     FiberThreads &m_threads;
     PeerTable &m_peers;
@@ -69,10 +76,13 @@
     CrashingPartDetector &m_crashingParts;
     PeerLinkSettings m_settings;
     boost::asio::ip::udp::socket m_socket;
+    FleetReporter m_reporter;
+    PeerTraffic m_traffic;
     std::map<Endpoint, TimePoint> m_sentAt;
     TimePoint m_fullReportSentAt{};
     Milliseconds m_loadPropagationTime{};
     std::atomic<bool> m_mustSendFullReport{true};
+    std::atomic<bool> m_mustAnnounceFleet{false};
     std::atomic<bool> m_hasLoadChanged{true};
 };
 
--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -70,6 +70,12 @@
   itemTrialMs @6 :UInt32;    # Time until another item may be tried, after a trial of the sender.
 }
 
+# A report of another process, which the sender passes on.
+struct RelayedReport {
+  ageMs @0 :UInt32;          # Time since the sender received it.
+  report @1 :PeerReport;     # Without reports that its sender relayed.
+}
+
 # Report that an entry process sends to its peers, in one datagram. Reports do not depend on each
 # other.
 struct PeerReport {
@@ -98,4 +104,8 @@
   quotaHomes @22 :QuotaHomes;         # The sender pledges its share of each quota to these.
   previousQuotaHomes @23 :List(QuotaHomes); # Earlier sets that may still count its share.
   bootAgeMs @24 :UInt64;              # Time since the sender's process started.
+  relaysReports @25 :Bool;            # Whether the sender understands the following fields.
+  heardNodes @26 :List(UInt64);       # Processes of its zone that the sender has heard: hashes of
+  heardAgesMs @27 :List(UInt16);      # their names, and the time since then.
+  relayedReports @28 :List(RelayedReport); # Reports of some of these.
 }
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(f8bf2225f818a14e);
 CAPNP_DECLARE_SCHEMA(fc17798d09740c2d);
 CAPNP_DECLARE_SCHEMA(85f132533dc5b4c7);
+CAPNP_DECLARE_SCHEMA(dd59fca68db65bf0);
 CAPNP_DECLARE_SCHEMA(904a47b5c1f7db18);
 
 }  // namespace schemas
@@ -168,6 +169,21 @@
   };
 };
 
+struct RelayedReport {
+  RelayedReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dd59fca68db65bf0, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerReport {
   PeerReport() = delete;
 
@@ -176,7 +192,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 5, 16)
+    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 5, 19)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -997,6 +1013,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class RelayedReport::Reader {
+public:
+  typedef RelayedReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool hasReport() const;
+  inline  ::Radishplank::Rpc::PeerReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayedReport::Builder {
+public:
+  typedef RelayedReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool hasReport();
+  inline  ::Radishplank::Rpc::PeerReport::Builder getReport();
+  inline void setReport( ::Radishplank::Rpc::PeerReport::Reader value);
+  inline  ::Radishplank::Rpc::PeerReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::Radishplank::Rpc::PeerReport>&& value);
+  inline ::capnp::Orphan< ::Radishplank::Rpc::PeerReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayedReport::Pipeline {
+public:
+  typedef RelayedReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Radishplank::Rpc::PeerReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerReport::Reader {
 public:
   typedef PeerReport Reads;
@@ -1080,6 +1183,17 @@
 
   inline  ::uint64_t getBootAgeMs() const;
 
+  inline bool getRelaysReports() const;
+
+  inline bool hasHeardNodes() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getHeardNodes() const;
+
+  inline bool hasHeardAgesMs() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getHeardAgesMs() const;
+
+  inline bool hasRelayedReports() const;
+  inline  ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>::Reader getRelayedReports() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1250,6 +1364,32 @@
   inline  ::uint64_t getBootAgeMs();
   inline void setBootAgeMs( ::uint64_t value);
 
+  inline bool getRelaysReports();
+  inline void setRelaysReports(bool value);
+
+  inline bool hasHeardNodes();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getHeardNodes();
+  inline void setHeardNodes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHeardNodes(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initHeardNodes(unsigned int size);
+  inline void adoptHeardNodes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownHeardNodes();
+
+  inline bool hasHeardAgesMs();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getHeardAgesMs();
+  inline void setHeardAgesMs( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHeardAgesMs(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initHeardAgesMs(unsigned int size);
+  inline void adoptHeardAgesMs(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownHeardAgesMs();
+
+  inline bool hasRelayedReports();
+  inline  ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>::Builder getRelayedReports();
+  inline void setRelayedReports( ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>::Builder initRelayedReports(unsigned int size);
+  inline void adoptRelayedReports(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>> disownRelayedReports();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1785,6 +1925,59 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RelayedReport::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RelayedReport::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayedReport::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayedReport::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedReport::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Radishplank::Rpc::PeerReport::Reader RelayedReport::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::Radishplank::Rpc::PeerReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Radishplank::Rpc::PeerReport::Builder RelayedReport::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::Radishplank::Rpc::PeerReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Radishplank::Rpc::PeerReport::Pipeline RelayedReport::Pipeline::getReport() {
+  return  ::Radishplank::Rpc::PeerReport::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RelayedReport::Builder::setReport( ::Radishplank::Rpc::PeerReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::Radishplank::Rpc::PeerReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Radishplank::Rpc::PeerReport::Builder RelayedReport::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::Radishplank::Rpc::PeerReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayedReport::Builder::adoptReport(
+    ::capnp::Orphan< ::Radishplank::Rpc::PeerReport>&& value) {
+  ::capnp::_::PointerHelpers< ::Radishplank::Rpc::PeerReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Radishplank::Rpc::PeerReport> RelayedReport::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::Radishplank::Rpc::PeerReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool PeerReport::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2472,6 +2665,130 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerReport::Reader::getRelaysReports() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerReport::Builder::getRelaysReports() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+inline void PeerReport::Builder::setRelaysReports(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerReport::Reader::hasHeardNodes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasHeardNodes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getHeardNodes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getHeardNodes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setHeardNodes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), value);
+}
+inline void PeerReport::Builder::setHeardNodes(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initHeardNodes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptHeardNodes(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownHeardNodes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasHeardAgesMs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasHeardAgesMs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerReport::Reader::getHeardAgesMs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::getHeardAgesMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setHeardAgesMs( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), value);
+}
+inline void PeerReport::Builder::setHeardAgesMs(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerReport::Builder::initHeardAgesMs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptHeardAgesMs(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> PeerReport::Builder::disownHeardAgesMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+
+inline bool PeerReport::Reader::hasRelayedReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasRelayedReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getRelayedReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getRelayedReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setRelayedReports( ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initRelayedReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptRelayedReports(
+    ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownRelayedReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -2,6 +2,7 @@
 
 #include <Gateway/PeerReport.capnp.h>
 
+#include <algorithm>
 #include <capnp/serialize.h>
 #include <cstring>
 #include <kj/array.h>
@@ -141,15 +142,25 @@
     for (const auto homes : reader.getPreviousQuotaHomes())
         report.previousQuotaHomes.push_back(decodeQuotaHomes(homes));
     report.bootAge = Milliseconds(reader.getBootAgeMs());
+    report.relaysReports = reader.getRelaysReports();
     return report;
 }
 
-} // namespace
+void decodeRelayed(Rpc::PeerReport::Reader reader, PeerReport &report)
+{
+    const auto nodes = reader.getHeardNodes();
+    const auto ages = reader.getHeardAgesMs();
+    for (unsigned i = 0; i < std::min(nodes.size(), ages.size()); ++i)
+        report.heard.push_back({nodes[i], Milliseconds(ages[i])});
+    for (const auto relayed : reader.getRelayedReports()) {
+        report.relayed.push_back(
+                {Milliseconds(relayed.getAgeMs()), decodeReader(relayed.getReport())});
+    }
+    std::erase_if(report.relayed, [](const auto &each) { return each.report.node.isEmpty(); });
+}
 
-std::string encodePeerReport(const PeerReport &report)
+void encodeFields(const PeerReport &report, Rpc::PeerReport::Builder builder)
 {
-    capnp::MallocMessageBuilder message;
-    auto builder = message.initRoot<Rpc::PeerReport>();
     builder.setNode(report.node.text());
     builder.setZone(report.zone.text());
     builder.setControlAddress(report.control.address);
@@ -209,6 +220,34 @@
     for (unsigned i = 0; i < report.previousQuotaHomes.size(); ++i)
         encodeQuotaHomes(report.previousQuotaHomes[i], previousHomes[i]);
     builder.setBootAgeMs(static_cast<std::uint64_t>(report.bootAge.count()));
+    builder.setRelaysReports(report.relaysReports);
+}
+
+void encodeRelayed(const PeerReport &report, Rpc::PeerReport::Builder builder)
+{
+    if (report.heard.empty() && report.relayed.empty())
+        return;
+    auto nodes = builder.initHeardNodes(static_cast<unsigned>(report.heard.size()));
+    auto ages = builder.initHeardAgesMs(static_cast<unsigned>(report.heard.size()));
+    for (unsigned i = 0; i < report.heard.size(); ++i) {
+        nodes.set(i, report.heard[i].node);
+        ages.set(i, static_cast<std::uint16_t>(report.heard[i].age.count()));
+    }
+    auto relayed = builder.initRelayedReports(static_cast<unsigned>(report.relayed.size()));
+    for (unsigned i = 0; i < report.relayed.size(); ++i) {
+        relayed[i].setAgeMs(encodeMilliseconds(report.relayed[i].age));
+        encodeFields(report.relayed[i].report, relayed[i].initReport());
+    }
+}
+
+} // namespace
+
+std::string encodePeerReport(const PeerReport &report)
+{
+    capnp::MallocMessageBuilder message;
+    auto builder = message.initRoot<Rpc::PeerReport>();
+    encodeFields(report, builder);
+    encodeRelayed(report, builder);
     const auto words = capnp::messageToFlatArray(message);
     const auto bytes = words.asBytes();
     return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
@@ -224,7 +263,9 @@
     PeerReport report;
     const auto exception = kj::runCatchingExceptions([&] {
         capnp::FlatArrayMessageReader reader(words);
-        report = decodeReader(reader.getRoot<Rpc::PeerReport>());
+        const auto root = reader.getRoot<Rpc::PeerReport>();
+        report = decodeReader(root);
+        decodeRelayed(root, report);
     });
     if (exception != nullptr || report.node.isEmpty())
         return invalid;
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -77,6 +77,17 @@
     }
 };
 
+/// A process of its own zone that the sender of a report has heard.
+struct HeardPeer
+{
+    /// Hash of the process's name, as nodeHash() gives it.
+    std::uint64_t node = 0;
+    /// Time since its last full report.
+    Milliseconds age{0};
+};
+
+struct RelayedReport;
+
 /// Report that an entry process sends to its peers.
 struct PeerReport
 {
@@ -108,6 +119,18 @@
     std::vector<QuotaHomes> previousQuotaHomes;
     /// Time since the sender's process started.
     Milliseconds bootAge{0};
+    /// Whether the sender understands relayed reports. Others get all reports directly.
+    bool relaysReports = false;
+    std::vector<HeardPeer> heard;
+    std::vector<RelayedReport> relayed;
+};
+
+/// A report of another process, which the sender of a report passes on.
+struct RelayedReport
+{
+    /// Time since the sender received it.
+    Milliseconds age{0};
+    PeerReport report;
 };
 
 /// Encodes a report for one datagram.
--- a/Libraries/Gateway/PeerTable.cpp
+++ b/Libraries/Gateway/PeerTable.cpp
@@ -13,6 +13,10 @@
 constexpr Milliseconds takeoverTime{2'000};
 /// Shorter than livenessTimeout, because other processes depend on the data of a watcher.
 constexpr Milliseconds watcherLivenessTimeout{1'200};
+/// Relayed reports of a peer are older than its own ones, and ignored while those arrive.
+constexpr Milliseconds ownReportPrecedence{1'000};
+/// Within this time a relay hears that a process has left.
+constexpr Milliseconds leaveNoticeTolerance{500};
 /// Minimum number of watchers in total, so that no process is left without current data when a
 /// network link fails.
 constexpr std::size_t minWatchers = 3;
@@ -34,6 +38,7 @@
     if (node == m_self)
         return;
     auto &peer = m_peers[node];
+    m_nodesByHash[nodeHash(node)] = node;
     peer.zone = zone;
     peer.datagramEndpoint = datagramEndpoint;
 }
@@ -43,25 +48,80 @@
     if (report.node == m_self)
         return false;
     auto &peer = m_peers[report.node];
+    m_nodesByHash[nodeHash(report.node)] = report.node;
     const bool becameReachable = !peer.lastReportAt || now - *peer.lastReportAt > livenessTimeout;
+    apply(peer, report, sender);
+    peer.lastReportAt = now;
+    peer.lastOwnReportAt = now;
+    if (report.hasJobs)
+        peer.lastOwnFullReportAt = now;
+    if (report.isLeaving) {
+        // It sends no further reports, so it counts as unreachable at once.
+        peer.lastReportAt = now - livenessTimeout - Milliseconds(1);
+        peer.lastOwnReportAt.reset();
+        peer.lastOwnFullReportAt.reset();
+        peer.leftAt = now;
+    }
+    return becameReachable;
+}
+
+void PeerTable::apply(Peer &peer, const PeerReport &report, const Endpoint &sender)
+{
     peer.zone = report.zone;
     peer.datagramEndpoint = sender;
     peer.control = report.control;
-    peer.lastReportAt = now;
     peer.isUnreachableReported = false;
     peer.reportedOrphans = 0;
     peer.isWatching = report.isWatching && !report.isLeaving;
     peer.isStoreReachable = report.isStoreReachable && !report.isLeaving;
     peer.fleet = report.fleet;
+    peer.relaysReports = report.relaysReports;
     if (report.hasJobs)
         peer.jobs = {report.ownedJobs.begin(), report.ownedJobs.end()};
-    if (report.isLeaving) {
-        // It sends no further reports, so it counts as unreachable at once.
-        peer.lastReportAt = now - livenessTimeout - Milliseconds(1);
-    }
+}
+
+std::optional<bool> PeerTable::noteRelayedReport(const PeerReport &report, Milliseconds age,
+                                                 const Endpoint &sender, TimePoint now)
+{
+    if (report.node == m_self)
+        return {};
+    auto &peer = m_peers[report.node];
+    m_nodesByHash[nodeHash(report.node)] = report.node;
+    const auto heardAt = now - age;
+    const bool isHeardDirectly
+            = peer.lastOwnFullReportAt && now - *peer.lastOwnFullReportAt <= ownReportPrecedence;
+    // The relay may not have heard yet that the peer has left.
+    const bool hasLeft = peer.leftAt && heardAt <= *peer.leftAt + leaveNoticeTolerance;
+    if (isHeardDirectly || hasLeft || age > livenessTimeout)
+        return {};
+    const bool becameReachable = !isReachable(report.node, now);
+    apply(peer, report, peer.datagramEndpoint.port == 0 ? sender : peer.datagramEndpoint);
+    peer.lastReportAt = std::max(peer.lastReportAt.value_or(heardAt), heardAt);
     return becameReachable;
 }
 
+void PeerTable::noteHeard(const HeardPeer &heard, TimePoint now)
+{
+    const auto node = m_nodesByHash.find(heard.node);
+    // A peer that was unreachable counts as reachable again with its next report, which tells its
+    // jobs.
+    if (node == m_nodesByHash.end() || !isReachable(node->second, now))
+        return;
+    auto &peer = m_peers.at(node->second);
+    peer.lastReportAt = std::max(*peer.lastReportAt, now - heard.age);
+}
+
+std::vector<ReportPeer> PeerTable::reportPeers(TimePoint now) const
+{
+    std::vector<ReportPeer> result;
+    result.reserve(m_peers.size());
+    for (const auto &[node, peer] : m_peers) {
+        result.push_back({nodeHash(node), peer.zone, peer.datagramEndpoint, isReachable(node, now),
+                          peer.lastOwnReportAt, peer.relaysReports});
+    }
+    return result;
+}
+
 std::size_t PeerTable::processCount() const
 {
     return m_areMembersListed ? m_peers.size() + 1 : 0;
@@ -131,8 +191,10 @@
     std::size_t precedingWatchers = 0;
     bool isZoneWatched = false;
     for (const auto &[node, peer] : m_peers) {
-        const bool hasRecentReport
-                = peer.lastReportAt && now - *peer.lastReportAt <= watcherLivenessTimeout;
+        // Relays report less often; what concerns other zones is only the number of watchers.
+        const auto timeout
+                = isLargeFleet() && peer.zone != m_zone ? livenessTimeout : watcherLivenessTimeout;
+        const bool hasRecentReport = peer.lastReportAt && now - *peer.lastReportAt <= timeout;
         if (!hasRecentReport || !peer.isWatching || !(node < m_self))
             continue;
         precedingWatchers += 1;
--- a/Libraries/Gateway/PeerTable.h
+++ b/Libraries/Gateway/PeerTable.h
@@ -2,11 +2,13 @@
 
 #include <Gateway/FleetSourceTree.h>
 #include <Gateway/PeerReport.h>
+#include <Gateway/ReportPeer.h>
 
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace Radishplank {
@@ -38,6 +40,15 @@
     };
     /// Returns the peers that this process sends its reports to.
     [[nodiscard]] std::vector<Destination> destinations() const;
+    /// Returns all peers, as far as the choice of reports for them depends on them.
+    [[nodiscard]] std::vector<ReportPeer> reportPeers(TimePoint now) const;
+    /// Notes a report that a process of the peer's zone has passed on, and how old it is. Ignores
+    /// it while reports from the peer itself arrive; otherwise returns whether the peer was unknown
+    /// or unreachable before.
+    std::optional<bool> noteRelayedReport(const PeerReport &report, Milliseconds age,
+                                          const Endpoint &sender, TimePoint now);
+    /// Notes that a process of the peer's zone has heard a reachable peer.
+    void noteHeard(const HeardPeer &heard, TimePoint now);
     [[nodiscard]] bool isReachable(const NodeId &node, TimePoint now) const;
     [[nodiscard]] bool isAnyReachable(TimePoint now) const;
     [[nodiscard]] std::set<NodeId> reachablePeers(TimePoint now) const;
@@ -85,7 +96,12 @@
         ZoneName zone;
         Endpoint datagramEndpoint;
         Endpoint control;
+        /// Also set by what other processes have heard.
         std::optional<TimePoint> lastReportAt;
+        std::optional<TimePoint> lastOwnReportAt;
+        std::optional<TimePoint> lastOwnFullReportAt;
+        std::optional<TimePoint> leftAt;
+        bool relaysReports = false;
         bool isUnreachableReported = false;
         /// Number of the peer's jobs that this process had to take over at the last call of
         /// takeFailoverPeers(); the jobs that the fallback process takes over count as one.
@@ -101,8 +117,12 @@
     /// Returns whether rendezvous hashing over the reachable processes maps a hash to this process.
     [[nodiscard]] bool winsRendezvous(std::uint64_t hash, TimePoint now) const;
 
+    /// Takes over what a report tells about its sender.
+    static void apply(Peer &peer, const PeerReport &report, const Endpoint &sender);
+
     const NodeId m_self;
     const ZoneName m_zone;
+    std::unordered_map<std::uint64_t, NodeId> m_nodesByHash;
     std::map<NodeId, Peer> m_peers;
     bool m_areMembersListed = false;
     /// The version that this process had when it last learnt that a peer has a newer one, and when
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -10,6 +10,8 @@
 constexpr Milliseconds initialBackoff{250};
 constexpr Milliseconds maxBackoff{2'000};
 constexpr std::size_t maxLeavingEntries = 4'096;
+/// Assigning 3,000 upstreams takes about a millisecond, and some come or go all the time.
+constexpr Milliseconds minSubsetInterval{500};
 
 } // namespace
 
@@ -63,6 +65,8 @@
     if (state.info == upstream || upstream.startedAt < state.info.startedAt)
         return false;
     const bool isNewStart = state.info.startedAt != upstream.startedAt;
+    m_isSubsetOutdated
+            |= state.info.service != upstream.service || state.info.zone != upstream.zone;
     state.info = upstream;
     state.hash = upstreamHash(upstream.id);
     if (isNewStart) {
@@ -75,7 +79,45 @@
 void UpstreamTable::remove(const UpstreamId &id)
 {
     const std::scoped_lock lock(m_mutex);
-    m_states.erase(id);
+    m_isSubsetOutdated |= m_states.erase(id) > 0;
+}
+
+void UpstreamTable::restrictTo(CellPosition position, unsigned cells)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (position == m_position && cells == m_cells)
+        return;
+    m_position = position;
+    m_cells = cells;
+    m_isSubsetOutdated = true;
+    m_subsetUpdatedAt = {};
+}
+
+std::shared_ptr<const UpstreamSubset> UpstreamTable::subset() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_subset;
+}
+
+void UpstreamTable::updateSubset(TimePoint now)
+{
+    const bool isDue = m_isSubsetOutdated && now - m_subsetUpdatedAt >= minSubsetInterval;
+    if (!isDue || (m_cells == 1 && !m_subset))
+        return;
+    m_isSubsetOutdated = false;
+    m_subsetUpdatedAt = now;
+    m_subset.reset();
+    if (m_cells > 1) {
+        std::vector<SubsetUpstream> upstreams;
+        upstreams.reserve(m_states.size());
+        for (const auto &[id, state] : m_states) {
+            upstreams.push_back({state.hash, serviceHash(state.info.service),
+                                 stableHash(state.info.zone.text())});
+        }
+        m_subset = std::make_shared<const UpstreamSubset>(m_cells, upstreams);
+    }
+    for (auto &[id, state] : m_states)
+        state.isInSubset = !m_subset || m_subset->isUsedBy(m_position, state.hash);
 }
 
 std::set<UpstreamId> UpstreamTable::ids() const
@@ -133,9 +175,23 @@
 {
     Candidates result;
     m_peers.expire(now);
+    updateSubset(now);
+    appendCandidates(result, service, excluded, true, now);
+    const bool isAnyHealthy
+            = std::any_of(result.entries.begin(), result.entries.end(),
+                          [](const UpstreamCandidate &each) { return each.isHealthy; });
+    if (m_subset && !isAnyHealthy)
+        appendCandidates(result, service, excluded, false, now);
+    return result;
+}
+
+void UpstreamTable::appendCandidates(Candidates &result, const std::string &service,
+                                     const std::set<UpstreamId> &excluded, bool isInSubset,
+                                     TimePoint now)
+{
     for (auto &[id, state] : m_states) {
-        if (state.info.service != service || state.info.isDraining || isLeaving(state)
-            || excluded.contains(id))
+        if (state.isInSubset != isInSubset || state.info.service != service || state.info.isDraining
+            || isLeaving(state) || excluded.contains(id))
             continue;
         const auto peers = m_peers.at(state.hash);
         UpstreamCandidate candidate;
@@ -148,7 +204,6 @@
         result.entries.push_back(candidate);
         result.states.push_back(&state);
     }
-    return result;
 }
 
 std::function<void()> UpstreamTable::takeCheapestPreemption(State &state) const
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -4,6 +4,7 @@
 #include <Gateway/PeerLoads.h>
 #include <Gateway/UpstreamInfo.h>
 #include <Gateway/UpstreamSelector.h>
+#include <Serving/UpstreamSubset.h>
 
 #include <functional>
 #include <map>
@@ -101,6 +102,12 @@
     /// round; to be called once per round.
     [[nodiscard]] std::size_t batchQuota(const std::string &service, WaitingItems waiting);
 
+    /// Restricts the calls and items of this process to the upstreams of its cell, except where the
+    /// cell has none that can be used. One cell stands for all upstreams.
+    void restrictTo(CellPosition position, unsigned cells);
+    /// Returns which process uses which upstreams; null if every process uses all.
+    [[nodiscard]] std::shared_ptr<const UpstreamSubset> subset() const;
+
     /// Records a peer's loads at the upstreams and its waiting items. They count until the peer's
     /// next report, or until they expire.
     void notePeerLoads(const NodeId &peer, std::span<const UpstreamStreams> loads,
@@ -123,6 +130,7 @@
         UpstreamInfo info;
         std::uint64_t hash = 0;
         UpstreamLoad own;
+        bool isInSubset = true;
         std::vector<PreemptibleItem> preemptibleItems;
         unsigned failures = 0;
         TimePoint backoffUntil{};
@@ -136,6 +144,9 @@
     [[nodiscard]] bool isLeaving(const State &state) const;
     [[nodiscard]] Candidates candidates(const std::string &service,
                                         const std::set<UpstreamId> &excluded, TimePoint now);
+    void appendCandidates(Candidates &result, const std::string &service,
+                          const std::set<UpstreamId> &excluded, bool isInSubset, TimePoint now);
+    void updateSubset(TimePoint now);
     void release(const Reservation &reservation);
     [[nodiscard]] std::function<void()> takeCheapestPreemption(State &state) const;
 
@@ -144,6 +155,11 @@
     mutable std::mutex m_mutex;
     std::map<UpstreamId, State> m_states;
     PeerLoads m_peers;
+    CellPosition m_position = 0;
+    unsigned m_cells = 1;
+    std::shared_ptr<const UpstreamSubset> m_subset;
+    bool m_isSubsetOutdated = false;
+    TimePoint m_subsetUpdatedAt{};
     /// By hash of the upstream: the latest start known to be shutting down. Kept also while the
     /// upstream is not in the table.
     std::map<std::uint64_t, std::int64_t> m_leaving;
--- a/Tests/Gateway/TestPeers.cpp
+++ b/Tests/Gateway/TestPeers.cpp
@@ -117,6 +117,100 @@
     }
 }
 
+TEST_CASE("Reports that a peer passes on are decoded as they were encoded", "[Peers]")
+{
+    auto report = reportOf("entry2");
+    report.relaysReports = true;
+    report.heard = {{nodeHash(NodeId("entry3")), Milliseconds(40)}};
+    report.relayed = {{Milliseconds(50), reportOf("entry3")}, {Milliseconds(60), PeerReport()}};
+    const auto decoded = decodePeerReport(encodePeerReport(report));
+    REQUIRE_FALSE(decoded.isError());
+    CHECK(decoded.value().relaysReports);
+    REQUIRE(decoded.value().heard.size() == 1);
+    CHECK(decoded.value().heard[0].node == nodeHash(NodeId("entry3")));
+    CHECK(decoded.value().heard[0].age == Milliseconds(40));
+    // A report without a sender would become a peer without a name.
+    REQUIRE(decoded.value().relayed.size() == 1);
+    CHECK(decoded.value().relayed[0].age == Milliseconds(50));
+    CHECK(decoded.value().relayed[0].report.endedJobs == std::vector<std::string>{"job2"});
+
+    SECTION("Invalid ones are rejected")
+    {
+        const auto bytes = encodePeerReport(report);
+        for (std::size_t length = 0; length < bytes.size(); ++length)
+            (void)decodePeerReport(std::string_view(bytes).substr(0, length));
+        auto corrupted = bytes;
+        for (auto &byte : corrupted) {
+            byte = static_cast<char>(byte ^ 0x5a);
+            (void)decodePeerReport(corrupted);
+        }
+    }
+}
+
+TEST_CASE("A peer that does not report to this process is known through relays", "[Peers]")
+{
+    PeerTable peers(NodeId("entry1"), ZoneName("zone1"));
+    const TimePoint start{std::chrono::seconds(1'000)};
+    const NodeId far("entry2");
+    CHECK(peers.noteRelayedReport(reportOf("entry2"), Milliseconds(500), sender, start) == true);
+    CHECK(peers.isReachable(far, start));
+    CHECK(peers.ownerOf("job1", start));
+    CHECK(peers.destinations()[0].datagramEndpoint == sender);
+
+    SECTION("for 2.5 s from when the relay heard it")
+    {
+        CHECK(peers.isReachable(far, start + Milliseconds(2'000)));
+        CHECK_FALSE(peers.isReachable(far, start + Milliseconds(2'001)));
+        // A late datagram about an earlier time changes nothing.
+        peers.noteHeard({nodeHash(far), Milliseconds(2'000)}, start + Milliseconds(1'000));
+        CHECK_FALSE(peers.isReachable(far, start + Milliseconds(2'001)));
+    }
+    SECTION("and longer when relays hear it again")
+    {
+        peers.noteHeard({nodeHash(far), Milliseconds(100)}, start + Milliseconds(1'500));
+        CHECK(peers.isReachable(far, start + Milliseconds(3'900)));
+
+        SECTION("but a peer that was unreachable only with a report, as its jobs may have changed")
+        {
+            const auto later = start + Milliseconds(5'000);
+            peers.noteHeard({nodeHash(far), Milliseconds(0)}, later);
+            CHECK_FALSE(peers.isReachable(far, later));
+            CHECK(peers.noteRelayedReport(reportOf("entry2"), Milliseconds(0), sender, later)
+                  == true);
+        }
+    }
+    SECTION("Its own reports are newer, so relayed ones are ignored while they arrive")
+    {
+        auto own = reportOf("entry2");
+        own.ownedJobs = {jobHash("job5")};
+        peers.noteReport(own, sender, start);
+        CHECK_FALSE(peers.noteRelayedReport(reportOf("entry2"), Milliseconds(0), sender,
+                                            start + Milliseconds(900)));
+        CHECK(peers.ownerOf("job5", start));
+        CHECK_FALSE(peers.ownerOf("job1", start));
+    }
+    SECTION("A relay that has not heard that it left does not make it reachable again")
+    {
+        auto leaving = reportOf("entry2");
+        leaving.isLeaving = true;
+        peers.noteReport(leaving, sender, start + Milliseconds(600));
+        const auto later = start + Milliseconds(900);
+        CHECK_FALSE(peers.noteRelayedReport(reportOf("entry2"), Milliseconds(400), sender, later));
+        peers.noteHeard({nodeHash(far), Milliseconds(400)}, later);
+        CHECK_FALSE(peers.isReachable(far, later));
+
+        SECTION("but one that has started again is reachable")
+        {
+            CHECK(peers.noteRelayedReport(reportOf("entry2"), Milliseconds(0), sender,
+                                          start + Milliseconds(2'000)));
+        }
+    }
+    SECTION("A relayed report of this process itself is ignored")
+    {
+        CHECK_FALSE(peers.noteRelayedReport(reportOf("entry1"), Milliseconds(0), sender, start));
+    }
+}
+
 TEST_CASE("When a peer becomes unreachable, only a few processes look for its jobs", "[Peers]")
 {
     constexpr std::size_t jobsEach = 4;
--- a/Tests/Gateway/TestUpstreamTable.cpp
+++ b/Tests/Gateway/TestUpstreamTable.cpp
@@ -192,6 +192,52 @@
     }
 }
 
+TEST_CASE("A process of a large fleet uses the upstreams of its cell", "[UpstreamTable]")
+{
+    UpstreamTable table(NodeId("entry1"), localityInZone1());
+    std::vector<UpstreamId> ids;
+    for (unsigned i = 0; i < 100; ++i) {
+        ids.emplace_back("u" + std::to_string(i));
+        table.put(upstreamNamed(ids.back().text()));
+    }
+    const auto used = [&] {
+        std::vector<UpstreamTable::ReservationPointer> reservations;
+        std::set<UpstreamId> result;
+        for (unsigned i = 0; i < 150; ++i) {
+            reservations.push_back(table.reserveOnline("service", {}, anyWait).reservation);
+            result.insert(reservations.back()->upstream().id);
+        }
+        return result;
+    };
+    CHECK(used().size() > 90);
+    CHECK_FALSE(table.subset());
+    table.restrictTo(0, 2);
+    const auto ofCell = used();
+    CHECK(ofCell.size() == 50);
+    REQUIRE(table.subset());
+    for (const auto &id : ofCell)
+        CHECK(table.subset()->isUsedBy(0, upstreamHash(id)));
+
+    SECTION("and others only if the cell has none that can be used, instead of refusing calls")
+    {
+        const std::set<UpstreamId> excluded(ofCell.begin(), ofCell.end());
+        const auto admission = table.reserveOnline("service", excluded, anyWait);
+        REQUIRE(admission.reservation);
+        CHECK_FALSE(ofCell.contains(admission.reservation->upstream().id));
+    }
+    SECTION("A process in another cell uses the others")
+    {
+        table.restrictTo(0xffff'ffff, 2);
+        for (const auto &id : used())
+            CHECK_FALSE(ofCell.contains(id));
+    }
+    SECTION("All are used again if the fleet becomes small")
+    {
+        table.restrictTo(0, 1);
+        CHECK(used().size() > 90);
+    }
+}
+
 TEST_CASE("An upstream that fails gets no calls during its backoff", "[UpstreamTable]")
 {
     UpstreamTable table(NodeId("entry1"), localityInZone1());
