--- a/Libraries/Gateway/ReportRelay.cpp
+++ b/Libraries/Gateway/ReportRelay.cpp
@@ -1,13 +1,16 @@
 #include <Gateway/ReportRelay.h>
 
+#include <iterator>
+
 namespace Radishplank {
 
 namespace {
 
 /// As long as a process counts as reachable without a report.
 constexpr Milliseconds maxAge{2'500};
-/// Keeps a datagram well below the largest possible one.
-constexpr std::size_t maxRelayedBytes = 24'000;
+/// Keeps a datagram, with the relay's own report, below the largest possible one. Holds the reports
+/// of about 170 processes.
+constexpr std::size_t maxRelayedBytes = 44'000;
 
 /// Returns a report without the fields that are of use only to processes that it is sent to
 /// directly: those that share upstreams with the sender, or that manage quotas.
@@ -82,7 +85,13 @@
         report.relayed.push_back({since(entry.heardAt, now), entry.report});
     };
     std::vector<const Entry *> unchanged;
-    for (const auto &[node, entry] : m_entries) {
+    // Begins elsewhere each time, because the last ones may not fit.
+    const auto begin = m_entries.empty() ? 0 : turn.value_or(0) % m_entries.size();
+    auto next = std::next(m_entries.begin(), static_cast<std::ptrdiff_t>(begin));
+    for (std::size_t i = 0; i < m_entries.size(); ++i, ++next) {
+        if (next == m_entries.end())
+            next = m_entries.begin();
+        const auto &[node, entry] = *next;
         if (now - entry.heardAt > maxAge)
             continue;
         report.heard.push_back({node, since(entry.heardAt, now)});
