--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -5,6 +5,7 @@
 #include <Gateway/UpstreamInfo.h>
 #include <Gateway/UpstreamSelector.h>
 #include <Serving/UpstreamPace.h>
+#include <Serving/UpstreamSubset.h>
 #include <Serving/WorkEstimator.h>
 
 #include <atomic>
@@ -138,6 +139,12 @@
     /// round; to be called once per round.
     [[nodiscard]] std::size_t batchQuota(const std::string &service, WaitingItems waiting);
 
+    /// Restricts the calls and items of this process to the upstreams of its cell, except where the
+    /// cell has none that can be used. One cell stands for all upstreams.
+    void restrictTo(CellPosition position, unsigned cells);
+    /// Returns which process uses which upstreams; null if every process uses all.
+    [[nodiscard]] std::shared_ptr<const UpstreamSubset> subset() const;
+
     /// Records a peer's loads at the upstreams and its waiting items. They count until the peer's
     /// next report, or until they expire.
     void notePeerLoads(const NodeId &peer, std::span<const UpstreamStreams> loads,
@@ -178,6 +185,7 @@
         UpstreamLoad own;
         /// Reservations of this process; only maintained if upstreams are chosen by work.
         std::vector<const Reservation *> running;
+        bool isInSubset = true;
         std::vector<PreemptibleItem> preemptibleItems;
         unsigned failures = 0;
         TimePoint backoffUntil{};
@@ -204,6 +212,9 @@
     ReservationPointer reserve(State &state, WorkClass workClass, TimePoint now);
     void noteEvents(Reservation &reservation, std::size_t count);
     std::optional<double> noteCompleted(const Reservation &reservation);
+    void appendCandidates(Candidates &result, const std::string &service,
+                          const std::set<UpstreamId> &excluded, bool isInSubset, TimePoint now);
+    void updateSubset(TimePoint now);
     void release(const Reservation &reservation);
     [[nodiscard]] std::function<void()> takeCheapestPreemption(State &state) const;
 
@@ -215,6 +226,11 @@
     PeerLoads m_peers;
     WorkEstimator m_estimator;
     UpstreamPace m_pace;
+    CellPosition m_position = 0;
+    unsigned m_cells = 1;
+    std::shared_ptr<const UpstreamSubset> m_subset;
+    bool m_isSubsetOutdated = false;
+    TimePoint m_subsetUpdatedAt{};
     /// By hash of the upstream: the latest start known to be shutting down. Kept also while the
     /// upstream is not in the table.
     std::map<std::uint64_t, std::int64_t> m_leaving;
--- a/Libraries/Serving/Serving.h
+++ b/Libraries/Serving/Serving.h
@@ -7,6 +7,7 @@
 #include <Serving/AttemptRequest.h>
 #include <Serving/BatchWindow.h>
 #include <Serving/CallAdmission.h>
+#include <Serving/FleetPartition.h>
 #include <Serving/HeartbeatMonitor.h>
 #include <Serving/LinkAllowance.h>
 #include <Serving/Outcome.h>
@@ -19,4 +20,5 @@
 #include <Serving/StopSchedule.h>
 #include <Serving/TokenBucket.h>
 #include <Serving/UpstreamPace.h>
+#include <Serving/UpstreamSubset.h>
 #include <Serving/WorkEstimator.h>
