--- a/Tests/Gateway/TestAdmissionControl.cpp
+++ b/Tests/Gateway/TestAdmissionControl.cpp
@@ -69,9 +69,11 @@
 class Fleet
 {
 public:
-    Fleet(Rule rule, Load load)
+    Fleet(Rule rule, Load load, unsigned seed)
         : m_rule(rule)
         , m_load(std::move(load))
+        , m_arrivals(seed)
+        , m_random(seed + 1'000)
         , m_tallies(static_cast<std::size_t>(m_load.owners))
     {
         std::vector<Owner> owners;
@@ -92,17 +94,7 @@
             step();
     }
 
-    [[nodiscard]] const Tally &of(int owner) const
-    {
-        return m_tallies.at(static_cast<std::size_t>(owner));
-    }
-    [[nodiscard]] Tally sum() const
-    {
-        Tally sum;
-        for (const auto &each : m_tallies)
-            sum += each;
-        return sum;
-    }
+    [[nodiscard]] const std::vector<Tally> &tallies() const { return m_tallies; }
     [[nodiscard]] int refusedWithRoom() const { return m_refusedWithRoom; }
     [[nodiscard]] double meanOccupancy(int fromMs, int toMs) const
     {
@@ -302,8 +294,8 @@
     Load m_load;
     RouteDirectory m_routes;
     /// Separate, so that the callers are the same under each rule.
-    RandomEngine m_arrivals{7};
-    RandomEngine m_random{8};
+    RandomEngine m_arrivals;
+    RandomEngine m_random;
     int m_ms = 0;
     std::vector<std::unique_ptr<AdmissionControl>> m_controls;
     std::vector<Upstream> m_upstreams;
@@ -313,6 +305,40 @@
     int m_refusedWithRoom = 0;
 };
 
+/// Results of the same load with several seeds, so that no single one decides.
+class DayOutcome
+{
+public:
+    DayOutcome(Rule rule, const Load &load)
+        : m_tallies(static_cast<std::size_t>(load.owners))
+    {
+        constexpr unsigned seeds = 4;
+        for (unsigned seed = 1; seed <= seeds; ++seed) {
+            const Fleet fleet(rule, load, seed);
+            for (std::size_t owner = 0; owner < m_tallies.size(); ++owner)
+                m_tallies[owner] += fleet.tallies()[owner];
+            refusedWithRoom += fleet.refusedWithRoom();
+            burstOccupancy += fleet.meanOccupancy(4'000, 6'000) / seeds;
+        }
+    }
+
+    /// Returns what the callers of the owners from `first` up to `end` got.
+    [[nodiscard]] Tally of(int first, int end) const
+    {
+        Tally sum;
+        for (int owner = first; owner < end; ++owner)
+            sum += m_tallies.at(static_cast<std::size_t>(owner));
+        return sum;
+    }
+    [[nodiscard]] Tally sum() const { return of(0, static_cast<int>(m_tallies.size())); }
+
+    int refusedWithRoom = 0;
+    double burstOccupancy = 0;
+
+private:
+    std::vector<Tally> m_tallies;
+};
+
 bool isInBurst(int ms)
 {
     return ms >= 3'000 && ms < 6'000;
@@ -326,17 +352,17 @@
     // Guards against a queue at the upstreams that makes most calls of a burst slightly late.
     Load load;
     const auto compare = [&] {
-        const auto before = Fleet(Rule::FixedShareOfTarget, load).sum();
-        const Fleet fleet(Rule::AdmissionControl, load);
-        const auto after = fleet.sum();
+        const auto before = DayOutcome(Rule::FixedShareOfTarget, load).sum();
+        const DayOutcome outcome(Rule::AdmissionControl, load);
+        const auto after = outcome.sum();
         INFO("calls " << before.calls << ", late " << before.late << " -> " << after.late
                       << ", served in target " << before.served() << " -> " << after.served());
         CHECK(before.calls == after.calls);
         CHECK(after.late < 0.75 * before.late);
         CHECK(after.served() >= before.served());
-        CHECK(fleet.refusedWithRoom() == 0);
+        CHECK(outcome.refusedWithRoom == 0);
         // Refusals must not leave slots idle that the calls could use.
-        CHECK(fleet.meanOccupancy(4'000, 6'000) > 0.45);
+        CHECK(outcome.burstOccupancy > 0.45);
     };
 
     SECTION("everywhere")
@@ -367,27 +393,24 @@
     Load load;
     int noisy = 0;
     const auto compare = [&] {
-        const Fleet before(Rule::FixedShareOfTarget, load);
-        const Fleet after(Rule::AdmissionControl, load);
-        Tally quiet;
-        Tally quietBefore;
-        for (int owner = noisy; owner < load.owners; ++owner) {
-            quiet += after.of(owner);
-            quietBefore += before.of(owner);
-        }
+        const DayOutcome before(Rule::FixedShareOfTarget, load);
+        const DayOutcome after(Rule::AdmissionControl, load);
+        const auto quiet = after.of(noisy, load.owners);
+        const auto quietBefore = before.of(noisy, load.owners);
         INFO("late " << quietBefore.late << " -> " << quiet.late << ", refused "
                      << quietBefore.refused << " -> " << quiet.refused << ", served in target "
                      << quietBefore.served() << " -> " << quiet.served() << " of " << quiet.calls);
         CHECK(quiet.late < 0.75 * quietBefore.late);
-        CHECK(quiet.refused < 0.75 * quietBefore.refused);
+        CHECK(quiet.refused < 0.5 * quietBefore.refused);
         CHECK(quiet.served() > 0.83 * quiet.calls);
         // Nobody is starved, and nothing that the quiet owners leave is wasted.
         for (int owner = 0; owner < load.owners; ++owner) {
             INFO("owner " << owner);
-            CHECK(after.of(owner).served() > 0.45 * after.of(owner).calls);
+            const auto each = after.of(owner, owner + 1);
+            CHECK(each.served() > 0.6 * each.calls);
         }
         CHECK(after.sum().served() >= before.sum().served());
-        CHECK(after.meanOccupancy(4'000, 6'000) > 0.97);
+        CHECK(after.burstOccupancy > 0.97);
     };
 
     SECTION("one owner with eight times its load")
@@ -410,8 +433,8 @@
 {
     // Guards against refusals in deployments that have room.
     const Load load;
-    const auto before = Fleet(Rule::FixedShareOfTarget, load).sum();
-    const auto after = Fleet(Rule::AdmissionControl, load).sum();
+    const auto before = DayOutcome(Rule::FixedShareOfTarget, load).sum();
+    const auto after = DayOutcome(Rule::AdmissionControl, load).sum();
     CHECK(after.refused == 0);
     CHECK(after.inTarget == before.inTarget);
 }
