Tests: Check that only the setting work changes how upstreams are chosen

A misspelt value must not silently mean the default. The tests of headers use names of their own, as those of the platform belong to platform/.

--- a/Tests/Gateway/TestUpstreamTable.cpp
+++ b/Tests/Gateway/TestUpstreamTable.cpp
@@ -282,12 +282,12 @@
 TEST_CASE("The statements of a request about its work are read", "[WorkHeaders]")
 {
     CallHeaderNames names;
-    names.tokenUsage = "X-Token-Usage";
-    names.lengthHint = "X-Length-Hint";
+    names.tokenUsage = "Tokens";
+    names.lengthHint = "Hint";
     const auto read = [&](const std::string &usage, const std::string &hint) {
         HttpHeaders headers;
-        headers.add("x-token-usage", usage);
-        headers.add("x-length-hint", hint);
+        headers.add("tokens", usage);
+        headers.add("hint", hint);
         const auto features = workFeatures(headers, names);
         return std::array{features.promptTokens, features.maxOutputTokens, features.lengthHint};
     };
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -1,4 +1,5 @@
 #include <ConfigurationDecoder.h>
+#include <EntrySettings.h>
 #include <JobCodec.h>
 #include <LiveSettings.h>
 #include <UpstreamDecoder.h>
@@ -169,3 +170,17 @@
             CHECK(parse(text).isError());
     }
 }
+
+TEST_CASE("Upstreams are chosen by count unless the settings ask for work", "[EntrySettings]")
+{
+    Platform::EntrySettings settings;
+    Findings findings;
+    CHECK(Platform::placementOf(settings, findings) == PlacementRule::Count);
+    settings.placement = "work";
+    CHECK(Platform::placementOf(settings, findings) == PlacementRule::Work);
+    CHECK(findings.isEmpty());
+    // A misspelt rule must not silently mean the default.
+    settings.placement = "works";
+    (void)Platform::placementOf(settings, findings);
+    CHECK_FALSE(findings.isEmpty());
+}
