--- a/Tests/Serving/TestUpstreamSubset.cpp
+++ b/Tests/Serving/TestUpstreamSubset.cpp
@@ -181,7 +181,8 @@
         checkEvenness(count);
 }
 
-TEST_CASE("Each upstream has about the same number of processes in a fleet of a thousand", "[.large]")
+TEST_CASE("Each upstream has about the same number of processes in a fleet of a thousand",
+          "[.large]")
 {
     checkEvenness(1'000);
 }
