Net: Keep room for answers and ordinary requests beside large bodies

What callers saw: in one of five whole runs of TestOverload, and once more in a loop of at most 14 runs of one case, an ordinary call at radishplankd got 503 beside the crowd; the second time with "too many bytes of answers are held", although its request had run.

Cause: two complete bodies of the legal size and their copies held the whole budget of 10 MB while their calls ran, and an answer failed if nobody else could give way.

A holder of more than 1 MiB may grow only while no more than half of the budget is in use; copies of requests are not counted, as that half leaves room.

TestPlatform was not run on this commit.

--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -309,7 +309,9 @@
         if (m_bodyBytes > m_options.bodyBytes)
             return Error{ErrorKind::TooLarge,
                          "the answer of " + m_endpoint.text() + " is too large"};
-        if (total > maxTotalBodyBytes || !m_account.tryHold(m_bodyBytes, SteadyClock().now())) {
+        // The upstream has run the call: its answer makes others give way, and has its own limit.
+        m_account.hold(m_bodyBytes, SteadyClock().now());
+        if (total > maxTotalBodyBytes) {
             return Error{ErrorKind::Unavailable, "reading from " + m_endpoint.text()
                                                          + ": too many bytes of answers are held"};
         }
@@ -493,9 +495,6 @@
                                         const HttpCallOptions &options)
 {
     const auto message = toMessage(endpoint, request);
-    // The caller holds the request until the response begins.
-    MemoryAccount account(MemoryBudget::ofProcess());
-    account.hold(request.body.size(), SteadyClock().now());
     ConnectionPointer connection;
     if (options.reuse == ConnectionReuse::Allowed)
         connection = ConnectionPool::ofThread().acquire(endpoint);
--- a/Libraries/Net/MemoryBudget.cpp
+++ b/Libraries/Net/MemoryBudget.cpp
@@ -9,21 +9,25 @@
 
 namespace {
 
+constexpr std::size_t megabyte = std::size_t{1024} * 1024;
 /// Growth that counts as progress. Smaller steps would let a client that sends a byte now and then
 /// keep its memory.
 constexpr std::size_t progressBytes = std::size_t{64} * 1024;
 /// Holders of no more than this may use the reserved bytes; most ordinary requests do.
 constexpr std::size_t smallHolderBytes = std::size_t{192} * 1024;
+/// Holders of more than this are large; no ordinary request is (up to 780 KB).
+constexpr std::size_t largeHolderBytes = megabyte;
 /// Added to the time without progress, so that sizes count among holders that progress steadily.
 constexpr Milliseconds baseStall{50};
 /// Connections that have not sent any request are closed before those that have.
 constexpr int unusedFactor = 4;
 
-constexpr std::size_t megabyte = std::size_t{1024} * 1024;
 /// The process without load, with the resident part of its program file (15 to 21 MB).
 constexpr std::size_t processBytes = 24 * megabyte;
 /// Some bodies of the largest legal size (4 MiB) fit in any case.
 constexpr std::size_t minBudgetBytes = 10 * megabyte;
+/// One answer of the largest legal size (8 MB) fits in any case.
+constexpr std::size_t minAnswerBytes = 8 * megabyte;
 /// The largest is what the kernel gives a new connection at first. Without a limit it grows to
 /// megabytes, which count as memory of the machine before this process has read them.
 constexpr std::size_t minReceiveBufferBytes = std::size_t{16} * 1024;
@@ -60,6 +64,8 @@
         const auto free = std::max(memory, processBytes) - processBytes;
         limits.bytes = std::max(minBudgetBytes, free / 5 * 2);
         limits.reservedBytes = limits.bytes / 8;
+        limits.largeHolderLimit = limits.bytes / 2;
+        limits.answerBytes = std::max(minAnswerBytes, limits.bytes / 2);
         const auto bufferBytes = std::clamp(memory / 4 / fullReceiveBuffers, minReceiveBufferBytes,
                                             maxReceiveBufferBytes);
         limits.receiveBufferBytes = static_cast<int>(bufferBytes);
@@ -168,8 +174,11 @@
         account.m_progressedAt = now;
     if (account.m_isEvicted)
         return !mayFail;
-    const auto limit
-            = bytes <= smallHolderBytes ? m_limits.bytes : m_limits.bytes - m_limits.reservedBytes;
+    auto limit = m_limits.bytes;
+    if (bytes > smallHolderBytes)
+        limit -= m_limits.reservedBytes;
+    if (bytes > largeHolderBytes)
+        limit = std::min(limit, m_limits.largeHolderLimit);
     while (m_heldBytes - m_evictedBytes > limit) {
         auto *worst = worstHolder(now);
         if (worst == nullptr)
--- a/Libraries/Net/MemoryBudget.h
+++ b/Libraries/Net/MemoryBudget.h
@@ -35,6 +35,11 @@
     std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
     /// Receive buffer of an accepted connection in the kernel; 0 for the kernel's default.
     int receiveBufferBytes = 0;
+    /// Part of the bytes that may be in use while a holder of more than 1 MiB grows. The rest is
+    /// for ordinary requests, and for the copies of large ones on their way to an upstream.
+    std::size_t largeHolderLimit = std::numeric_limits<std::size_t>::max();
+    /// Limit on the answers that calls hold together.
+    std::size_t answerBytes = std::numeric_limits<std::size_t>::max();
 
     /// Returns the limits for a machine with this memory in MB and this number of descriptors; 0
     /// if unknown.
--- a/Services/radishplankd/Agent/AgentDaemon.cpp
+++ b/Services/radishplankd/Agent/AgentDaemon.cpp
@@ -100,6 +100,7 @@
 {
     const auto &common = settings.common;
     MemoryBudget::limitProcess(common.memoryLimit, common.descriptorLimit);
+    HttpClient::setMaxTotalBodyBytes(MemoryBudget::ofProcess().limits().answerBytes);
     FiberThreads threads(common.threads);
     Agent agent(threads, agentSettings(settings));
     HttpObjectStore store(common.store, common.storeTimeout);
--- a/Services/radishplankd/Entry/EntryDaemon.cpp
+++ b/Services/radishplankd/Entry/EntryDaemon.cpp
@@ -120,6 +120,7 @@
     const auto &common = settings.common;
     const NodeId node(common.node);
     MemoryBudget::limitProcess(common.memoryLimit, common.descriptorLimit);
+    HttpClient::setMaxTotalBodyBytes(MemoryBudget::ofProcess().limits().answerBytes);
     FiberThreads threads(common.threads);
     HttpObjectStore store(common.store, common.storeTimeout);
     EntryControl controlHandler;
--- a/Tests/Net/TestMemoryBudget.cpp
+++ b/Tests/Net/TestMemoryBudget.cpp
@@ -93,6 +93,20 @@
     CHECK(small.account.tryHold(100 * kilobyte, clock.now()));
 }
 
+// Two large bodies at their upstreams left no room for any ordinary request.
+TEST_CASE("Large bodies that are being served leave room to ordinary ones", "[MemoryBudget]")
+{
+    MemoryBudget budget(MemoryLimits::forMachine(48, 0));
+    ManualClock clock;
+    Holder running(budget);
+    Holder large(budget);
+    Holder ordinary(budget);
+    CHECK(running.account.tryHold(4 * megabyte + 32 * kilobyte, clock.now()));
+    CHECK_FALSE(large.account.tryHold(2 * megabyte, clock.now()));
+    large.account.hold(0, clock.now());
+    CHECK(ordinary.account.tryHold(800 * kilobyte, clock.now()));
+}
+
 TEST_CASE("Idle connections are closed for new ones, unused ones first", "[MemoryBudget]")
 {
     MemoryLimits limits;
