Tests: Measure reports at 1,000 processes for longer after the start

The model of 1,000 processes is red: 404 of 999,000 pairs of live processes do not know each other 6 s after all start together, and 8,869 after 3.5 s. The models of 100 and 300 processes keep their start of 1.5 s and pass.

--- a/Tests/Gateway/TestFleetReporter.cpp
+++ b/Tests/Gateway/TestFleetReporter.cpp
@@ -259,9 +259,9 @@
     }
 };
 
-Cost measure(Model &model)
+Cost measure(Model &model, Milliseconds startTime)
 {
-    model.run(Milliseconds(1'500));
+    model.run(startTime);
     model.resetCounters();
     model.run(Milliseconds(2'000));
     Cost cost;
@@ -279,15 +279,16 @@
     std::size_t processes = 0;
     std::size_t datagrams = 0;
     std::size_t bytes = 0;
+    /// Time after a start of all processes at once until the reports are in a steady state.
+    Milliseconds startTime{1'500};
 };
 
 void checkCost(const CostLimit &limit)
 {
     CAPTURE(limit.processes);
     Model model(limit.processes, 11, 0.01);
-    const auto cost = measure(model);
-    const auto text = std::to_string(limit.processes)
-                      + " processes: datagrams a second each way "
+    const auto cost = measure(model, limit.startTime);
+    const auto text = std::to_string(limit.processes) + " processes: datagrams a second each way "
                       + std::to_string(median(cost.datagrams)) + " (most "
                       + std::to_string(Cost::most(cost.datagrams)) + "), bytes "
                       + std::to_string(median(cost.bytes)) + " (most "
@@ -327,7 +328,7 @@
 
 TEST_CASE("Reports cost a bounded part of a process's link in a fleet of a thousand", "[.large]")
 {
-    checkCost({1'000, 2'000, 1'500'000});
+    checkCost({1'000, 850, 750'000, Milliseconds(4'000)});
 }
 
 TEST_CASE("Every process learns of every other through relays", "[FleetReporter]")
