--- a/Libraries/Limits/QuotaRules.cpp
+++ b/Libraries/Limits/QuotaRules.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 constexpr double heldShareOfOverage = 0.4;
-constexpr double homelessShareOfOverage = 0.25;
+constexpr double withoutHomeShareOfOverage = 0.25;
 constexpr double silentShareOfOverage = 0.3;
-constexpr double homelessShareOfSlack = 0.9;
+constexpr double withoutHomeShareOfSlack = 0.9;
 /// Share of the burst whose refill time counts towards the lifetime of tokens. Used tokens occupy
 /// room in the bucket until their lifetime ends, so a longer lifetime would leave less of a burst.
 constexpr double burstShareOfLifetime = 0.35;
@@ -52,8 +52,8 @@
     if (members == 0)
         return 0;
     const double total
-            = homelessShareOfOverage * overage * (limit.rate * windowSeconds() + limit.burst)
-              + homelessShareOfSlack * slack;
+            = withoutHomeShareOfOverage * overage * (limit.rate * windowSeconds() + limit.burst)
+              + withoutHomeShareOfSlack * slack;
     return static_cast<std::size_t>(total / static_cast<double>(members));
 }
 
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -5,6 +5,8 @@
 #include <UpstreamDecoder.h>
 
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 
 using namespace Radishplank;
 using namespace Radishplank::Platform;
@@ -42,6 +44,36 @@
 
 } // namespace
 
+TEST_CASE("Bounds that a deployment does not state leave the settings unchanged", "[Decoders]")
+{
+    const auto path = std::filesystem::temp_directory_path()
+                      / ("radishplank-bounds-" + makeUniqueId("test") + ".json");
+    const auto read = [&](const std::string &text) {
+        std::ofstream(path) << text;
+        Platform::EntrySettings settings;
+        CHECK_FALSE(Platform::readPlatformBounds(path.string(), settings).isError());
+        std::filesystem::remove(path);
+        return settings;
+    };
+    const auto without = read(R"({"bounds":{"quota_overage":0.1},"limits":{"memory_mb":110}})");
+    CHECK(without.revocationTime.count() == 0);
+    CHECK(without.quotaWindow == 5);
+    CHECK(without.memoryLimit == 110);
+    CHECK(without.descriptorLimit == 0);
+    CHECK(read(R"({"bounds":{"fail_closed":false,"revoke_ms":5000}})").revocationTime.count() == 0);
+
+    const auto with = read(R"({"bounds":{"fail_closed":true,"revoke_ms":5000,"quota_window_s":4,
+            "quota_overage":0.2,"quota_slack":20},"limits":{"memory_mb":160,"max_fds":4200}})");
+    CHECK(with.revocationTime == Milliseconds(5'000));
+    CHECK(with.quotaWindow == 4);
+    CHECK(with.quotaOverage == 0.2);
+    CHECK(with.quotaSlack == 20);
+    CHECK(with.memoryLimit == 160);
+    CHECK(with.descriptorLimit == 4'200);
+    Platform::EntrySettings settings;
+    CHECK(Platform::readPlatformBounds(path.string(), settings).isError());
+}
+
 TEST_CASE("The operator's configuration is decoded into routes", "[Decoders]")
 {
     Findings findings;
