--- a/Libraries/Gateway/ItemRun.cpp
+++ b/Libraries/Gateway/ItemRun.cpp
@@ -129,6 +129,10 @@
     if (answer.status() == misdirected || answer.headers().find(dialect.notExecuted)) {
         if (answer.status() == misdirected)
             place.reportHealth(UpstreamHealth::Failed);
+        logDecision("attempt-not-run", {{"id", item.id},
+                                        {"upstream", upstream.id.text()},
+                                        {"status", std::to_string(answer.status())},
+                                        {"earlierCalls", std::to_string(answer.earlierCalls())}});
         answer.skipBody();
         return ItemRunEnd::NotRun;
     }
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -174,7 +174,8 @@
         m_metrics.attemptsNotRun.increase();
         logDecision("attempt-not-run", {{"id", id()},
                                         {"upstream", upstream.id.text()},
-                                        {"status", std::to_string(answer.status())}});
+                                        {"status", std::to_string(answer.status())},
+                                        {"earlierCalls", std::to_string(answer.earlierCalls())}});
         answer.skipBody();
         return AttemptOutcome::NotRun;
     }
--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -46,6 +46,7 @@
 /// Bytes of response bodies that readBody() holds, for all calls of the process.
 std::atomic<std::size_t> totalBodyBytes{0};
 std::atomic<std::size_t> maxTotalBodyBytes{std::numeric_limits<std::size_t>::max()};
+Counter skippedResponseCount;
 
 struct PooledConnection
 {
@@ -59,6 +60,7 @@
     beast::flat_buffer buffer;
     TimePoint idleSince;
     Duration idleTimeout = idleConnectionTimeout;
+    unsigned calls = 0;
 };
 
 using ConnectionPointer = std::unique_ptr<PooledConnection>;
@@ -196,6 +198,7 @@
         , m_endpoint(std::move(endpoint))
         , m_options(options)
         , m_interruptGuard(options.cancellation, [this] { abort(); })
+        , m_earlierCalls(m_connection->calls++)
     {
         resetParser();
     }
@@ -214,6 +217,8 @@
             }
             // An interim response or a late one to an earlier call; the response to this call
             // follows it.
+            if (!isInterim())
+                skippedResponseCount.increase();
             if (const auto code = discardBody(deadline))
                 return code;
             resetParser();
@@ -223,6 +228,7 @@
 
     [[nodiscard]] unsigned status() const override { return m_status; }
     [[nodiscard]] const HttpHeaders &headers() const override { return m_headers; }
+    [[nodiscard]] unsigned earlierCalls() const override { return m_earlierCalls; }
 
     Result<std::string> readChunk() override
     {
@@ -385,6 +391,7 @@
     Endpoint m_endpoint;
     HttpCallOptions m_options;
     InterruptGuard m_interruptGuard;
+    const unsigned m_earlierCalls;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     HttpHeaders m_headers;
     unsigned m_status = 0;
@@ -491,6 +498,11 @@
     maxTotalBodyBytes = bytes;
 }
 
+const Counter &HttpClient::skippedResponses()
+{
+    return skippedResponseCount;
+}
+
 HttpClient::OpenResult HttpClient::open(const Endpoint &endpoint, const HttpRequest &request,
                                         const HttpCallOptions &options)
 {
--- a/Libraries/Net/HttpClient.h
+++ b/Libraries/Net/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include <Core/Clock.h>
 #include <Core/Endpoint.h>
+#include <Core/Metrics.h>
 #include <Core/Result.h>
 #include <Net/CallCancellation.h>
 #include <Net/HttpMessage.h>
@@ -64,6 +65,8 @@
 
     [[nodiscard]] virtual unsigned status() const = 0;
     [[nodiscard]] virtual const HttpHeaders &headers() const = 0;
+    /// Returns how many calls the connection had carried before this one.
+    [[nodiscard]] virtual unsigned earlierCalls() const = 0;
     /// Returns the next chunk; an empty chunk marks the end of a complete body.
     virtual Result<std::string> readChunk() = 0;
     /// Returns the whole body; TooLarge if it exceeds the call's limit.
@@ -89,6 +92,9 @@
     /// exceeds it fails its call with Unavailable. There is no limit by default.
     static void setMaxTotalBodyBytes(std::size_t bytes);
 
+    /// Counts the responses that were skipped because they bear the id of another call.
+    static const Counter &skippedResponses();
+
     using OpenResult = std::variant<std::unique_ptr<HttpResponseStream>, HttpCallError>;
 
     /// Sends the request and waits for the response headers.
