HttpClient: Send no two calls with the same id on one connection

Cause: a response that bears the id of a call was taken for the response to the call. An upstream may write a refusal once more, and the id does not tell the copy from the response if the same call was sent again on that connection: after a server restarted under another id at the same address (first attempt: 421), in a resumed stream, or as the next run of a batch item. The copy then counted as "not run" while the upstream worked on the call, and the connection went back to the pool with a request under way.

A connection now remembers the ids that it has carried, and a call with one of them is sent on another connection, so that a copy always bears an id other than that of the call under way, whatever its status. 256 ids at most, then the connection is closed.

The trace of one call: 421, copy of the 421, run at another server, run at the first one.

Ruled out: closing the connection after each refusal, which costs a new connection for each refusal of a full server; a new connection for each further attempt, which a process that gets a job back would not know of.

--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include <Net/HttpClient.h>
 
+#include <Core/Hash.h>
 #include <Net/Await.h>
 #include <Net/BodyBuffer.h>
 #include <Net/FiberThreads.h>
@@ -39,6 +40,8 @@
 constexpr std::size_t connectionBufferBytes = std::size_t{64} * 1024;
 /// Late responses and interim (1xx) responses that may precede the response to a call.
 constexpr unsigned maxSkippedResponses = 16;
+/// Bounds the ids that a connection remembers; after this many calls it is closed.
+constexpr std::size_t maxCallsPerConnection = 256;
 
 /// A body that nobody needs is read for this long, so that its connection can be used again.
 constexpr Milliseconds skippedBodyTimeout{250};
@@ -61,6 +64,8 @@
     TimePoint idleSince;
     Duration idleTimeout = idleConnectionTimeout;
     unsigned calls = 0;
+    /// Hashes of the ids of the calls that it has carried.
+    std::vector<std::uint64_t> callIds;
 };
 
 using ConnectionPointer = std::unique_ptr<PooledConnection>;
@@ -76,14 +81,22 @@
         return *pool;
     }
 
-    ConnectionPointer acquire(const Endpoint &endpoint)
+    /// Returns an idle connection that can carry a call; null if there is none.
+    ///
+    /// A connection carries no two calls with the same id: a faulty peer may write a response once
+    /// more, and the id would not tell the copy from the response to the later call.
+    ConnectionPointer acquire(const Endpoint &endpoint, const ResponseMatch &match)
     {
         auto &idle = m_idle[endpoint];
         const auto now = SteadyClock().now();
-        while (!idle.empty()) {
-            auto connection = std::move(idle.back());
-            idle.pop_back();
-            if (!isExpired(*connection, now) && isReusable(*connection))
+        for (auto index = idle.size(); index-- > 0;) {
+            const auto position = idle.begin() + static_cast<std::ptrdiff_t>(index);
+            const bool isUsable = !isExpired(**position, now) && isReusable(**position);
+            if (isUsable && hasCarried(**position, match))
+                continue;
+            auto connection = std::move(*position);
+            idle.erase(position);
+            if (isUsable)
                 return connection;
         }
         return {};
@@ -121,6 +134,13 @@
         return now - connection.idleSince >= connection.idleTimeout;
     }
 
+    static bool hasCarried(const PooledConnection &connection, const ResponseMatch &match)
+    {
+        const auto &ids = connection.callIds;
+        return !match.header.empty()
+               && std::find(ids.begin(), ids.end(), stableHash(match.value)) != ids.end();
+    }
+
     /// Returns whether the peer has neither closed the connection nor sent unexpected bytes.
     static bool isReusable(PooledConnection &connection)
     {
@@ -351,7 +371,8 @@
     {
         const auto &match = m_options.match;
         const bool isIdentified = match.header.empty() || m_headers.find(match.header).has_value();
-        return isIdentified && m_parser->get().keep_alive();
+        return isIdentified && m_connection->callIds.size() < maxCallsPerConnection
+               && m_parser->get().keep_alive();
     }
 
     [[nodiscard]] bool isResponseToThisCall() const
@@ -467,6 +488,8 @@
                 callError("sending to", endpoint, boost::asio::error::operation_aborted),
                 CallProgress::NotSent};
     }
+    if (!options.match.header.empty())
+        connection->callIds.push_back(stableHash(options.match.value));
     {
         const InterruptGuard guard(options.cancellation,
                                    [stream = &connection->stream] { stream->cancel(); });
@@ -509,7 +532,7 @@
     const auto message = toMessage(endpoint, request);
     ConnectionPointer connection;
     if (options.reuse == ConnectionReuse::Allowed)
-        connection = ConnectionPool::ofThread().acquire(endpoint);
+        connection = ConnectionPool::ofThread().acquire(endpoint, options.match);
     if (!connection) {
         auto connected = connect(endpoint, options);
         if (auto *error = std::get_if<HttpCallError>(&connected))
--- a/Tests/Net/TestHttpClient.cpp
+++ b/Tests/Net/TestHttpClient.cpp
@@ -1,3 +1,5 @@
+#include "RepeatingServer.h"
+
 #include <Net/Net.h>
 
 #include <atomic>
@@ -6,12 +8,14 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <future>
 #include <limits>
 #include <thread>
 
 using namespace Radishplank;
 using boost::asio::ip::tcp;
+using Radishplank::Test::RepeatingServer;
 
 namespace {
 
@@ -89,6 +93,16 @@
     std::thread m_thread;
 };
 
+/// Returns a script that responds with the given bytes in turn.
+RepeatingServer::Script respondInTurn(std::deque<std::string> responses)
+{
+    return [responses = std::move(responses)](const std::string &) mutable {
+        auto response = std::move(responses.front());
+        responses.pop_front();
+        return response;
+    };
+}
+
 std::string makeResponse(const std::string &id, const std::string &body)
 {
     return "HTTP/1.1 200 OK\r\nAttempt: " + id
@@ -155,6 +169,42 @@
     }
 }
 
+TEST_CASE("A copy of an earlier response is not taken for the response when a call is sent again",
+          "[HttpClient]")
+{
+    using Bodies = std::vector<std::string>;
+    const std::string loopback = "127.0.0.1";
+    const auto responseWith = [](const std::string &status) {
+        return "HTTP/1.1 " + status + "\r\nAttempt: a\r\nContent-Length: 5\r\n\r\nfirst";
+    };
+    const auto second = makeResponse("a", "second");
+
+    SECTION("The copy of a refusal")
+    {
+        const auto refusal = responseWith("503 Full");
+        RepeatingServer server(loopback, respondInTurn({refusal, second}));
+        CHECK(callEach(server.endpoint(), {"a", "a"}) == Bodies{"first", "second"});
+        CHECK(server.connections() == 2);
+    }
+    SECTION("The copy of a refusal, after another call on the connection")
+    {
+        RepeatingServer server(loopback, respondInTurn({responseWith("503 Full"),
+                                                        makeResponse("b", "other"), second}));
+        CHECK(callEach(server.endpoint(), {"a", "b", "a"}) == Bodies{"first", "other", "second"});
+        CHECK(server.connections() == 2);
+    }
+    SECTION("The copy of a failure")
+    {
+        RepeatingServer server(loopback, respondInTurn({responseWith("500 Failed"), second}));
+        CHECK(callEach(server.endpoint(), {"a", "a"}) == Bodies{"first", "second"});
+    }
+    SECTION("The copy of a success")
+    {
+        RepeatingServer server(loopback, respondInTurn({responseWith("200 OK"), second}));
+        CHECK(callEach(server.endpoint(), {"a", "a"}) == Bodies{"first", "second"});
+    }
+}
+
 TEST_CASE("The framing of a response is limited like its head", "[HttpClient]")
 {
     const std::string head = "HTTP/1.1 200 OK\r\nAttempt: a\r\nTransfer-Encoding: chunked\r\n\r\n";
