RelayCall: Pass no status on that promises what the upstream has not said

Cause: the status of an upstream was passed on as it is. To callers 408, 421, 429 and 503 are promises; an upstream makes one only with the statement that it has not run the call, and such answers are handled before. Without the statement the call counts as one that may have run: it is sent on if it may run again, and otherwise its caller gets 502, without the upstream's seal.

--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -5,6 +5,7 @@
 #include <Gateway/StreamProgress.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdio>
 
@@ -32,6 +33,13 @@
 /// An upstream that has sent this many events of a stream has got past the beginning of its answer.
 constexpr std::size_t minEventsOfAnswer = 2;
 
+/// Returns whether a status tells callers that their call has not run and never will.
+bool promisesNotRun(unsigned status)
+{
+    constexpr std::array<unsigned, 4> statuses{408, 421, 429, 503};
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
 Milliseconds targetOf(const Route &route)
 {
     return route.target.count() > 0 ? route.target : defaultTarget;
@@ -179,6 +187,14 @@
         answer.skipBody();
         return AttemptOutcome::NotRun;
     }
+    if (promisesNotRun(answer.status())) {
+        // Without the upstream's statement, the call may have run.
+        reservation.reportHealth(UpstreamHealth::Failed);
+        logFailedAttempt(upstream, "status " + std::to_string(answer.status())
+                                           + " without a statement that the call has not run");
+        answer.skipBody();
+        return AttemptOutcome::Interrupted;
+    }
     const auto outcome = forwardAnswer(reservation, answer);
     if (outcome == AttemptOutcome::Answered) {
         reservation.reportHealth(UpstreamHealth::Healthy);
--- a/Tests/Platform/FakeServer.cpp
+++ b/Tests/Platform/FakeServer.cpp
@@ -146,6 +146,9 @@
     case ServerAction::Fail:
         (void)exchange.respond({500, std::move(headers), "failed"});
         return;
+    case ServerAction::FailAsBusy:
+        (void)exchange.respond({503, std::move(headers), "failed"});
+        return;
     case ServerAction::Reject:
         (void)exchange.respond({422, std::move(headers), "impossible"});
         return;
--- a/Tests/Platform/FakeServer.h
+++ b/Tests/Platform/FakeServer.h
@@ -16,6 +16,7 @@
     Serve,
     Shed,           ///< 503 with a statement that the request did not run.
     Fail,           ///< 500 from the server itself.
+    FailAsBusy,     ///< 503 without a statement that the request did not run.
     Reject,         ///< 422: the request can never succeed.
     CloseMidStream, ///< Closes the connection in the middle of the second event.
     DropResponse,   ///< Runs the request and closes the connection without a response.
--- a/Tests/Platform/TestPlatformEntry.cpp
+++ b/Tests/Platform/TestPlatformEntry.cpp
@@ -132,6 +132,27 @@
         CHECK(response.status == 0); // The connection closed before the response was complete.
         CHECK(server.served().size() + second.served().size() == 1);
     }
+    SECTION("A status that promises that the call has not run is not passed on without proof")
+    {
+        server.planActions({ServerAction::FailAsBusy});
+        const auto response = deployment.post("entry1", "/plain/x", "hello", "a1");
+        CHECK(response.status == 502);
+        CHECK(response.headers.value("X-Response-Seal").empty());
+        CHECK(response.headers.value("Retry-After").empty());
+        CHECK(server.served().size() == 1);
+    }
+    SECTION("A call that may run again is sent to another server after such a status")
+    {
+        auto &second = deployment.addServer("i-2");
+        server.planActions({ServerAction::FailAsBusy});
+        second.planActions({ServerAction::FailAsBusy});
+        REQUIRE(eventually([&] {
+            const auto response = deployment.post("entry1", "/resume/x", "hello", "a1");
+            CHECK(response.status == 200);
+            CHECK(response.body == FakeServer::responseBytes("hello"));
+            return !second.served().empty() && !server.served().empty();
+        }));
+    }
     SECTION("A resumable stream continues at another server after a lost connection")
     {
         auto &second = deployment.addServer("i-2");
