JobLog, JobService: Refuse no job that the store has

A submission got 503, "no part of the job runs", although the job was in the store with the refusing process as its owner, and its items ran later (REFUSED, if each attempt of the client met the same).

Cause: the store answers a write with a conflict when an earlier write of the job was taken for lost, or when the job came before. The read that follows may be refused (503 or 429 of the store, for instance above its rate). The refusal of the read was reported as a refusal of the job. The same in the load of a job that this process owned before a restart, and in the check for an earlier acceptance of a job above its limit.

A read that is refused after a write now leaves the outcome unknown: the caller gets 504, and the process looks for the job until it knows.

Tests, red before: TestBatch, "A stored job is not reported as refused ..." (2 of 2), and TestGateway, "The store has the job from before a restart, but refuses to read it".

--- a/Libraries/Batch/JobLog.h
+++ b/Libraries/Batch/JobLog.h
@@ -48,8 +48,17 @@
 
     [[nodiscard]] Store &store() const { return m_store; }
 
+    /// Converts the error of a read that followed a write: that the store refused the read does not
+    /// mean that the write had no effect.
+    static Error asUnknownOutcome(Error error)
+    {
+        if (error.kind == ErrorKind::Refused)
+            error.kind = ErrorKind::Unavailable;
+        return error;
+    }
+
     /// Creates the job and returns it as stored; an earlier submission of the same items wins.
-    /// Conflict if a job with the same id has other items.
+    /// Conflict if a job with the same id has other items. Refused only if the job is not stored.
     Result<SmallJob> accept(const SmallJob &job)
     {
         auto written = createConfirmed(jobKey(job.id), serialize(job));
@@ -57,8 +66,10 @@
             return job;
         if (written.error().kind != ErrorKind::Conflict)
             return written.takeError();
-        const auto object = TRY(m_store.get(jobKey(job.id)));
-        auto existing = TRY(parseSmallJob(object.value));
+        const auto object = m_store.get(jobKey(job.id));
+        if (object.isError())
+            return asUnknownOutcome(object.error());
+        auto existing = TRY(parseSmallJob(object.value().value));
         if (!existing.hasSameItems(job)) {
             return Error{ErrorKind::Conflict, "the job " + job.id + " exists with other items"};
         }
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -128,7 +128,13 @@
         const bool isNew = accepted.submittedAt == job.submittedAt;
         if (!isNew) {
             // The job was submitted before this process started.
-            adopt(TRY(m_log.load(job.id)));
+            auto loaded = m_log.load(job.id);
+            if (loaded.isError()) {
+                m_uncertainSubmissions[job.id]
+                        = {SteadyClock().now() + uncertainWriteTimeout, limit, job.tokens()};
+                return m_log.asUnknownOutcome(loaded.takeError());
+            }
+            adopt(loaded.takeValue());
             return {};
         }
         LoadedJob loaded;
@@ -442,7 +448,7 @@
         // Refusing a job that was accepted before would tell the caller that it does not run.
         const auto exists = m_log.exists(job.id);
         if (exists.isError())
-            return Error{ErrorKind::Refused, exists.error().message};
+            return m_log.asUnknownOutcome(exists.error());
         if (exists.value())
             return std::int64_t{0};
         m_context.metrics.jobsOverLimit.increase();
--- a/Tests/Batch/TestJobLog.cpp
+++ b/Tests/Batch/TestJobLog.cpp
@@ -3,6 +3,7 @@
 #include "../Store/FaultyStore.h"
 
 #include <catch2/catch.hpp>
+#include <deque>
 
 using namespace Radishplank;
 
@@ -92,6 +93,31 @@
         store.nextFault = [] { return FaultyStore::Fault::Outage; };
         CHECK(log.accept(job()).error().kind == ErrorKind::Unavailable);
     }
+    SECTION("A stored job is not reported as refused if the store refuses to read it")
+    {
+        const auto acceptWith = [&](std::vector<FaultyStore::Fault> faults) {
+            store.nextFault = [&, faults = std::deque(faults.begin(), faults.end())]() mutable {
+                if (faults.empty())
+                    return FaultyStore::Fault::Refusal;
+                const auto fault = faults.front();
+                faults.pop_front();
+                return fault;
+            };
+            return log.accept(job());
+        };
+        SECTION("after the response to its write was lost")
+        {
+            const auto accepted
+                    = acceptWith({FaultyStore::Fault::LostResponse, FaultyStore::Fault::None});
+            CHECK(accepted.error().kind == ErrorKind::Unavailable);
+        }
+        SECTION("after another process has stored it")
+        {
+            REQUIRE_FALSE(log.accept(job("entry2")).isError());
+            const auto accepted = acceptWith({FaultyStore::Fault::None});
+            CHECK(accepted.error().kind == ErrorKind::Unavailable);
+        }
+    }
 }
 
 TEST_CASE("Results keep their positions", "[JobLog]")
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -210,6 +210,29 @@
             CHECK(entry.eventually([&] { return entry.service.owns("job1"); }));
         }
     }
+    SECTION("The store has the job from before a restart, but refuses to read it")
+    {
+        auto earlier = makeJob(2);
+        earlier.submittedAt -= 1'000;
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(earlier); }).isError());
+        auto &restarted = *new EntryProcess(memory, "entry1");
+        const auto submitted = restarted.on([&] {
+            // A write, which conflicts, and a read precede the reads of the whole job.
+            restarted.store.nextFault = [calls = 0]() mutable {
+                return calls++ < 2 ? FaultyStore::Fault::None : FaultyStore::Fault::Refusal;
+            };
+            return restarted.service.submit(makeJob(2));
+        });
+
+        SECTION("The submission is not reported as refused, and the job runs")
+        {
+            REQUIRE(submitted.isError());
+            CHECK(submitted.error().kind == ErrorKind::Unavailable);
+            restarted.setFault(FaultyStore::Fault::None);
+            restarted.service.start();
+            CHECK(restarted.eventually([&] { return restarted.service.owns("job1"); }));
+        }
+    }
     SECTION("A submission to another process does not change the owner")
     {
         REQUIRE_FALSE(entry.on([&] { return entry.service.submit(makeJob(2)); }).isError());
--- a/Tests/Store/FaultyStore.h
+++ b/Tests/Store/FaultyStore.h
@@ -11,7 +11,12 @@
 class FaultyStore
 {
 public:
-    enum class Fault { None, Outage, LostResponse };
+    enum class Fault {
+        None,
+        Outage,
+        LostResponse,
+        Refusal, ///< The store says that it has done nothing.
+    };
 
     explicit FaultyStore(MemoryObjectStore &store)
         : m_store(store)
@@ -31,16 +36,16 @@
     Result<StoredObject> get(std::string_view key)
     {
         beforeGet(key);
-        if (nextFault() != Fault::None)
-            return unavailable();
+        if (const auto fault = nextFault(); fault != Fault::None)
+            return failureOf(fault);
         return m_store.get(key);
     }
     Result<Version> put(std::string_view key, std::string value, Version expected)
     {
         writes += 1;
         const auto fault = nextFault();
-        if (fault == Fault::Outage)
-            return unavailable();
+        if (fault == Fault::Outage || fault == Fault::Refusal)
+            return failureOf(fault);
         if (value.size() > maxValueBytes)
             return Error{ErrorKind::TooLarge, "the value is too large"};
         if (!invalidText.empty() && value.find(invalidText) != std::string::npos)
@@ -53,8 +58,8 @@
     Result<void> remove(std::string_view key, Version expected)
     {
         const auto fault = nextFault();
-        if (fault == Fault::Outage)
-            return unavailable();
+        if (fault == Fault::Outage || fault == Fault::Refusal)
+            return failureOf(fault);
         auto removed = m_store.remove(key, expected);
         if (fault == Fault::LostResponse)
             return unavailable();
@@ -62,19 +67,24 @@
     }
     Result<ObjectPage> list(std::string_view prefix, std::string_view after, ListContent content)
     {
-        if (nextFault() != Fault::None)
-            return unavailable();
+        if (const auto fault = nextFault(); fault != Fault::None)
+            return failureOf(fault);
         return m_store.list(prefix, after, content);
     }
     Result<WatchBatch> watch(std::string_view prefix, Version since, Milliseconds wait)
     {
-        if (nextFault() != Fault::None)
-            return unavailable();
+        if (const auto fault = nextFault(); fault != Fault::None)
+            return failureOf(fault);
         return m_store.watch(prefix, since, wait);
     }
 
 private:
     static Error unavailable() { return {ErrorKind::Unavailable, "the store is unavailable"}; }
+    static Error failureOf(Fault fault)
+    {
+        return fault == Fault::Refusal ? Error{ErrorKind::Refused, "the store refuses the call"}
+                                       : unavailable();
+    }
 
     MemoryObjectStore &m_store;
 };
