--- a/Libraries/Serving/TokenBucket.cpp
+++ b/Libraries/Serving/TokenBucket.cpp
@@ -32,7 +32,8 @@
     refill(now);
     const double missing = std::max(0.0, 1 - m_tokens);
     const double seconds = m_perSecond > 0 ? missing / m_perSecond : longestWaitSeconds;
-    return std::chrono::duration_cast<Duration>(
+    // Rounded up: after a wait of zero, take() succeeds.
+    return std::chrono::ceil<Duration>(
             std::chrono::duration<double>(std::min(seconds, longestWaitSeconds)));
 }
 
