--- a/Libraries/Gateway/CallHeaderNames.h
+++ b/Libraries/Gateway/CallHeaderNames.h
@@ -30,6 +30,9 @@
     std::string tokenUsage = {};
     /// States the caller's estimate of the output tokens.
     std::string lengthHint = {};
+    /// States in an answer how many requests per second, as a decimal number, the upstream takes
+    /// from all processes together.
+    std::string requestLimit = {};
 };
 
 } // namespace Radishplank
--- a/Libraries/Gateway/FleetReporter.cpp
+++ b/Libraries/Gateway/FleetReporter.cpp
@@ -56,6 +56,7 @@
     result.endedJobs.clear();
     result.crashUpdates = {};
     result.partUpdates = {};
+    result.upstreamLimits.clear();
     result.quotaHomes.clear();
     result.previousQuotaHomes.clear();
     return result;
@@ -112,6 +113,20 @@
     return result;
 }
 
+FleetReporter::CellMembers FleetReporter::cellMembers(std::span<const ReportPeer> peers) const
+{
+    CellMembers members;
+    const auto ownCell = FleetPartition::cellOf(m_position, m_cells);
+    for (std::size_t i = 0; i < peers.size(); ++i) {
+        if (FleetPartition::cellOf(m_peerPositions[i], m_cells) != ownCell)
+            continue;
+        members.size += 1;
+        if (peers[i].isReachable)
+            members.reachable.push_back({peers[i].node, peers[i].zone});
+    }
+    return members;
+}
+
 bool FleetReporter::needsOwnReport(const ReportPeer &peer, CellPosition position) const
 {
     return peer.zone == m_locality.zone || m_quotaHomes.contains(peer.node) || !peer.isReachable
--- a/Libraries/Gateway/FleetReporter.h
+++ b/Libraries/Gateway/FleetReporter.h
@@ -58,6 +58,18 @@
                                     const UpstreamSubset *subset, std::span<const ReportPeer> peers,
                                     TimePoint now);
 
+    /// The other processes of this process's cell, which use the same upstreams.
+    struct CellMembers
+    {
+        std::vector<LimitMember> reachable;
+        /// Number of processes of the cell, with this one.
+        std::size_t size = 1;
+    };
+    /// `peers` are those of the last call of datagrams().
+    /// FIXME: Several cells share the upstreams of a service that has few; each of them divides the
+    ///        whole rate of a limited upstream.
+    [[nodiscard]] CellMembers cellMembers(std::span<const ReportPeer> peers) const;
+
     /// Returns the position of this process, as of the last call of datagrams().
     [[nodiscard]] CellPosition position() const { return m_position; }
     [[nodiscard]] unsigned cells() const { return m_cells; }
--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -28,6 +28,7 @@
 #include <Gateway/RouteTable.h>
 #include <Gateway/StreamDelivery.h>
 #include <Gateway/StreamProgress.h>
+#include <Gateway/UpstreamLimits.h>
 #include <Gateway/UpstreamSelector.h>
 #include <Gateway/UpstreamTable.h>
 #include <Gateway/WorkHeaders.h>
--- a/Libraries/Gateway/GatewayMetrics.cpp
+++ b/Libraries/Gateway/GatewayMetrics.cpp
@@ -10,6 +10,8 @@
     renderCounter(text, "radishplank_calls_refused_for_share_total", callsRefusedForShare);
     renderCounter(text, "radishplank_calls_refused_without_upstream_total",
                   callsRefusedWithoutUpstream);
+    renderCounter(text, "radishplank_calls_refused_for_upstream_limit_total",
+                  callsRefusedForUpstreamLimit);
     renderCounter(text, "radishplank_calls_unread_total", callsUnread);
     renderCounter(text, "radishplank_calls_refused_as_crashing_total", callsRefusedAsCrashing);
     renderCounter(text, "radishplank_calls_failed_total", callsFailed);
--- a/Libraries/Gateway/GatewayMetrics.h
+++ b/Libraries/Gateway/GatewayMetrics.h
@@ -16,6 +16,8 @@
     Counter callsRefusedForWait;
     Counter callsRefusedForShare;
     Counter callsRefusedWithoutUpstream;
+    /// Calls refused because upstreams take no more requests per second.
+    Counter callsRefusedForUpstreamLimit;
     /// Streams ended because their callers did not read them.
     Counter callsUnread;
     Counter callsFailed;
--- a/Libraries/Gateway/HeaderRules.cpp
+++ b/Libraries/Gateway/HeaderRules.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/trim.hpp>
+#include <charconv>
+#include <cmath>
 #include <string>
 
 namespace Radishplank {
@@ -51,4 +53,16 @@
     return result;
 }
 
+std::optional<double> requestLimitOf(const HttpHeaders &headers, const std::string &name)
+{
+    const auto text = name.empty() ? std::nullopt : headers.find(name);
+    if (!text)
+        return {};
+    double perSecond = 0;
+    const auto parsed = std::from_chars(text->data(), text->data() + text->size(), perSecond);
+    if (parsed.ec != std::errc() || !std::isfinite(perSecond) || perSecond < 0)
+        return {};
+    return perSecond;
+}
+
 } // namespace Radishplank
--- a/Libraries/Gateway/HeaderRules.h
+++ b/Libraries/Gateway/HeaderRules.h
@@ -2,7 +2,9 @@
 
 #include <Net/HttpMessage.h>
 
+#include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace Radishplank {
@@ -12,4 +14,9 @@
 [[nodiscard]] HttpHeaders endToEndHeaders(const HttpHeaders &headers,
                                           std::span<const std::string_view> omitted = {});
 
+/// Returns the requests per second that a header field of an answer names; nothing if there is no
+/// such field, or if it is not a number that a rate can have.
+[[nodiscard]] std::optional<double> requestLimitOf(const HttpHeaders &headers,
+                                                   const std::string &name);
+
 } // namespace Radishplank
--- a/Libraries/Gateway/ItemRun.cpp
+++ b/Libraries/Gateway/ItemRun.cpp
@@ -125,6 +125,9 @@
     auto &answer = *std::get<std::unique_ptr<HttpResponseStream>>(opened);
     if (answer.headers().find(dialect.upstreamLeaving))
         place.noteLeaving();
+    place.noteRequestLimit(requestLimitOf(answer.headers(), dialect.requestLimit),
+                           answer.status() == 200 ? UpstreamLimits::AnswerKind::Success
+                                                  : UpstreamLimits::AnswerKind::Other);
     constexpr unsigned misdirected = 421;
     if (answer.status() == misdirected || answer.headers().find(dialect.notExecuted)) {
         if (answer.status() == misdirected)
--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -85,6 +85,7 @@
     m_admissionControl.notePeerStreams(report.node, report.ownerLoads, now);
     for (const auto &leaving : report.leaving)
         m_upstreams.noteLeaving(leaving);
+    m_upstreams.noteLimitReport(report.upstreamLimits, now);
     m_crashes.applyReport(report.crashUpdates, now);
     m_crashingParts.applyReport(report.partUpdates, now);
     if (onReport)
@@ -113,6 +114,7 @@
 void PeerLink::sendLoop()
 {
     m_upstreams.onLoadChange = [this] { m_hasLoadChanged = true; };
+    m_upstreams.onLimitChange = [this] { m_mustAnnounceFleet = true; };
     m_crashes.onUrgentReport = [this] { m_mustSendFullReport = true; };
     m_crashingParts.onUrgentReport = m_crashes.onUrgentReport;
     while (true) {
@@ -137,6 +139,7 @@
         report.hasJobs = true;
         report.crashUpdates = m_crashes.nextReport(now);
         report.partUpdates = m_crashingParts.nextReport(now);
+        report.upstreamLimits = m_upstreams.limitsToReport();
         if (describeJobs)
             describeJobs(report);
         if (describeQuotas)
@@ -153,8 +156,15 @@
                                            : ReportOccasion::LoadChange;
         return sendInLargeFleet(report, occasion, now);
     }
-    if (isFull)
+    if (isFull) {
         m_fullReportSentAt = now;
+        std::vector<LimitMember> members;
+        for (const auto &peer : m_peers.reportPeers(now)) {
+            if (peer.isReachable)
+                members.push_back({peer.node, peer.zone});
+        }
+        m_upstreams.setLimitMembers(members, m_peers.processCount());
+    }
     const auto bytes = encodePeerReport(report);
     const auto destinations = m_peers.destinations();
     PeerCounts counts;
@@ -193,6 +203,8 @@
     const auto datagrams = m_reporter.datagrams(report, occasion, subset.get(), peers, now);
     m_upstreams.restrictTo(m_reporter.position(), m_reporter.cells());
     m_loadPropagationTime = m_reporter.loadPropagationTime();
+    const auto cell = m_reporter.cellMembers(peers);
+    m_upstreams.setLimitMembers(cell.reachable, cell.size);
     if (m_reporter.hasUnsentLoads())
         m_hasLoadChanged = true;
     for (const auto &datagram : datagrams)
--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -37,6 +37,15 @@
   startedAt @1 :Int64;   # Start time of the instance that leaves.
 }
 
+# A limit on the requests of all processes that an upstream has named in an answer.
+struct UpstreamLimit {
+  upstream @0 :UInt64;   # Hash of the upstream's name.
+  startedAt @1 :Int64;   # Start time of the instance.
+  perSecond @2 :Float64;
+  hasEnded @3 :Bool;     # Whether the upstream names no limit any more.
+  ageMs @4 :UInt32;      # Time since the sender received the answer.
+}
+
 # An upstream that terminated while it was executing a call.
 struct UpstreamCrash {
   call @0 :UInt64;           # Fingerprint of the call.
@@ -109,4 +118,5 @@
   heardNodes @26 :List(UInt64);       # Processes of its zone that the sender has heard: hashes of
   heardAgesMs @27 :List(UInt16);      # their names, and the time since then.
   relayedReports @28 :List(RelayedReport); # Reports of some of these.
+  upstreamLimits @29 :List(UpstreamLimit); # As answers to the sender named them.
 }
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(a41f8a005e858ced);
 CAPNP_DECLARE_SCHEMA(aee4fa194d61b53b);
 CAPNP_DECLARE_SCHEMA(b936efe46a5d9c00);
+CAPNP_DECLARE_SCHEMA(863f501e5b30d50e);
 CAPNP_DECLARE_SCHEMA(ed63e63dc91e7af2);
 CAPNP_DECLARE_SCHEMA(f8bf2225f818a14e);
 CAPNP_DECLARE_SCHEMA(fc17798d09740c2d);
@@ -109,6 +110,21 @@
   };
 };
 
+struct UpstreamLimit {
+  UpstreamLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(863f501e5b30d50e, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct UpstreamCrash {
   UpstreamCrash() = delete;
 
@@ -192,7 +208,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 5, 19)
+    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 5, 20)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -632,6 +648,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class UpstreamLimit::Reader {
+public:
+  typedef UpstreamLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+  inline double getPerSecond() const;
+
+  inline bool getHasEnded() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamLimit::Builder {
+public:
+  typedef UpstreamLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream();
+  inline void setUpstream( ::uint64_t value);
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline bool getHasEnded();
+  inline void setHasEnded(bool value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamLimit::Pipeline {
+public:
+  typedef UpstreamLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class UpstreamCrash::Reader {
 public:
   typedef UpstreamCrash Reads;
@@ -1199,6 +1311,9 @@
   inline bool hasRelayedReports() const;
   inline  ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>::Reader getRelayedReports() const;
 
+  inline bool hasUpstreamLimits() const;
+  inline  ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader getUpstreamLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1395,6 +1510,13 @@
   inline void adoptRelayedReports(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::RelayedReport,  ::capnp::Kind::STRUCT>> disownRelayedReports();
 
+  inline bool hasUpstreamLimits();
+  inline  ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder getUpstreamLimits();
+  inline void setUpstreamLimits( ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder initUpstreamLimits(unsigned int size);
+  inline void adoptUpstreamLimits(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>> disownUpstreamLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1644,6 +1766,76 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t UpstreamLimit::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamLimit::Builder::getUpstream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setUpstream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UpstreamLimit::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UpstreamLimit::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double UpstreamLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double UpstreamLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamLimit::Reader::getHasEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool UpstreamLimit::Builder::getHasEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setHasEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UpstreamLimit::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamLimit::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t UpstreamCrash::Reader::getCall() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2808,6 +3000,40 @@
       ::capnp::bounded<18>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::hasUpstreamLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasUpstreamLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getUpstreamLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getUpstreamLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setUpstreamLimits( ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initUpstreamLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptUpstreamLimits(
+    ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownUpstreamLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -119,6 +119,11 @@
         report.waiting.push_back({demand.getService(), demand.getItems(), demand.getLateItems()});
     for (const auto upstream : reader.getLeaving())
         report.leaving.push_back({upstream.getUpstream(), upstream.getStartedAt()});
+    for (const auto limit : reader.getUpstreamLimits()) {
+        const auto perSecond = limit.getHasEnded() ? std::optional<double>() : limit.getPerSecond();
+        report.upstreamLimits.push_back({limit.getUpstream(), limit.getStartedAt(), perSecond,
+                                         Milliseconds(limit.getAgeMs())});
+    }
     for (const auto crash : reader.getCrashes()) {
         report.crashUpdates.crashes.push_back({crash.getCall(), crash.getUpstreamStart(),
                                                crash.getObservation(),
@@ -187,6 +192,15 @@
         leaving[i].setUpstream(report.leaving[i].upstream);
         leaving[i].setStartedAt(report.leaving[i].startedAt);
     }
+    auto limits = builder.initUpstreamLimits(static_cast<unsigned>(report.upstreamLimits.size()));
+    for (unsigned i = 0; i < report.upstreamLimits.size(); ++i) {
+        const auto &limit = report.upstreamLimits[i];
+        limits[i].setUpstream(limit.upstream);
+        limits[i].setStartedAt(limit.startedAt);
+        limits[i].setPerSecond(limit.perSecond.value_or(0));
+        limits[i].setHasEnded(!limit.perSecond);
+        limits[i].setAgeMs(encodeMilliseconds(limit.age));
+    }
     const auto &updates = report.crashUpdates;
     auto crashes = builder.initCrashes(static_cast<unsigned>(updates.crashes.size()));
     for (unsigned i = 0; i < updates.crashes.size(); ++i) {
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -6,6 +6,7 @@
 #include <Limits/QuotaRules.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,6 +59,21 @@
     bool operator==(const LeavingUpstream &) const = default;
 };
 
+/// A limit on the requests of all processes that an upstream has named in an answer.
+struct UpstreamLimitReport
+{
+    /// Hash of the upstream's name, as upstreamHash() gives it.
+    std::uint64_t upstream = 0;
+    /// Start time of the instance.
+    std::int64_t startedAt = 0;
+    /// Requests per second; empty if the upstream names no limit any more.
+    std::optional<double> perSecond;
+    /// Time since the sender received the answer.
+    Milliseconds age{0};
+
+    bool operator==(const UpstreamLimitReport &) const = default;
+};
+
 /// Versions of the configuration and of the list of upstreams that a process has.
 struct FleetVersion
 {
@@ -98,6 +114,8 @@
     std::vector<UpstreamStreams> loads;
     std::vector<ServiceDemand> waiting;
     std::vector<LeavingUpstream> leaving;
+    /// Only in full reports.
+    std::vector<UpstreamLimitReport> upstreamLimits;
     CrashReport crashUpdates;
     CrashingPartReport partUpdates;
     /// Whether the lists of jobs are part of this report.
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/fiber/operations.hpp>
 #include <cmath>
 #include <cstdio>
 
@@ -30,6 +31,9 @@
 constexpr int idleTimeoutPerGapTarget = 3;
 constexpr Milliseconds minUpstreamIdleTimeout{500};
 
+/// How often a resumed stream that waits for a limited upstream checks for its caller and for
+/// other upstreams.
+constexpr Milliseconds limitCheckInterval{100};
 /// An upstream that has sent this many events of a stream has got past the beginning of its answer.
 constexpr std::size_t minEventsOfAnswer = 2;
 
@@ -99,6 +103,10 @@
         if (!admission.reservation && m_runs > 0)
             admission = m_upstreams.reserveOnline(m_call.service, {}, wait, m_features);
         if (!admission.reservation) {
+            if (m_runs > 0 && admission.nextRequest && *admission.nextRequest < timeLeft()) {
+                boost::this_fiber::sleep_for(std::min(*admission.nextRequest, limitCheckInterval));
+                continue;
+            }
             if (m_runs > 0)
                 return giveUp("no upstream is available for another attempt");
             return refuseForLackOfSlots(admission, limit);
@@ -173,6 +181,10 @@
     const auto &upstream = reservation.upstream();
     if (answer.headers().find(m_headerNames.upstreamLeaving))
         reservation.noteLeaving();
+    const bool isSuccess = answer.status() >= 200 && answer.status() < 300;
+    reservation.noteRequestLimit(requestLimitOf(answer.headers(), m_headerNames.requestLimit),
+                                 isSuccess ? UpstreamLimits::AnswerKind::Success
+                                           : UpstreamLimits::AnswerKind::Other);
     constexpr unsigned misdirected = 421;
     if (answer.status() == misdirected || answer.headers().find(m_headerNames.notExecuted)) {
         // A misdirected request has reached a different upstream than expected, which gets no
@@ -198,7 +210,7 @@
     const auto outcome = forwardAnswer(reservation, answer);
     if (outcome == AttemptOutcome::Answered) {
         reservation.reportHealth(UpstreamHealth::Healthy);
-        if (answer.status() >= 200 && answer.status() < 300)
+        if (isSuccess)
             noteCompleted(reservation);
         m_answerStatus = answer.status();
     } else if (!m_watch.isStopped()) {
@@ -443,6 +455,11 @@
 {
     const auto retryAfter = m_admissionControl.retryAfter(timeLeft(), SteadyClock().now());
     m_admissionControl.noteRefused(m_owner);
+    if (admission.wasLimited) {
+        m_metrics.callsRefusedForUpstreamLimit.increase();
+        return refuse(std::max(retryAfter, admission.nextRequest.value_or(retryAfter)),
+                      "upstreams have asked for fewer requests");
+    }
     if (!admission.expectedWait) {
         m_metrics.callsRefusedWithoutUpstream.increase();
         return refuse(retryAfter, "no upstream to send it to");
--- /dev/null
+++ b/Libraries/Gateway/UpstreamLimits.cpp
@@ -0,0 +1,184 @@
+#include <Gateway/UpstreamLimits.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace Radishplank {
+
+namespace {
+
+/// A process with a smaller part of a rate would send its requests too rarely to follow its load.
+constexpr double minRequestsPerSecond = 1;
+/// An upstream that wants no requests still gets a few: only an answer can end its limit.
+constexpr double minLimitPerSecond = 0.25;
+/// Requests that a process may send at once after a pause, as time at its part of the rate.
+constexpr double burstSeconds = 0.25;
+/// Peers hear of the end of a limit in several reports.
+constexpr Milliseconds endReportTime{5'000};
+/// A limit is forgotten if no answer has confirmed it for so long.
+constexpr Milliseconds limitRetention{60'000};
+constexpr std::size_t maxLimits = 10'000;
+
+std::uint64_t rendezvousWeight(std::uint64_t node, std::uint64_t upstream)
+{
+    const std::string_view bytes(reinterpret_cast<const char *>(&node), sizeof node);
+    return stableHash(bytes, upstream);
+}
+
+} // namespace
+
+UpstreamLimits::UpstreamLimits(LimitMember self, std::map<ZoneName, RegionName> regions)
+    : m_self(std::move(self))
+    , m_regions(std::move(regions))
+{
+}
+
+void UpstreamLimits::setMembers(std::span<const LimitMember> others, std::size_t processCount)
+{
+    if (processCount == m_processCount && std::ranges::equal(others, m_others))
+        return;
+    m_others.assign(others.begin(), others.end());
+    m_processCount = processCount;
+    m_membersVersion += 1;
+}
+
+bool UpstreamLimits::noteAnswer(const UpstreamStart &from, std::optional<double> perSecond,
+                                AnswerKind kind, TimePoint sentAt, TimePoint now)
+{
+    const auto *known = activeLimit(from);
+    const bool wasLimited = known != nullptr;
+    if (perSecond) {
+        set({from.upstream, from.startedAt, perSecond, {}}, now, true, now);
+        return !wasLimited;
+    }
+    // Answers may overtake each other, and a refusal need not come from the upstream's own load
+    // control; only a later request that was run shows that the limit has ended.
+    if (!wasLimited || kind != AnswerKind::Success || sentAt <= known->notedAt)
+        return false;
+    set({from.upstream, from.startedAt, {}, {}}, now, true, now);
+    return true;
+}
+
+void UpstreamLimits::applyReport(std::span<const UpstreamLimitReport> limits, TimePoint now)
+{
+    for (const auto &limit : limits) {
+        const auto notedAt = now - limit.age;
+        const auto known = m_limits.find(limit.upstream);
+        const bool isNews = known == m_limits.end() || limit.startedAt > known->second.startedAt
+                            || (limit.startedAt == known->second.startedAt
+                                && notedAt > known->second.notedAt);
+        if (isNews)
+            set(limit, notedAt, false, now);
+    }
+}
+
+std::vector<UpstreamLimitReport> UpstreamLimits::report(TimePoint now) const
+{
+    // Only what this process has learnt itself: news that come back through a peer would be taken
+    // for newer than they are.
+    std::vector<UpstreamLimitReport> result;
+    for (const auto &[upstream, limit] : m_limits) {
+        const auto age = std::chrono::duration_cast<Milliseconds>(now - limit.notedAt);
+        if (limit.isFirstHand && age <= (limit.perSecond ? limitRetention : endReportTime))
+            result.push_back({upstream, limit.startedAt, limit.perSecond, age});
+    }
+    return result;
+}
+
+void UpstreamLimits::set(const UpstreamLimitReport &limit, TimePoint notedAt, bool isFirstHand,
+                         TimePoint now)
+{
+    if (m_limits.size() >= maxLimits) {
+        std::erase_if(m_limits, [&](const auto &entry) {
+            return now - entry.second.notedAt > limitRetention;
+        });
+    }
+    const auto [entry, isNew] = m_limits.try_emplace(
+            limit.upstream, Limit{limit.startedAt, {}, {}, false, TokenBucket(0, 0, now)});
+    auto &known = entry->second;
+    if (known.startedAt != limit.startedAt || !known.perSecond)
+        known.allowance = TokenBucket(0, 0, now);
+    if (known.perSecond != limit.perSecond)
+        known.membersVersion = 0;
+    known.startedAt = limit.startedAt;
+    known.perSecond = limit.perSecond;
+    known.notedAt = notedAt;
+    known.isFirstHand = isFirstHand;
+}
+
+const UpstreamLimits::Limit *UpstreamLimits::activeLimit(const UpstreamStart &upstream) const
+{
+    const auto found = m_limits.find(upstream.upstream);
+    const bool isActive = found != m_limits.end() && found->second.perSecond
+                          && found->second.startedAt == upstream.startedAt;
+    return isActive ? &found->second : nullptr;
+}
+
+UpstreamLimits::Limit *UpstreamLimits::activeLimit(const UpstreamStart &upstream)
+{
+    return const_cast<Limit *>(std::as_const(*this).activeLimit(upstream));
+}
+
+std::optional<Duration> UpstreamLimits::waitTime(const UpstreamStart &upstream, TimePoint now)
+{
+    auto *limit = activeLimit(upstream);
+    if (limit == nullptr || now - limit->notedAt > limitRetention)
+        return {};
+    if (limit->membersVersion != m_membersVersion)
+        divide(*limit, upstream, now);
+    return limit->isUser ? limit->allowance.waitTime(now) : Duration::max();
+}
+
+void UpstreamLimits::noteSent(const UpstreamStart &upstream, TimePoint now)
+{
+    if (auto *limit = activeLimit(upstream))
+        (void)limit->allowance.take(now);
+}
+
+std::optional<double> UpstreamLimits::limitOf(const UpstreamStart &upstream) const
+{
+    const auto *limit = activeLimit(upstream);
+    return limit == nullptr ? std::optional<double>() : limit->perSecond;
+}
+
+void UpstreamLimits::divide(Limit &limit, const UpstreamStart &upstream, TimePoint now) const
+{
+    const auto alive = m_others.size() + 1;
+    const double perSecond = std::max(minLimitPerSecond, *limit.perSecond);
+    const double wanted = std::ceil(perSecond / minRequestsPerSecond);
+    // A process that has lost most of the others cannot tell which of them still send requests.
+    const bool isIsolated = alive * 2 < m_processCount;
+    const double users
+            = isIsolated ? static_cast<double>(m_processCount)
+                         : std::min(std::max(1.0, wanted), static_cast<double>(alive));
+    limit.isUser = isIsolated || static_cast<double>(membersBefore(upstream)) < users;
+    const double rate = perSecond / users;
+    limit.allowance.configure(rate, std::max(1.0, burstSeconds * rate), now);
+    limit.membersVersion = m_membersVersion;
+}
+
+std::size_t UpstreamLimits::membersBefore(const UpstreamStart &upstream) const
+{
+    const auto rank = [&](const LimitMember &member) {
+        return std::tuple(distance(member.zone, upstream.zone),
+                          rendezvousWeight(member.node, upstream.upstream), member.node);
+    };
+    const auto own = rank(m_self);
+    return static_cast<std::size_t>(
+            std::count_if(m_others.begin(), m_others.end(),
+                          [&](const LimitMember &other) { return rank(other) < own; }));
+}
+
+Distance UpstreamLimits::distance(const ZoneName &from, const ZoneName &to) const
+{
+    if (from == to)
+        return Distance::SameZone;
+    const auto first = m_regions.find(from);
+    const auto second = m_regions.find(to);
+    const bool isSameRegion
+            = first != m_regions.end() && second != m_regions.end() && first->second == second->second;
+    return isSameRegion ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+} // namespace Radishplank
--- /dev/null
+++ b/Libraries/Gateway/UpstreamLimits.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <Core/Core.h>
+#include <Gateway/PeerReport.h>
+#include <Serving/Router.h>
+#include <Serving/TokenBucket.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace Radishplank {
+
+/// One start of an upstream.
+struct UpstreamStart
+{
+    /// Hash of the upstream's name, as upstreamHash() gives it.
+    std::uint64_t upstream = 0;
+    std::int64_t startedAt = 0;
+    ZoneName zone;
+};
+
+/// An entry process among which the rates of limited upstreams are divided.
+struct LimitMember
+{
+    /// Hash of the process's name, as nodeHash() gives it.
+    std::uint64_t node = 0;
+    ZoneName zone;
+
+    bool operator==(const LimitMember &) const = default;
+};
+
+/// Divides the request rates that upstreams ask for among the entry processes. Pure.
+///
+/// An upstream that names a limit is used by a few processes only, near ones first, each with an
+/// equal part of its rate. They follow from the members, so nothing is agreed on for each request.
+class UpstreamLimits
+{
+public:
+    UpstreamLimits(LimitMember self, std::map<ZoneName, RegionName> regions);
+
+    /// Sets the other processes that are alive, and the number of all processes; 0 if unknown.
+    void setMembers(std::span<const LimitMember> others, std::size_t processCount);
+
+    /// Whether an answer shows that the upstream has run the request.
+    enum class AnswerKind { Success, Other };
+    /// Notes the requests per second that an answer names, if any, and when its request was sent.
+    /// Returns whether the upstream has become limited or is no longer.
+    bool noteAnswer(const UpstreamStart &from, std::optional<double> perSecond, AnswerKind kind,
+                    TimePoint sentAt, TimePoint now);
+    /// Applies what a peer has learnt from answers.
+    void applyReport(std::span<const UpstreamLimitReport> limits, TimePoint now);
+    /// Returns what this process has learnt from answers, for a report.
+    [[nodiscard]] std::vector<UpstreamLimitReport> report(TimePoint now) const;
+
+    /// Returns how long this process must wait before it sends the next request; nothing if the
+    /// upstream has no limit, and Duration::max() if only other processes use it.
+    [[nodiscard]] std::optional<Duration> waitTime(const UpstreamStart &upstream, TimePoint now);
+    /// Counts a request that is sent now.
+    void noteSent(const UpstreamStart &upstream, TimePoint now);
+    /// Returns the requests per second that all processes together may send; nothing without limit.
+    [[nodiscard]] std::optional<double> limitOf(const UpstreamStart &upstream) const;
+
+private:
+    struct Limit
+    {
+        std::int64_t startedAt = 0;
+        /// Empty if the limit has ended.
+        std::optional<double> perSecond;
+        /// When the upstream said so, as far as known.
+        TimePoint notedAt{};
+        /// Whether an answer to this process said so.
+        bool isFirstHand = false;
+        /// Requests that this process may send.
+        TokenBucket allowance;
+        /// Whether this process uses the upstream, for the members of this version.
+        bool isUser = false;
+        std::uint64_t membersVersion = 0;
+    };
+
+    [[nodiscard]] Limit *activeLimit(const UpstreamStart &upstream);
+    [[nodiscard]] const Limit *activeLimit(const UpstreamStart &upstream) const;
+    void set(const UpstreamLimitReport &limit, TimePoint notedAt, bool isFirstHand, TimePoint now);
+    /// Determines this process's part of the rate.
+    void divide(Limit &limit, const UpstreamStart &upstream, TimePoint now) const;
+    /// Returns how many other processes use the upstream rather than this one.
+    [[nodiscard]] std::size_t membersBefore(const UpstreamStart &upstream) const;
+    [[nodiscard]] Distance distance(const ZoneName &from, const ZoneName &to) const;
+
+    const LimitMember m_self;
+    const std::map<ZoneName, RegionName> m_regions;
+    std::vector<LimitMember> m_others;
+    std::size_t m_processCount = 0;
+    std::uint64_t m_membersVersion = 1;
+    std::unordered_map<std::uint64_t, Limit> m_limits;
+};
+
+} // namespace Radishplank
--- a/Libraries/Gateway/UpstreamSelector.cpp
+++ b/Libraries/Gateway/UpstreamSelector.cpp
@@ -28,6 +28,9 @@
 constexpr double crossRegionCapacityFactor = 0.25;
 /// Share of the capacity that is used in one round; the rest covers what peers start meanwhile.
 constexpr double sharePerRound = 0.5;
+/// The requests that a limited upstream takes are kept for when the others have no free slots;
+/// preempting an own batch item for the call costs less than that.
+constexpr double limitedCost = 40;
 /// Upper bound of the random cost that spreads the calls of processes that see the same loads.
 constexpr double tieBreakCost = 4;
 /// An upstream that has failed is tried only if the others cost more than this.
@@ -79,6 +82,11 @@
     return distance == Distance::SameRegion ? spreadCrossZoneCost : distanceCost(distance);
 }
 
+double availabilityCost(const UpstreamCandidate &candidate)
+{
+    return (candidate.isHealthy ? 0 : unhealthyCost) + (candidate.isLimited ? limitedCost : 0);
+}
+
 double randomFraction(RandomEngine &random)
 {
     return std::uniform_real_distribution<double>(0, 1)(random);
@@ -152,8 +160,7 @@
             choice.wait = candidate.holdTime * ahead / candidate.slots;
             cost += static_cast<double>(choice.wait.count());
         }
-        if (!candidate.isHealthy)
-            cost += unhealthyCost;
+        cost += availabilityCost(candidate);
         if (!best || cost < bestCost) {
             best = choice;
             bestCost = cost;
@@ -223,8 +230,7 @@
         } else {
             cost += firstEventCost(firstEvent, target);
         }
-        if (!candidate.isHealthy)
-            cost += unhealthyCost;
+        cost += availabilityCost(candidate);
         if (!best || cost < bestCost) {
             best = choice;
             bestCost = cost;
--- a/Libraries/Gateway/UpstreamSelector.h
+++ b/Libraries/Gateway/UpstreamSelector.h
@@ -21,6 +21,8 @@
     unsigned ownBatch = 0;
     /// Mean time that an online call occupies a slot.
     Milliseconds holdTime{700};
+    /// Whether the upstream limits how many requests it gets.
+    bool isLimited = false;
     /// False during the backoff after a failure, which a successful answer ends.
     bool isHealthy = true;
     /// Slowness relative to the other upstreams: at 3, everything takes three times as long.
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -21,6 +21,10 @@
 /// A pause before reading, because the caller is slow, that makes a gap between events useless.
 constexpr Milliseconds maxReadingPause{5};
 
+/// Batch items leave the requests of limited upstreams to online calls for this long after an
+/// online call needed one.
+constexpr Milliseconds onlinePriorityTime{1'000};
+
 double millisecondsOf(Duration duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
@@ -52,6 +56,7 @@
     , m_upstream(std::move(upstream))
     , m_workClass(workClass)
     , m_number(number)
+    , m_reservedAt(beganAt)
     , m_readingSince(beganAt)
 {
     m_work.beganAt = beganAt;
@@ -76,6 +81,12 @@
     m_table.noteLeaving({upstreamHash(m_upstream.id), m_upstream.startedAt});
 }
 
+void UpstreamTable::Reservation::noteRequestLimit(std::optional<double> perSecond,
+                                                  UpstreamLimits::AnswerKind answer)
+{
+    m_table.noteRequestLimit(*this, perSecond, answer);
+}
+
 void UpstreamTable::Reservation::noteReading()
 {
     if (m_table.m_placement == PlacementRule::Work)
@@ -99,6 +110,7 @@
     : m_self(std::move(self))
     , m_locality(std::move(locality))
     , m_placement(placement)
+    , m_limits({nodeHash(m_self), m_locality.zone}, m_locality.regions)
 {
 }
 
@@ -216,7 +228,64 @@
     return found != m_leaving.end() && found->second >= state.info.startedAt;
 }
 
-UpstreamTable::Candidates UpstreamTable::candidates(const std::string &service,
+UpstreamStart UpstreamTable::startOf(const State &state)
+{
+    return {state.hash, state.info.startedAt, state.info.zone};
+}
+
+bool UpstreamTable::isShortOfRequests(const std::string &service, TimePoint now) const
+{
+    const auto found = m_limitedCallAt.find(serviceHash(service));
+    return found != m_limitedCallAt.end() && now - found->second < onlinePriorityTime;
+}
+
+void UpstreamTable::noteRequestLimit(const Reservation &reservation,
+                                     std::optional<double> perSecond,
+                                     UpstreamLimits::AnswerKind answer)
+{
+    const auto &upstream = reservation.m_upstream;
+    const auto now = SteadyClock().now();
+    {
+        const std::scoped_lock lock(m_mutex);
+        const UpstreamStart from{upstreamHash(upstream.id), upstream.startedAt, upstream.zone};
+        if (!m_limits.noteAnswer(from, perSecond, answer, reservation.m_reservedAt, now))
+            return;
+    }
+    logStateChange("upstream-limit",
+                   {{"upstream", upstream.id.text()},
+                    {"perSecond", perSecond ? std::to_string(*perSecond) : "none"}});
+    if (onLimitChange)
+        onLimitChange();
+}
+
+void UpstreamTable::setLimitMembers(std::span<const LimitMember> others, std::size_t processCount)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_limits.setMembers(others, processCount);
+}
+
+void UpstreamTable::noteLimitReport(std::span<const UpstreamLimitReport> limits, TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_limits.applyReport(limits, now);
+}
+
+std::vector<UpstreamLimitReport> UpstreamTable::limitsToReport() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_limits.report(SteadyClock().now());
+}
+
+std::size_t UpstreamTable::limitedUpstreams() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return static_cast<std::size_t>(
+            std::count_if(m_states.begin(), m_states.end(), [&](const auto &entry) {
+                return m_limits.limitOf(startOf(entry.second)).has_value();
+            }));
+}
+
+UpstreamTable::Candidates UpstreamTable::candidates(const std::string &service, WorkClass workClass,
                                                     const std::set<UpstreamId> &excluded,
                                                     TimePoint now)
 {
@@ -225,25 +294,33 @@
     result.states.reserve(m_states.size());
     m_peers.expire(now);
     updateSubset(now);
-    appendCandidates(result, service, excluded, true, now);
+    appendCandidates(result, service, workClass, excluded, true, now);
     const bool isAnyHealthy
             = std::any_of(result.entries.begin(), result.entries.end(),
                           [](const UpstreamCandidate &each) { return each.isHealthy; });
     if (m_subset && !isAnyHealthy)
-        appendCandidates(result, service, excluded, false, now);
+        appendCandidates(result, service, workClass, excluded, false, now);
     return result;
 }
 
 void UpstreamTable::appendCandidates(Candidates &result, const std::string &service,
-                                     const std::set<UpstreamId> &excluded, bool isInSubset,
-                                     TimePoint now)
+                                     WorkClass workClass, const std::set<UpstreamId> &excluded,
+                                     bool isInSubset, TimePoint now)
 {
+    const bool avoidsLimited = workClass == WorkClass::Batch && isShortOfRequests(service, now);
     for (auto &[id, state] : m_states) {
         if (state.isInSubset != isInSubset || state.info.service != service || state.info.isDraining
             || isLeaving(state) || excluded.contains(id))
             continue;
+        const auto wait = m_limits.waitTime(startOf(state), now);
+        if (wait && (avoidsLimited || *wait > Duration(0))) {
+            result.wasLimited = true;
+            result.nextRequest = std::min(result.nextRequest, *wait);
+            continue;
+        }
         const auto peers = m_peers.at(state.hash);
         UpstreamCandidate candidate;
+        candidate.isLimited = wait.has_value();
         candidate.distance = state.distance;
         candidate.slots = std::max(1U, state.info.slots);
         candidate.online = state.own.online + peers.online;
@@ -417,7 +494,7 @@
     std::function<void()> stop;
     {
         const std::scoped_lock lock(m_mutex);
-        auto found = candidates(service, excluded, now);
+        auto found = candidates(service, WorkClass::Online, excluded, now);
         WorkEstimate estimate;
         auto known = features;
         std::optional<UpstreamChoice> choice;
@@ -430,13 +507,20 @@
         } else {
             choice = chooseOnlineUpstreamWithin(found.entries, maxWait, threadRandomEngine());
         }
-        if (!choice)
-            return admission;
-        if (choice->wait > maxWait) {
-            admission.expectedWait = choice->wait;
+        if (!choice || choice->wait > maxWait) {
+            if (choice)
+                admission.expectedWait = choice->wait;
+            admission.wasLimited = found.wasLimited;
+            if (found.nextRequest != Duration::max())
+                admission.nextRequest = std::chrono::ceil<Milliseconds>(found.nextRequest);
+            if (found.wasLimited)
+                m_limitedCallAt[serviceHash(service)] = now;
             return admission;
         }
+        if (found.entries[choice->index].isLimited)
+            m_limitedCallAt[serviceHash(service)] = now;
         auto &state = *found.states[choice->index];
+        m_limits.noteSent(startOf(state), now);
         state.own.online += 1;
         if (choice->mustPreempt)
             stop = takeCheapestPreemption(state);
@@ -461,8 +545,9 @@
     const std::scoped_lock lock(m_mutex);
     const auto now = SteadyClock().now();
     double capacity = 0;
-    for (const auto &candidate : candidates(service, {}, now).entries)
-        capacity += batchCapacity(candidate);
+    for (const auto &candidate : candidates(service, WorkClass::Batch, {}, now).entries)
+        capacity += candidate.isLimited ? std::min(1.0, batchCapacity(candidate))
+                                        : batchCapacity(candidate);
     auto &random = threadRandomEngine();
     const double draw = std::uniform_real_distribution<double>(0, 1)(random);
     auto all = waiting;
@@ -481,7 +566,7 @@
     const auto now = SteadyClock().now();
     {
         const std::scoped_lock lock(m_mutex);
-        auto found = candidates(service, {}, now);
+        auto found = candidates(service, WorkClass::Batch, {}, now);
         WorkEstimate estimate;
         auto known = features;
         std::optional<std::size_t> index;
@@ -498,6 +583,7 @@
         if (!index)
             return {};
         auto &state = *found.states[*index];
+        m_limits.noteSent(startOf(state), now);
         state.own.batch += 1;
         reservation = reserve(state, WorkClass::Batch, now);
         reservation->m_work.features = known;
@@ -599,13 +685,25 @@
     return result;
 }
 
+unsigned UpstreamTable::usableSlots(const State &state) const
+{
+    const auto slots = std::max(1U, state.info.slots);
+    const auto limit = m_limits.limitOf(startOf(state));
+    if (!limit)
+        return slots;
+    // Online calls occupy no more slots than they arrive, each for its hold time.
+    const double used
+            = *limit * std::chrono::duration<double>(UpstreamCandidate().holdTime).count();
+    return std::min(slots, static_cast<unsigned>(std::ceil(std::min(used, 1.0 * slots))));
+}
+
 unsigned UpstreamTable::slots() const
 {
     const std::scoped_lock lock(m_mutex);
     unsigned sum = 0;
     for (const auto &[id, state] : m_states) {
         if (!state.info.isDraining && !isLeaving(state))
-            sum += std::max(1U, state.info.slots);
+            sum += usableSlots(state);
     }
     return sum;
 }
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -3,6 +3,7 @@
 #include <Catalogue/Catalogue.h>
 #include <Gateway/PeerLoads.h>
 #include <Gateway/UpstreamInfo.h>
+#include <Gateway/UpstreamLimits.h>
 #include <Gateway/UpstreamSelector.h>
 #include <Serving/UpstreamPace.h>
 #include <Serving/UpstreamSubset.h>
@@ -17,6 +18,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace Radishplank {
@@ -64,6 +66,8 @@
         void reportHealth(UpstreamHealth health) { m_health = health; }
         /// Records that the upstream has announced its shutdown in an answer.
         void noteLeaving();
+        /// Records how many requests per second an answer asks for, if it does.
+        void noteRequestLimit(std::optional<double> perSecond, UpstreamLimits::AnswerKind answer);
         /// Sets the callback that stops the batch item, and the item's slack: how much later it
         /// could have started and still meet its deadline.
         void onPreempt(std::function<void()> stop, Duration slack = Duration(0));
@@ -97,6 +101,7 @@
         UpstreamInfo m_upstream;
         WorkClass m_workClass;
         std::uint64_t m_number;
+        const TimePoint m_reservedAt;
         UpstreamHealth m_health = UpstreamHealth::Unknown;
         Work m_work;
         /// When the next events were awaited; the maximum while none are awaited.
@@ -125,6 +130,10 @@
         bool hasPreempted = false;
         /// Expected wait for a slot; missing if there is no upstream.
         std::optional<Milliseconds> expectedWait;
+        /// Without a reservation: whether upstreams were left out because they limit their
+        /// requests, and when the first of them takes the next one from this process.
+        bool wasLimited = false;
+        std::optional<Milliseconds> nextRequest;
     };
     /// Reserves an upstream for an online call, and preempts a batch item of this process if the
     /// call needs its slot. The features matter only if upstreams are chosen by work.
@@ -154,6 +163,17 @@
     /// upstreams are chosen by work.
     [[nodiscard]] std::vector<UpstreamStreams> loadsToReport() const;
 
+    /// Sets the other entry processes that are alive, and the number of all; 0 if unknown. The
+    /// rates of limited upstreams are divided among them.
+    void setLimitMembers(std::span<const LimitMember> others, std::size_t processCount);
+    /// Applies a peer's report about the limits of upstreams.
+    void noteLimitReport(std::span<const UpstreamLimitReport> limits, TimePoint now);
+    [[nodiscard]] std::vector<UpstreamLimitReport> limitsToReport() const;
+    /// Returns the number of upstreams that limit their requests.
+    [[nodiscard]] std::size_t limitedUpstreams() const;
+    /// Called when an upstream becomes limited or is no longer, without the lock held.
+    std::function<void()> onLimitChange;
+
     struct SlowUpstream
     {
         UpstreamId id;
@@ -195,10 +215,14 @@
     {
         std::vector<UpstreamCandidate> entries;
         std::vector<State *> states;
+        /// Whether upstreams are left out because they limit their requests, and the shortest wait
+        /// for one of them; the maximum if only other processes use them.
+        bool wasLimited = false;
+        Duration nextRequest = Duration::max();
     };
 
     [[nodiscard]] bool isLeaving(const State &state) const;
-    [[nodiscard]] Candidates candidates(const std::string &service,
+    [[nodiscard]] Candidates candidates(const std::string &service, WorkClass workClass,
                                         const std::set<UpstreamId> &excluded, TimePoint now);
     /// Adds pace and remaining work to the load of a candidate.
     void describeWork(UpstreamCandidate &candidate, const State &state, TimePoint now) const;
@@ -212,8 +236,15 @@
     ReservationPointer reserve(State &state, WorkClass workClass, TimePoint now);
     void noteEvents(Reservation &reservation, std::size_t count);
     std::optional<double> noteCompleted(const Reservation &reservation);
-    void appendCandidates(Candidates &result, const std::string &service,
+    void appendCandidates(Candidates &result, const std::string &service, WorkClass workClass,
                           const std::set<UpstreamId> &excluded, bool isInSubset, TimePoint now);
+    /// Returns whether online calls of a service use all requests that limited upstreams take.
+    [[nodiscard]] bool isShortOfRequests(const std::string &service, TimePoint now) const;
+    [[nodiscard]] static UpstreamStart startOf(const State &state);
+    /// Returns how many slots online calls can use, given the limit of the upstream.
+    [[nodiscard]] unsigned usableSlots(const State &state) const;
+    void noteRequestLimit(const Reservation &reservation, std::optional<double> perSecond,
+                          UpstreamLimits::AnswerKind answer);
     void updateSubset(TimePoint now);
     void release(const Reservation &reservation);
     [[nodiscard]] std::function<void()> takeCheapestPreemption(State &state) const;
@@ -226,6 +257,9 @@
     PeerLoads m_peers;
     WorkEstimator m_estimator;
     UpstreamPace m_pace;
+    UpstreamLimits m_limits;
+    /// By hash of the service: when an online call last needed a limited upstream.
+    std::unordered_map<std::uint64_t, TimePoint> m_limitedCallAt;
     CellPosition m_position = 0;
     unsigned m_cells = 1;
     std::shared_ptr<const UpstreamSubset> m_subset;
--- a/Tests/Gateway/TestUpstreamTable.cpp
+++ b/Tests/Gateway/TestUpstreamTable.cpp
@@ -262,6 +262,76 @@
     }
 }
 
+TEST_CASE("An upstream that limits its requests gets few", "[UpstreamTable]")
+{
+    using Answer = UpstreamLimits::AnswerKind;
+    UpstreamTable table(NodeId("entry1"), localityInZone1());
+    table.put(upstreamNamed("limited"));
+    const auto limitTo = [&](double perSecond) {
+        auto admission = table.reserveOnline("service", {}, anyWait);
+        REQUIRE(admission.reservation);
+        admission.reservation->noteRequestLimit(perSecond, Answer::Success);
+        admission.reservation.reset();
+        CHECK_FALSE(table.reserveOnline("service", {}, anyWait).reservation);
+    };
+    const auto refill = [] { std::this_thread::sleep_for(Milliseconds(250)); };
+
+    SECTION("and calls beyond its limit are refused at once, with the time of the next request")
+    {
+        limitTo(5);
+        const auto refused = table.reserveOnline("service", {}, anyWait);
+        CHECK_FALSE(refused.reservation);
+        CHECK(refused.wasLimited);
+        REQUIRE(refused.nextRequest);
+        CHECK(*refused.nextRequest > Milliseconds(0));
+        CHECK(*refused.nextRequest <= Milliseconds(200));
+        refill();
+        CHECK(table.reserveOnline("service", {}, anyWait).reservation);
+        CHECK_FALSE(table.reserveOnline("service", {}, anyWait).reservation);
+    }
+    SECTION("and calls prefer upstreams that do not, while these have free slots")
+    {
+        limitTo(5);
+        table.put(upstreamNamed("other"));
+        refill();
+        std::vector<UpstreamTable::ReservationPointer> held;
+        for (const auto *expected : {"other", "other", "limited"}) {
+            auto admission = table.reserveOnline("service", {}, Milliseconds(0));
+            REQUIRE(admission.reservation);
+            CHECK(admission.reservation->upstream().id == UpstreamId(expected));
+            held.push_back(std::move(admission.reservation));
+        }
+    }
+    SECTION("and batch items leave them to calls that need them")
+    {
+        limitTo(5);
+        refill();
+        CHECK(table.batchQuota("service", {10, 0}) == 0);
+        CHECK_FALSE(table.reserveBatch("service"));
+        CHECK(table.reserveOnline("service", {}, anyWait).reservation);
+
+        SECTION("until no call has needed them for a while")
+        {
+            std::this_thread::sleep_for(Milliseconds(1'100));
+            CHECK(table.reserveBatch("service"));
+            CHECK_FALSE(table.reserveBatch("service"));
+        }
+    }
+    SECTION("until another start of it comes")
+    {
+        limitTo(0);
+        table.put(upstreamNamed("limited", 2));
+        CHECK(table.reserveOnline("service", {}, anyWait).reservation);
+    }
+    SECTION("also if only a peer has heard of the limit")
+    {
+        const std::vector<UpstreamLimitReport> limits{
+                {upstreamHash(UpstreamId("limited")), 1, 0.0, Milliseconds(10)}};
+        table.noteLimitReport(limits, SteadyClock().now());
+        CHECK_FALSE(table.reserveOnline("service", {}, anyWait).reservation);
+    }
+}
+
 TEST_CASE("Reports tell the remaining work only if upstreams are chosen by work", "[UpstreamTable]")
 {
     const auto placement = GENERATE(PlacementRule::Count, PlacementRule::Work);
--- a/Tests/Platform/FakeServer.cpp
+++ b/Tests/Platform/FakeServer.cpp
@@ -94,13 +94,22 @@
     return data;
 }
 
-HttpHeaders FakeServer::responseHeaders(const HttpRequest &request) const
+void FakeServer::nameRequestLimit(std::optional<double> perSecond)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_requestLimit = perSecond;
+}
+
+HttpHeaders FakeServer::responseHeaders(const HttpRequest &request)
 {
     HttpHeaders headers{{"X-Attempt-Id", request.headers.value("X-Attempt-Id")},
                         {"X-Response-Seal", "seal-of-" + m_id},
                         {"X-Weight-Versions", "1"}};
     if (m_isLeaving)
         headers.add("Server-Leaving", "1");
+    const std::scoped_lock lock(m_mutex);
+    if (m_requestLimit)
+        headers.add("Server-Limit", std::to_string(*m_requestLimit));
     return headers;
 }
 
@@ -123,7 +132,7 @@
             action = m_plannedActions.front();
             m_plannedActions.pop_front();
         }
-        m_served.push_back({request, action});
+        m_served.push_back({request, action, SteadyClock().now()});
         m_served.back().request.body = body.isError() ? "" : body.value();
         isCrashing = mustCrash();
     }
--- a/Tests/Platform/FakeServer.h
+++ b/Tests/Platform/FakeServer.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,7 @@
 {
     HttpRequest request;
     ServerAction action = ServerAction::Serve;
+    TimePoint at{};
 };
 
 /// Fake of a model server of the platform, implemented from its published protocol. It answers each
@@ -48,6 +50,8 @@
     void planActions(std::vector<ServerAction> actions);
     /// Adds the announcement that the server is about to leave to all further responses.
     void announceLeaving() { m_isLeaving = true; }
+    /// Names in all further responses how many requests per second the server takes; none if empty.
+    void nameRequestLimit(std::optional<double> perSecond);
     /// Makes the server crash when it begins to run a request with this body: it sends nothing more
     /// on its connections, and accepts none until it is restarted.
     void crashOn(std::string body, CrashMode mode = CrashMode::CloseConnections);
@@ -77,12 +81,13 @@
     /// Returns whether the server must crash because of the request that it received last.
     [[nodiscard]] bool mustCrash() const;
     void serve(HttpExchange &exchange, const std::string &body, ServerAction action);
-    [[nodiscard]] HttpHeaders responseHeaders(const HttpRequest &request) const;
+    [[nodiscard]] HttpHeaders responseHeaders(const HttpRequest &request);
 
     const std::string m_id;
     std::atomic<bool> m_isLeaving{false};
     std::atomic<bool> m_isDown{false};
     std::atomic<unsigned> m_startCount{1};
+    std::optional<double> m_requestLimit;
     std::string m_crashBody;
     std::string m_crashPart;
     std::atomic<CrashMode> m_crashMode{CrashMode::CloseConnections};
--- /dev/null
+++ b/Tests/Platform/TestUpstreamRequestLimits.cpp
@@ -0,0 +1,142 @@
+#include "PlatformDeployment.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <mutex>
+#include <thread>
+
+using namespace Radishplank;
+using namespace Radishplank::Test;
+
+namespace {
+
+constexpr double limit = 4;
+/// Time after the first naming of a limit from which it must hold.
+constexpr Milliseconds contactTime{3'000};
+constexpr Milliseconds window{4'000};
+/// What the users' pages allow in a window.
+constexpr double mostInWindow = 1.5 * limit * 4 + 5;
+/// A refusal does not wait for the limit.
+constexpr Milliseconds maxRefusalTime{1'000};
+
+struct CallCounts
+{
+    std::map<unsigned, unsigned> statuses;
+    unsigned refusalsWithoutRetryAfter = 0;
+    Milliseconds longestRefusal{0};
+};
+
+/// Calls the processes in turn from several threads, without a pause for longer than 100 ms.
+CallCounts callFor(PlatformDeployment &deployment, const std::vector<std::string> &entries,
+                   const std::string &path, Milliseconds duration)
+{
+    constexpr std::size_t callers = 6;
+    CallCounts counts;
+    std::mutex mutex;
+    std::vector<std::thread> threads;
+    const auto end = SteadyClock().now() + duration;
+    for (std::size_t caller = 0; caller < callers; ++caller) {
+        threads.emplace_back([&, caller] {
+            for (auto i = caller; SteadyClock().now() < end; ++i) {
+                const auto begin = SteadyClock().now();
+                const auto answer = deployment.post(entries[i % entries.size()], path, "a",
+                                                    makeUniqueId("call"));
+                const auto took
+                        = std::chrono::duration_cast<Milliseconds>(SteadyClock().now() - begin);
+                const std::scoped_lock lock(mutex);
+                counts.statuses[answer.status] += 1;
+                if (answer.status == 503) {
+                    counts.longestRefusal = std::max(counts.longestRefusal, took);
+                    if (answer.headers.value("Retry-After").empty())
+                        counts.refusalsWithoutRetryAfter += 1;
+                }
+                std::this_thread::sleep_for(Milliseconds(50));
+            }
+        });
+    }
+    for (auto &thread : threads)
+        thread.join();
+    return counts;
+}
+
+/// Returns the most requests that a server got in a window that begins at `since` or later.
+std::size_t mostRequests(FakeServer &server, TimePoint since)
+{
+    const auto served = server.served();
+    std::size_t most = 0;
+    for (auto first = served.begin(); first != served.end(); ++first) {
+        if (first->at < since)
+            continue;
+        const auto last = std::find_if(first, served.end(), [&](const ServedRequest &each) {
+            return each.at > first->at + window;
+        });
+        most = std::max(most, static_cast<std::size_t>(last - first));
+    }
+    return most;
+}
+
+} // namespace
+
+TEST_CASE("The processes together send a server no more requests than it asks for", "[Platform]")
+{
+    const std::vector<std::string> entries{"entry1", "entry2", "entry3"};
+    PlatformDeployment deployment;
+    auto &server = deployment.addServer("i-1");
+    deployment.writeConfiguration(1);
+    for (const auto &entry : entries)
+        deployment.startEntry(entry);
+    for (const auto &entry : entries)
+        deployment.waitUntilReady(entry);
+    server.nameRequestLimit(limit);
+    const auto since = SteadyClock().now() + contactTime;
+    constexpr Milliseconds duration{9'000};
+
+    SECTION("while calls beyond the limit are refused at once, with a time to come back")
+    {
+        const auto counts = callFor(deployment, entries, "/plain/x", duration);
+        CHECK(static_cast<double>(mostRequests(server, since)) <= mostInWindow);
+        CHECK(counts.statuses.at(200) >= limit * 5);
+        CHECK(counts.statuses.at(200) + counts.statuses.at(503) == [&] {
+            unsigned sum = 0;
+            for (const auto &[status, count] : counts.statuses)
+                sum += count;
+            return sum;
+        }());
+        CHECK(counts.refusalsWithoutRetryAfter == 0);
+        CHECK(counts.longestRefusal < maxRefusalTime);
+
+        SECTION("until it names no limit any more")
+        {
+            server.nameRequestLimit({});
+            CHECK(eventually([&] {
+                const auto later = callFor(deployment, entries, "/plain/x", Milliseconds(500));
+                return !later.statuses.contains(503);
+            }));
+        }
+    }
+    SECTION("while another server takes the rest")
+    {
+        deployment.addServer("i-2");
+        REQUIRE(eventually([&] {
+            return deployment.fleetOf("entry1").find("i-2") != std::string::npos
+                   && deployment.fleetOf("entry2").find("i-2") != std::string::npos
+                   && deployment.fleetOf("entry3").find("i-2") != std::string::npos;
+        }));
+        const auto counts = callFor(deployment, entries, "/plain/x", duration);
+        CHECK(static_cast<double>(mostRequests(server, since)) <= mostInWindow);
+        CHECK_FALSE(counts.statuses.contains(503));
+    }
+    SECTION("also if streams are resumed and items run")
+    {
+        std::vector<std::string> items;
+        for (int i = 0; i < 20; ++i)
+            items.push_back("item" + std::to_string(i));
+        REQUIRE(deployment.submit("entry2", "job1", items).status == 202);
+        server.planActions(std::vector<ServerAction>(200, ServerAction::CloseMidStream));
+        (void)callFor(deployment, entries, "/resume/x", duration);
+        CHECK(static_cast<double>(mostRequests(server, since)) <= mostInWindow);
+        server.planActions({});
+        CHECK(deployment.waitForResults("entry1", "job1", items.size()).size() == items.size());
+    }
+}
