UpstreamLimits: Give an upstream its load back gradually

Cause: when a limit ended, all processes sent their load to the server at the same moment, and it named its limit again half a second later, within the same window.

After the end of a limit the rate now grows by the limit in each second, for 4 s. Test: TestGateway, "A limit ends when the upstream no longer names it", which also bounds the requests over alternating times with and without a limit.

--- a/Libraries/Gateway/UpstreamLimits.cpp
+++ b/Libraries/Gateway/UpstreamLimits.cpp
@@ -14,6 +14,10 @@
 constexpr double minLimitPerSecond = 0.25;
 /// Requests that a process may send at once after a pause, as time at its part of the rate.
 constexpr double burstSeconds = 0.25;
+/// After the end of a limit, the rate grows by the limit in each rateGrowthTime until recoveryTime
+/// has passed.
+constexpr Milliseconds rateGrowthTime{1'000};
+constexpr Milliseconds recoveryTime{4'000};
 /// Peers hear of the end of a limit in several reports.
 constexpr Milliseconds endReportTime{5'000};
 /// A limit is forgotten if no answer has confirmed it for so long.
@@ -46,8 +50,8 @@
 bool UpstreamLimits::noteAnswer(const UpstreamStart &from, std::optional<double> perSecond,
                                 AnswerKind kind, TimePoint sentAt, TimePoint now)
 {
-    const auto *known = activeLimit(from);
-    const bool wasLimited = known != nullptr;
+    const auto *known = find(from);
+    const bool wasLimited = known != nullptr && !known->hasEnded;
     if (perSecond) {
         set({from.upstream, from.startedAt, perSecond, {}}, now, true, now);
         return !wasLimited;
@@ -80,8 +84,10 @@
     std::vector<UpstreamLimitReport> result;
     for (const auto &[upstream, limit] : m_limits) {
         const auto age = std::chrono::duration_cast<Milliseconds>(now - limit.notedAt);
-        if (limit.isFirstHand && age <= (limit.perSecond ? limitRetention : endReportTime))
-            result.push_back({upstream, limit.startedAt, limit.perSecond, age});
+        if (!limit.isFirstHand || age > (limit.hasEnded ? endReportTime : limitRetention))
+            continue;
+        const auto perSecond = limit.hasEnded ? std::optional<double>() : limit.perSecond;
+        result.push_back({upstream, limit.startedAt, perSecond, age});
     }
     return result;
 }
@@ -94,64 +100,78 @@
             return now - entry.second.notedAt > limitRetention;
         });
     }
-    const auto [entry, isNew] = m_limits.try_emplace(
-            limit.upstream, Limit{limit.startedAt, {}, {}, false, TokenBucket(0, 0, now)});
-    auto &known = entry->second;
-    if (known.startedAt != limit.startedAt || !known.perSecond)
-        known.allowance = TokenBucket(0, 0, now);
-    if (known.perSecond != limit.perSecond)
-        known.membersVersion = 0;
-    known.startedAt = limit.startedAt;
-    known.perSecond = limit.perSecond;
-    known.notedAt = notedAt;
-    known.isFirstHand = isFirstHand;
+    auto known = m_limits.find(limit.upstream);
+    const bool isSameStart = known != m_limits.end() && known->second.startedAt == limit.startedAt;
+    if (!limit.perSecond) {
+        if (!isSameStart)
+            return;
+        known->second.hasEnded = true;
+    } else if (!isSameStart || known->second.hasEnded) {
+        known = m_limits.insert_or_assign(limit.upstream,
+                                          Limit{limit.startedAt, *limit.perSecond, false, notedAt,
+                                                isFirstHand, TokenBucket(0, 0, now)})
+                        .first;
+    } else if (known->second.perSecond != *limit.perSecond) {
+        known->second.perSecond = *limit.perSecond;
+        known->second.membersVersion = 0;
+    }
+    known->second.notedAt = notedAt;
+    known->second.isFirstHand = isFirstHand;
 }
 
-const UpstreamLimits::Limit *UpstreamLimits::activeLimit(const UpstreamStart &upstream) const
+const UpstreamLimits::Limit *UpstreamLimits::find(const UpstreamStart &upstream) const
 {
     const auto found = m_limits.find(upstream.upstream);
-    const bool isActive = found != m_limits.end() && found->second.perSecond
-                          && found->second.startedAt == upstream.startedAt;
-    return isActive ? &found->second : nullptr;
+    const bool isSameStart
+            = found != m_limits.end() && found->second.startedAt == upstream.startedAt;
+    return isSameStart ? &found->second : nullptr;
+}
+
+UpstreamLimits::Limit *UpstreamLimits::find(const UpstreamStart &upstream)
+{
+    return const_cast<Limit *>(std::as_const(*this).find(upstream));
 }
 
-UpstreamLimits::Limit *UpstreamLimits::activeLimit(const UpstreamStart &upstream)
+bool UpstreamLimits::isRestricting(const Limit &limit, TimePoint now)
 {
-    return const_cast<Limit *>(std::as_const(*this).activeLimit(upstream));
+    return now - limit.notedAt <= (limit.hasEnded ? recoveryTime : limitRetention);
 }
 
 std::optional<Duration> UpstreamLimits::waitTime(const UpstreamStart &upstream, TimePoint now)
 {
-    auto *limit = activeLimit(upstream);
-    if (limit == nullptr || now - limit->notedAt > limitRetention)
+    auto *limit = find(upstream);
+    if (limit == nullptr || !isRestricting(*limit, now))
         return {};
-    if (limit->membersVersion != m_membersVersion)
+    if (limit->hasEnded || limit->membersVersion != m_membersVersion)
         divide(*limit, upstream, now);
     return limit->isUser ? limit->allowance.waitTime(now) : Duration::max();
 }
 
 void UpstreamLimits::noteSent(const UpstreamStart &upstream, TimePoint now)
 {
-    if (auto *limit = activeLimit(upstream))
+    if (auto *limit = find(upstream))
         (void)limit->allowance.take(now);
 }
 
 std::optional<double> UpstreamLimits::limitOf(const UpstreamStart &upstream) const
 {
-    const auto *limit = activeLimit(upstream);
-    return limit == nullptr ? std::optional<double>() : limit->perSecond;
+    const auto *limit = find(upstream);
+    return limit == nullptr || limit->hasEnded ? std::optional<double>() : limit->perSecond;
 }
 
 void UpstreamLimits::divide(Limit &limit, const UpstreamStart &upstream, TimePoint now) const
 {
     const auto alive = m_others.size() + 1;
-    const double perSecond = std::max(minLimitPerSecond, *limit.perSecond);
+    double perSecond = std::max(minLimitPerSecond, limit.perSecond);
+    // All processes would otherwise send their load to the upstream at the same moment, and it
+    // would be in need again.
+    if (limit.hasEnded)
+        perSecond *= 1 + std::chrono::duration<double>(now - limit.notedAt) / rateGrowthTime;
     const double wanted = std::ceil(perSecond / minRequestsPerSecond);
     // A process that has lost most of the others cannot tell which of them still send requests.
     const bool isIsolated = alive * 2 < m_processCount;
-    const double users
-            = isIsolated ? static_cast<double>(m_processCount)
-                         : std::min(std::max(1.0, wanted), static_cast<double>(alive));
+    const double users = isIsolated ? static_cast<double>(m_processCount)
+                                    : std::min(std::max(1.0, wanted), static_cast<double>(alive));
     limit.isUser = isIsolated || static_cast<double>(membersBefore(upstream)) < users;
     const double rate = perSecond / users;
     limit.allowance.configure(rate, std::max(1.0, burstSeconds * rate), now);
@@ -176,8 +196,8 @@
         return Distance::SameZone;
     const auto first = m_regions.find(from);
     const auto second = m_regions.find(to);
-    const bool isSameRegion
-            = first != m_regions.end() && second != m_regions.end() && first->second == second->second;
+    const bool isSameRegion = first != m_regions.end() && second != m_regions.end()
+                              && first->second == second->second;
     return isSameRegion ? Distance::SameRegion : Distance::OtherRegion;
 }
 
--- a/Libraries/Gateway/UpstreamLimits.h
+++ b/Libraries/Gateway/UpstreamLimits.h
@@ -37,6 +37,7 @@
 ///
 /// An upstream that names a limit is used by a few processes only, near ones first, each with an
 /// equal part of its rate. They follow from the members, so nothing is agreed on for each request.
+/// When the limit ends, the rate grows for a few seconds before it is unlimited again.
 class UpstreamLimits
 {
 public:
@@ -61,16 +62,16 @@
     [[nodiscard]] std::optional<Duration> waitTime(const UpstreamStart &upstream, TimePoint now);
     /// Counts a request that is sent now.
     void noteSent(const UpstreamStart &upstream, TimePoint now);
-    /// Returns the requests per second that all processes together may send; nothing without limit.
+    /// Returns the requests per second that the upstream names at present, if it does.
     [[nodiscard]] std::optional<double> limitOf(const UpstreamStart &upstream) const;
 
 private:
     struct Limit
     {
         std::int64_t startedAt = 0;
-        /// Empty if the limit has ended.
-        std::optional<double> perSecond;
-        /// When the upstream said so, as far as known.
+        double perSecond = 0;
+        bool hasEnded = false;
+        /// When the upstream named the limit last, or when its end showed, as far as known.
         TimePoint notedAt{};
         /// Whether an answer to this process said so.
         bool isFirstHand = false;
@@ -81,8 +82,10 @@
         std::uint64_t membersVersion = 0;
     };
 
-    [[nodiscard]] Limit *activeLimit(const UpstreamStart &upstream);
-    [[nodiscard]] const Limit *activeLimit(const UpstreamStart &upstream) const;
+    [[nodiscard]] Limit *find(const UpstreamStart &upstream);
+    [[nodiscard]] const Limit *find(const UpstreamStart &upstream) const;
+    /// Returns whether the limit still restricts requests: also for a while after its end.
+    [[nodiscard]] static bool isRestricting(const Limit &limit, TimePoint now);
     void set(const UpstreamLimitReport &limit, TimePoint notedAt, bool isFirstHand, TimePoint now);
     /// Determines this process's part of the rate.
     void divide(Limit &limit, const UpstreamStart &upstream, TimePoint now) const;
--- a/Tests/Gateway/TestUpstreamLimits.cpp
+++ b/Tests/Gateway/TestUpstreamLimits.cpp
@@ -240,21 +240,31 @@
         fleet.limit = 2.4;
         fleet.run(Milliseconds(10'000));
         fleet.limit = {};
-        fleet.run(Milliseconds(2'500));
+        const auto end = fleet.now();
+        fleet.run(Milliseconds(2'000));
+        CHECK(static_cast<double>(fleet.sentSince(end)) <= 2 * 2 * 2.4 + 5);
+        fleet.run(Milliseconds(3'000));
         const auto since = fleet.now();
         fleet.run(Milliseconds(2'000));
         CHECK(static_cast<double>(fleet.sentSince(since)) >= 0.95 * 2 * fleet.demand);
     }
-    SECTION("and again when it comes and goes every second")
+    SECTION("and again when it comes and goes, also over the whole time")
     {
         Fleet fleet(18);
-        for (int i = 0; i < 10; ++i) {
-            fleet.limit = 2.4;
-            fleet.run(Milliseconds(1'000));
-            fleet.limit = {};
-            fleet.run(Milliseconds(1'000));
-        }
-        fleet.run(Milliseconds(2'000));
+        constexpr double limit = 2.4;
+        const auto mostWithPauses = [&](Milliseconds limited, Milliseconds unlimited) {
+            const auto begin = fleet.now() + contactTime;
+            for (int i = 0; i < 10; ++i) {
+                fleet.limit = limit;
+                fleet.run(limited);
+                fleet.limit = {};
+                fleet.run(unlimited);
+            }
+            return static_cast<double>(fleet.mostInWindow(begin));
+        };
+        CHECK(mostWithPauses(Milliseconds(1'000), Milliseconds(1'000)) <= allowedRequests(limit));
+        CHECK(mostWithPauses(Milliseconds(1'500), Milliseconds(500)) <= allowedRequests(limit));
+        fleet.run(Milliseconds(5'000));
         const auto since = fleet.now();
         fleet.run(Milliseconds(2'000));
         CHECK(static_cast<double>(fleet.sentSince(since)) >= 0.95 * 2 * fleet.demand);
@@ -289,10 +299,11 @@
     SECTION("an answer to a request that was sent after the limit was named")
     {
         CHECK(limits.noteAnswer(upstream, {}, Answer::Success, at(200), at(250)));
-        CHECK_FALSE(limits.waitTime(upstream, at(250)));
-        limits.applyReport(std::vector<UpstreamLimitReport>{{7, 100, 2.0, Milliseconds(400)}},
-                           at(300));
-        CHECK_FALSE(limits.waitTime(upstream, at(300)));
+        CHECK(limits.waitTime(upstream, at(250)));
+        CHECK_FALSE(limits.waitTime(upstream, at(4'300)));
+        limits.applyReport(std::vector<UpstreamLimitReport>{{7, 100, 2.0, Milliseconds(4'200)}},
+                           at(4'400));
+        CHECK_FALSE(limits.waitTime(upstream, at(4'400)));
     }
     SECTION("another start of the upstream has no limit yet")
     {
