ConfirmedWrite: Report no conflict before the stored value was read

After a lost write, a repeated one conflicts; if the store then refused the read that tells whose value it holds, the write was reported as a conflict, that is, as another process's. In a takeover of a job the store then named this process as the owner, and it did not run the job.

Test: TestStore, "A write that took effect is not a conflict because the store refuses to read it back", red before.

--- a/Libraries/Store/ConfirmedWrite.h
+++ b/Libraries/Store/ConfirmedWrite.h
@@ -16,7 +16,7 @@
 /// was lost after the write took effect is recovered by reading back and comparing. An earlier
 /// attempt that is still in flight is harmless, because all attempts carry the same expected
 /// version and at most one of them takes effect. Retries while shouldRetry() returns true; after
-/// that, the error is Unavailable or Timeout.
+/// that, the error is Unavailable or Timeout if an attempt may have taken effect.
 template<ObjectStore Store, typename Pause, typename ShouldRetry>
 Result<Version> putConfirmed(Store &store, std::string_view key, const std::string &value,
                              Version expected, Pause &&pause, ShouldRetry &&shouldRetry)
@@ -43,9 +43,12 @@
             auto current = store.get(key);
             if (!current.isError() && current.value().value == value)
                 return current.value().version;
-            if (!current.isError() || !hasUnknownOutcome(current.error()))
+            if (!current.isError() || current.error().kind == ErrorKind::NotFound)
                 return failure;
+            // Only what the object contains tells who has written it.
             failure = current.takeError();
+            if (!hasUnknownOutcome(failure))
+                failure.kind = ErrorKind::Unavailable;
         }
         if (!shouldRetry())
             return failure;
--- a/Tests/Store/TestConfirmedWrite.cpp
+++ b/Tests/Store/TestConfirmedWrite.cpp
@@ -45,6 +45,28 @@
         CHECK(written.error().kind == ErrorKind::Conflict);
         CHECK(memory.get("a").value().value == "theirs");
     }
+    SECTION("A write that took effect is not a conflict because the store refuses to read it back")
+    {
+        const auto putWith = [&](auto mayRetry) {
+            // The lost write, the repeated one, and its reads.
+            store.nextFault = [calls = 0]() mutable {
+                calls += 1;
+                if (calls == 1)
+                    return FaultyStore::Fault::LostResponse;
+                return calls == 3 ? FaultyStore::Fault::Refusal : FaultyStore::Fault::None;
+            };
+            return putConfirmed(store, "a", "mine", noVersion, NoPause{}, mayRetry);
+        };
+        CHECK_FALSE(putWith(always).isError());
+
+        SECTION("but unknown if there is no time to read it again")
+        {
+            (void)memory.remove("a", noVersion);
+            const auto written = putWith([] { return false; });
+            REQUIRE(written.isError());
+            CHECK(written.error().kind == ErrorKind::Unavailable);
+        }
+    }
     SECTION("A lasting outage is reported as Unavailable")
     {
         store.nextFault = [] { return FaultyStore::Fault::Outage; };
