RelayCall: Let a status without proof not count against the upstream

A call that always draws a plain 503 put each upstream that it was sent to into back-off, while one that draws a 500 does not.

--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -189,7 +189,6 @@
     }
     if (promisesNotRun(answer.status())) {
         // Without the upstream's statement, the call may have run.
-        reservation.reportHealth(UpstreamHealth::Failed);
         logFailedAttempt(upstream, "status " + std::to_string(answer.status())
                                            + " without a statement that the call has not run");
         answer.skipBody();
