--- a/Tests/Integration/TestBatchPromises.cpp
+++ b/Tests/Integration/TestBatchPromises.cpp
@@ -436,6 +436,28 @@
     }
 }
 
+TEST_CASE("An item that must not be repeated runs once although an online call preempts it")
+{
+    Deployment deployment;
+    deployment.addAgent("agent1", {.slots = 1, .tokenIntervalMs = 20});
+    deployment.addEntry("entry1", {});
+    deployment.putCatalogue(1);
+    auto lines = jobLines(1, 100);
+    lines.insert(lines.rfind('}'), ",\"idempotent\":false");
+    REQUIRE(deployment.call("entry1", {"PUT", "/v1/batches/job?entry=captions", {}, lines}).status
+            == 201);
+    const auto runsBegun
+            = [&] { return integerField(deployment.engineStats("agent1"), "executions", 0); };
+    REQUIRE(eventually([&] { return runsBegun() == 1; }));
+    CHECK(deployment.call("entry1", completion("online", 5)).status == 200);
+    REQUIRE(eventually([&] {
+        const auto job = deployment.call("entry1", {"GET", "/v1/batches/job", {}, ""});
+        return textField(boost::json::parse(job.body).as_object(), "state") == "completed";
+    }));
+    // The call and the item.
+    CHECK(runsBegun() == 2);
+}
+
 TEST_CASE("A large job needs few writes to the store")
 {
     Deployment deployment;
