Tests: Check that a soak has had what it is about

A soak also fails if nothing was served, refused, written once more, sent to an earlier id, resumed or accepted. SIGHUP comes with changed settings. Overlaps that are excused by a disturbance of the process are counted and printed, traces show copies in one line, and all jobs share one wait at the end.

--- a/Tests/Platform/SoakServer.cpp
+++ b/Tests/Platform/SoakServer.cpp
@@ -62,6 +62,14 @@
     return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + id + "\r\n" + headers + "\r\n";
 }
 
+/// Returns the status and the id of an answer.
+std::string firstLines(const std::string &answer)
+{
+    const auto statusEnd = answer.find("\r\n");
+    const auto idEnd = answer.find("\r\n", statusEnd + 2);
+    return answer.substr(0, statusEnd) + ", " + answer.substr(statusEnd + 2, idEnd - statusEnd - 2);
+}
+
 template<typename Answers>
 void remember(Answers &answers, std::string answer)
 {
@@ -77,6 +85,7 @@
 std::size_t SoakRecord::begin(const std::string &id, const std::string &server,
                               std::string_view after)
 {
+    m_resumptions += after.empty() ? 0 : 1;
     const std::scoped_lock lock(m_mutex);
     m_runs.push_back({id, server, SteadyClock().now(), {}});
     noteLocked(id, server + " begins to run after event '" + std::string(after) + "'");
@@ -123,8 +132,9 @@
 std::string SoakRecord::summary() const
 {
     const std::scoped_lock lock(m_mutex);
-    return std::to_string(m_runs.size()) + " runs, " + std::to_string(m_refusals) + " refusals, "
-           + std::to_string(m_copies) + " copies of answers";
+    return std::to_string(m_runs.size()) + " runs (" + std::to_string(m_resumptions) + " resumed), "
+           + std::to_string(m_refusals) + " refusals (" + std::to_string(m_misdirections)
+           + " for another id), " + std::to_string(m_copies) + " copies of answers";
 }
 
 SoakServer::SoakServer(const std::string &address, std::string id, SoakRecord &record,
@@ -249,8 +259,10 @@
 {
     if (request.id.empty())
         return write(connection, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
-    if (!request.expectedServer.empty() && request.expectedServer != connection.serverId)
+    if (!request.expectedServer.empty() && request.expectedServer != connection.serverId) {
+        m_record.countMisdirection();
         return refuse(connection, request, "421 Misdirected Request");
+    }
     if (chance(connection, refusalPercent))
         return refuse(connection, request,
                       randomBelow(connection.random, 2) == 0 ? "503 Service Unavailable"
@@ -343,10 +355,11 @@
         return write(connection, bytes);
     m_record.countCopy();
     if (randomBelow(connection.random, 2) == 0) {
-        m_record.note(request.id, connection.serverId + " writes before it: " + copy);
+        m_record.note(request.id, connection.serverId + " writes before it: " + firstLines(copy));
         return write(connection, copy + std::string(bytes));
     }
-    m_record.note(request.id, connection.serverId + " writes in two pieces before it: " + copy);
+    m_record.note(request.id,
+                  connection.serverId + " writes in two pieces before it: " + firstLines(copy));
     const auto part = 1 + randomBelow(connection.random, copy.size() - 1);
     return write(connection, copy.substr(0, part))
            && waitWhileOpen(connection, milliseconds(connection.random, 1, 10))
@@ -359,7 +372,8 @@
     if (copy.empty() || !chance(connection, copyPercent))
         return true;
     m_record.countCopy();
-    m_record.note(request.id, connection.serverId + " writes at the begin of its run: " + copy);
+    m_record.note(request.id,
+                  connection.serverId + " writes at the begin of its run: " + firstLines(copy));
     return write(connection, copy);
 }
 
@@ -369,7 +383,7 @@
     if (copy.empty() || !chance(connection, copyPercent))
         return true;
     m_record.countCopy();
-    m_record.note(request.id, connection.serverId + " writes a little later: " + copy);
+    m_record.note(request.id, connection.serverId + " writes a little later: " + firstLines(copy));
     return waitWhileOpen(connection, milliseconds(connection.random, 1, 5))
            && write(connection, copy);
 }
--- a/Tests/Platform/SoakServer.h
+++ b/Tests/Platform/SoakServer.h
@@ -39,10 +39,17 @@
 
     [[nodiscard]] std::map<std::string, std::vector<SoakRun>> runs() const;
     [[nodiscard]] std::string traceOf(const std::string &id) const;
-    /// Returns how many refusals were written, and how many copies of earlier answers.
-    [[nodiscard]] std::string summary() const;
     void countRefusal() { m_refusals += 1; }
+    void countMisdirection() { m_misdirections += 1; }
     void countCopy() { m_copies += 1; }
+    [[nodiscard]] unsigned refusals() const { return m_refusals; }
+    /// Requests that named an earlier start of the server.
+    [[nodiscard]] unsigned misdirections() const { return m_misdirections; }
+    /// Copies of earlier answers.
+    [[nodiscard]] unsigned copies() const { return m_copies; }
+    /// Runs that went on after an event.
+    [[nodiscard]] unsigned resumptions() const { return m_resumptions; }
+    [[nodiscard]] std::string summary() const;
 
 private:
     void noteLocked(const std::string &id, const std::string &text);
@@ -52,6 +59,8 @@
     std::vector<SoakRun> m_runs;
     std::map<std::string, std::string> m_traces;
     std::atomic<unsigned> m_refusals{0};
+    std::atomic<unsigned> m_misdirections{0};
+    std::atomic<unsigned> m_resumptions{0};
     std::atomic<unsigned> m_copies{0};
 };
 
--- a/Tests/Platform/TestPromiseSoak.cpp
+++ b/Tests/Platform/TestPromiseSoak.cpp
@@ -1,17 +1,19 @@
 #include "PlatformDeployment.h"
 #include "SoakServer.h"
 
-#include <boost/asio/connect.hpp>
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
-#include <functional>
 #include <iostream>
 #include <set>
+#include <stdexcept>
+#include <unistd.h>
 
 using namespace Radishplank;
 using namespace Radishplank::Test;
@@ -118,7 +120,11 @@
                 signal(SIGKILL);
             std::this_thread::sleep_for(Milliseconds(10));
         }
-        m_process = &m_deployment.startEntry(m_name, m_settings);
+        try {
+            m_process = &m_deployment.startEntry(m_name, m_settings);
+        } catch (const std::runtime_error &error) {
+            violations.add("FAULT", m_name, error.what());
+        }
         addDisturbance(begin);
     }
     [[nodiscard]] bool isRunning()
@@ -279,8 +285,8 @@
             registerServer(i, "ready");
         }
         writeConfiguration(1);
-        // A planned stop has to end within the soak.
-        const std::vector<std::string> settings{"--stop-time=4"};
+        writeSettings(1);
+        const std::vector<std::string> settings{"--settings=" + m_settingsFile};
         for (unsigned i = 0; i < entryCount; ++i)
             m_entries.push_back(std::make_unique<SoakEntry>(
                     m_deployment, "entry" + std::to_string(i + 1), settings));
@@ -288,6 +294,14 @@
             m_deployment.waitUntilReady(entry->name());
     }
 
+    ~PromiseSoak()
+    {
+        std::error_code ignored;
+        std::filesystem::remove(m_settingsFile, ignored);
+    }
+    PromiseSoak(const PromiseSoak &) = delete;
+    PromiseSoak &operator=(const PromiseSoak &) = delete;
+
     void run(std::chrono::seconds time)
     {
         std::vector<std::thread> clients;
@@ -308,7 +322,10 @@
             });
         });
         spawn(faults, [this](RandomEngine &random) {
-            repeat(random, 300, 1'500, [&] { entryOf(random).signal(SIGHUP); });
+            repeat(random, 300, 1'500, [&] {
+                writeSettings(1 + static_cast<unsigned>(randomBelow(random, entryCount)));
+                entryOf(random).signal(SIGHUP);
+            });
         });
         spawn(faults, [this](RandomEngine &random) {
             repeat(random, 500, 2'000,
@@ -357,11 +374,25 @@
         std::string text = m_record.summary() + "; ";
         for (const auto &[name, count] : counts)
             text += name + ": " + std::to_string(count) + ", ";
-        const auto accepted = std::count_if(m_jobs.begin(), m_jobs.end(),
-                                            [](const SoakJob &job) { return job.isAccepted; });
-        return text + std::to_string(accepted) + " of " + std::to_string(m_jobs.size())
-               + " jobs accepted";
+        return text + std::to_string(acceptedJobs()) + " of " + std::to_string(m_jobs.size())
+               + " jobs accepted, " + std::to_string(m_excusedOverlaps)
+               + " overlaps at disturbed processes";
+    }
+    [[nodiscard]] std::size_t acceptedJobs() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+                m_jobs.begin(), m_jobs.end(), [](const SoakJob &job) { return job.isAccepted; }));
+    }
+    /// Returns how many calls on the plain or the resumable route were served.
+    [[nodiscard]] std::size_t servedCalls(bool isPlain) const
+    {
+        return static_cast<std::size_t>(
+                std::count_if(m_calls.begin(), m_calls.end(), [&](const SoakCall &call) {
+                    return call.isPlain == isPlain && call.answer.status == 200
+                           && call.answer.isComplete;
+                }));
     }
+    [[nodiscard]] const SoakRecord &record() const { return m_record; }
     /// Writes the traces of all violations, and the logs of the processes.
     void writeLogs(const std::string &path) const
     {
@@ -427,6 +458,17 @@
         });
     }
 
+    /// Writes the settings file of the processes. `seed` is the number of an entry process.
+    void writeSettings(unsigned seed)
+    {
+        constexpr std::uint16_t controlPort = 21'363;
+        constexpr unsigned stopSeconds = 4; // Several planned stops end within a short run.
+        const Endpoint endpoint{addressWithEnd(m_deployment.freeAddress(), seed), controlPort};
+        std::ofstream(m_settingsFile) << json::serialize(
+                json::object{{"seeds", json::array{endpoint.text()}},
+                             {"bounds", json::object{{"grace_s", stopSeconds}}}});
+    }
+
     void writeConfiguration(unsigned version)
     {
         json::array routes;
@@ -598,15 +640,20 @@
     void readJobsToTheEnd()
     {
         unsigned entry = 0;
+        const auto isWhole = [](const SoakJob &job) {
+            return !job.isAccepted || job.results.size() >= job.items.size();
+        };
+        (void)eventually([&] {
+            for (auto &job : m_jobs) {
+                if (!isWhole(job))
+                    read(job, entry++ % entryCount, job.results.size());
+            }
+            return std::all_of(m_jobs.begin(), m_jobs.end(), isWhole);
+        });
         for (auto &job : m_jobs) {
             if (!job.isAccepted)
                 continue;
-            const bool isWhole = eventually([&] {
-                if (job.results.size() < job.items.size())
-                    read(job, entry++ % entryCount, job.results.size());
-                return job.results.size() >= job.items.size();
-            });
-            if (!isWhole)
+            if (!isWhole(job))
                 m_violations.add("LOST", job.id, "not all items are listed");
             for (unsigned i = 0; i < entryCount; ++i)
                 read(job, i, 0);
@@ -661,8 +708,11 @@
             const auto until = runs[later].begin + timeToStop;
             for (std::size_t earlier = 0; earlier < later; ++earlier) {
                 const auto &run = runs[earlier];
-                if (run.server != runs[later].server && (!run.end || *run.end > until)
-                    && !m_entries[call.entry]->wasDisturbed(runs[later].begin, until))
+                if (run.server == runs[later].server || (run.end && *run.end <= until))
+                    continue;
+                if (m_entries[call.entry]->wasDisturbed(runs[later].begin, until))
+                    m_excusedOverlaps += 1;
+                else
                     m_violations.add("TWICE", call.id,
                                      run.server + " still works after " + runs[later].server
                                              + " went on");
@@ -674,12 +724,15 @@
     SoakRecord m_record;
     Violations m_violations;
     PlatformDeployment m_deployment;
+    const std::string m_settingsFile = std::filesystem::temp_directory_path()
+                                       / ("radishplank-soak-" + std::to_string(::getpid()));
     std::atomic<unsigned> m_starts{0};
     std::vector<std::unique_ptr<SoakServer>> m_servers;
     std::vector<std::unique_ptr<SoakEntry>> m_entries;
     std::vector<OldId> m_oldIds;
     std::atomic<bool> m_isFaulting{true};
     std::atomic<bool> m_isRunning{true};
+    unsigned m_excusedOverlaps = 0;
     std::mutex m_mutex;
     std::vector<SoakCall> m_calls;
     std::vector<SoakJob> m_jobs;
@@ -703,4 +756,12 @@
     for (const auto &text : soak.violations().texts())
         FAIL_CHECK(text);
     CHECK(soak.violations().texts().empty());
+    // The run has had what the checks are about.
+    CHECK(soak.servedCalls(true) > 0);
+    CHECK(soak.servedCalls(false) > 0);
+    CHECK(soak.acceptedJobs() > 0);
+    CHECK(soak.record().refusals() > 0);
+    CHECK(soak.record().misdirections() > 0);
+    CHECK(soak.record().copies() > 0);
+    CHECK(soak.record().resumptions() > 0);
 }
