--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -691,7 +691,7 @@
     const auto limit = m_limits.limitOf(startOf(state));
     if (!limit)
         return slots;
-    // Online calls occupy no more slots than they arrive, each for its hold time.
+    // Calls that arrive at the limit occupy this many slots at a time.
     const double used
             = *limit * std::chrono::duration<double>(UpstreamCandidate().holdTime).count();
     return std::min(slots, static_cast<unsigned>(std::ceil(std::min(used, 1.0 * slots))));
