Limits: Compute the weights of rendezvous hashing in one place

UpstreamLimits repeated what quotaHomeOf() does. No change of behaviour: TestLimits (402,220 assertions) and TestGateway, [UpstreamLimits],[UpstreamTable] (473) pass.

--- a/Libraries/Gateway/UpstreamLimits.cpp
+++ b/Libraries/Gateway/UpstreamLimits.cpp
@@ -1,5 +1,7 @@
 #include <Gateway/UpstreamLimits.h>
 
+#include <Limits/QuotaRules.h>
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -24,12 +26,6 @@
 constexpr Milliseconds limitRetention{60'000};
 constexpr std::size_t maxLimits = 10'000;
 
-std::uint64_t rendezvousWeight(std::uint64_t node, std::uint64_t upstream)
-{
-    const std::string_view bytes(reinterpret_cast<const char *>(&node), sizeof node);
-    return stableHash(bytes, upstream);
-}
-
 } // namespace
 
 UpstreamLimits::UpstreamLimits(LimitMember self, std::map<ZoneName, RegionName> regions)
--- a/Libraries/Limits/QuotaRules.cpp
+++ b/Libraries/Limits/QuotaRules.cpp
@@ -57,13 +57,18 @@
     return static_cast<std::size_t>(total / static_cast<double>(members));
 }
 
+std::uint64_t rendezvousWeight(std::uint64_t process, std::uint64_t key)
+{
+    const std::string_view bytes(reinterpret_cast<const char *>(&process), sizeof process);
+    return stableHash(bytes, key);
+}
+
 std::uint64_t quotaHomeOf(std::uint64_t owner, std::span<const std::uint64_t> homes)
 {
     std::uint64_t best = 0;
     std::uint64_t bestWeight = 0;
     for (const auto home : homes) {
-        const std::string_view bytes(reinterpret_cast<const char *>(&home), sizeof home);
-        const auto weight = stableHash(bytes, owner);
+        const auto weight = rendezvousWeight(home, owner);
         if (best != 0 && weight <= bestWeight)
             continue;
         best = home;
--- a/Libraries/Limits/QuotaRules.h
+++ b/Libraries/Limits/QuotaRules.h
@@ -64,6 +64,8 @@
     }
 };
 
+/// Returns the weight of a process, given by the hash of its name, for a key in rendezvous hashing.
+[[nodiscard]] std::uint64_t rendezvousWeight(std::uint64_t process, std::uint64_t key);
 /// Returns the home of an owner's quota among the candidates; 0 if there are none.
 [[nodiscard]] std::uint64_t quotaHomeOf(std::uint64_t owner, std::span<const std::uint64_t> homes);
 
