Gateway: Measure distances between zones in one place

UpstreamLimits had a second version of Locality::distanceTo(), and each choice of an upstream copied the name of its zone for a look-up that seldom finds a limit. Locality has a file of its own, a look-up needs no zone, and the one look-up of a limit serves const and non-const callers.

--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -16,6 +16,7 @@
 #include <Gateway/GatewayMetrics.h>
 #include <Gateway/HeaderRules.h>
 #include <Gateway/JobService.h>
+#include <Gateway/Locality.h>
 #include <Gateway/MemberRegistry.h>
 #include <Gateway/OwnerLoads.h>
 #include <Gateway/PeerLink.h>
--- a/Libraries/Gateway/UpstreamLimits.cpp
+++ b/Libraries/Gateway/UpstreamLimits.cpp
@@ -28,9 +28,17 @@
 
 } // namespace
 
-UpstreamLimits::UpstreamLimits(LimitMember self, std::map<ZoneName, RegionName> regions)
-    : m_self(std::move(self))
-    , m_regions(std::move(regions))
+template<typename Limits>
+auto *UpstreamLimits::findIn(Limits &limits, const UpstreamStart &upstream)
+{
+    const auto found = limits.find(upstream.upstream);
+    const bool isSameStart = found != limits.end() && found->second.startedAt == upstream.startedAt;
+    return isSameStart ? &found->second : nullptr;
+}
+
+UpstreamLimits::UpstreamLimits(std::uint64_t self, Locality locality)
+    : m_locality(std::move(locality))
+    , m_self{self, m_locality.zone}
 {
 }
 
@@ -46,7 +54,7 @@
 bool UpstreamLimits::noteAnswer(const UpstreamStart &from, std::optional<double> perSecond,
                                 AnswerKind kind, TimePoint sentAt, TimePoint now)
 {
-    const auto *known = find(from);
+    const auto *known = findIn(m_limits, from);
     const bool wasLimited = known != nullptr && !known->hasEnded;
     if (perSecond) {
         set({from.upstream, from.startedAt, perSecond, {}}, now, true, now);
@@ -115,47 +123,36 @@
     known->second.isFirstHand = isFirstHand;
 }
 
-const UpstreamLimits::Limit *UpstreamLimits::find(const UpstreamStart &upstream) const
-{
-    const auto found = m_limits.find(upstream.upstream);
-    const bool isSameStart
-            = found != m_limits.end() && found->second.startedAt == upstream.startedAt;
-    return isSameStart ? &found->second : nullptr;
-}
-
-UpstreamLimits::Limit *UpstreamLimits::find(const UpstreamStart &upstream)
-{
-    return const_cast<Limit *>(std::as_const(*this).find(upstream));
-}
-
 bool UpstreamLimits::isRestricting(const Limit &limit, TimePoint now)
 {
     return now - limit.notedAt <= (limit.hasEnded ? recoveryTime : limitRetention);
 }
 
-std::optional<Duration> UpstreamLimits::waitTime(const UpstreamStart &upstream, TimePoint now)
+std::optional<Duration> UpstreamLimits::waitTime(const UpstreamStart &upstream,
+                                                 const ZoneName &zone, TimePoint now)
 {
-    auto *limit = find(upstream);
+    auto *limit = findIn(m_limits, upstream);
     if (limit == nullptr || !isRestricting(*limit, now))
         return {};
     if (limit->hasEnded || limit->membersVersion != m_membersVersion)
-        divide(*limit, upstream, now);
+        divide(*limit, upstream.upstream, zone, now);
     return limit->isUser ? limit->allowance.waitTime(now) : Duration::max();
 }
 
 void UpstreamLimits::noteSent(const UpstreamStart &upstream, TimePoint now)
 {
-    if (auto *limit = find(upstream))
+    if (auto *limit = findIn(m_limits, upstream))
         (void)limit->allowance.take(now);
 }
 
 std::optional<double> UpstreamLimits::limitOf(const UpstreamStart &upstream) const
 {
-    const auto *limit = find(upstream);
+    const auto *limit = findIn(m_limits, upstream);
     return limit == nullptr || limit->hasEnded ? std::optional<double>() : limit->perSecond;
 }
 
-void UpstreamLimits::divide(Limit &limit, const UpstreamStart &upstream, TimePoint now) const
+void UpstreamLimits::divide(Limit &limit, std::uint64_t upstream, const ZoneName &zone,
+                            TimePoint now) const
 {
     const auto alive = m_others.size() + 1;
     double perSecond = std::max(minLimitPerSecond, limit.perSecond);
@@ -168,17 +165,17 @@
     const bool isIsolated = alive * 2 < m_processCount;
     const double users = isIsolated ? static_cast<double>(m_processCount)
                                     : std::min(std::max(1.0, wanted), static_cast<double>(alive));
-    limit.isUser = isIsolated || static_cast<double>(membersBefore(upstream)) < users;
+    limit.isUser = isIsolated || static_cast<double>(membersBefore(upstream, zone)) < users;
     const double rate = perSecond / users;
     limit.allowance.configure(rate, std::max(1.0, burstSeconds * rate), now);
     limit.membersVersion = m_membersVersion;
 }
 
-std::size_t UpstreamLimits::membersBefore(const UpstreamStart &upstream) const
+std::size_t UpstreamLimits::membersBefore(std::uint64_t upstream, const ZoneName &zone) const
 {
     const auto rank = [&](const LimitMember &member) {
-        return std::tuple(distance(member.zone, upstream.zone),
-                          rendezvousWeight(member.node, upstream.upstream), member.node);
+        return std::tuple(m_locality.distance(member.zone, zone),
+                          rendezvousWeight(member.node, upstream), member.node);
     };
     const auto own = rank(m_self);
     return static_cast<std::size_t>(
@@ -186,15 +183,4 @@
                           [&](const LimitMember &other) { return rank(other) < own; }));
 }
 
-Distance UpstreamLimits::distance(const ZoneName &from, const ZoneName &to) const
-{
-    if (from == to)
-        return Distance::SameZone;
-    const auto first = m_regions.find(from);
-    const auto second = m_regions.find(to);
-    const bool isSameRegion = first != m_regions.end() && second != m_regions.end()
-                              && first->second == second->second;
-    return isSameRegion ? Distance::SameRegion : Distance::OtherRegion;
-}
-
 } // namespace Radishplank
--- a/Libraries/Gateway/UpstreamLimits.h
+++ b/Libraries/Gateway/UpstreamLimits.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include <Core/Core.h>
+#include <Gateway/Locality.h>
 #include <Gateway/PeerReport.h>
-#include <Serving/Router.h>
 #include <Serving/TokenBucket.h>
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -20,7 +19,6 @@
     /// Hash of the upstream's name, as upstreamHash() gives it.
     std::uint64_t upstream = 0;
     std::int64_t startedAt = 0;
-    ZoneName zone;
 };
 
 /// An entry process among which the rates of limited upstreams are divided.
@@ -41,7 +39,7 @@
 class UpstreamLimits
 {
 public:
-    UpstreamLimits(LimitMember self, std::map<ZoneName, RegionName> regions);
+    UpstreamLimits(std::uint64_t self, Locality locality);
 
     /// Sets the other processes that are alive, and the number of all processes; 0 if unknown.
     void setMembers(std::span<const LimitMember> others, std::size_t processCount);
@@ -57,9 +55,11 @@
     /// Returns what this process has learnt from answers, for a report.
     [[nodiscard]] std::vector<UpstreamLimitReport> report(TimePoint now) const;
 
-    /// Returns how long this process must wait before it sends the next request; nothing if the
-    /// upstream has no limit, and Duration::max() if only other processes use it.
-    [[nodiscard]] std::optional<Duration> waitTime(const UpstreamStart &upstream, TimePoint now);
+    /// Returns how long this process must wait before it sends the next request to an upstream in
+    /// the given zone; nothing if the upstream has no limit, and Duration::max() if only other
+    /// processes use it.
+    [[nodiscard]] std::optional<Duration> waitTime(const UpstreamStart &upstream,
+                                                   const ZoneName &zone, TimePoint now);
     /// Counts a request that is sent now.
     void noteSent(const UpstreamStart &upstream, TimePoint now);
     /// Returns the requests per second that the upstream names at present, if it does.
@@ -82,19 +82,19 @@
         std::uint64_t membersVersion = 0;
     };
 
-    [[nodiscard]] Limit *find(const UpstreamStart &upstream);
-    [[nodiscard]] const Limit *find(const UpstreamStart &upstream) const;
+    /// Returns the limit of this start of an upstream in m_limits; null if there is none.
+    template<typename Limits>
+    [[nodiscard]] static auto *findIn(Limits &limits, const UpstreamStart &upstream);
     /// Returns whether the limit still restricts requests: also for a while after its end.
     [[nodiscard]] static bool isRestricting(const Limit &limit, TimePoint now);
     void set(const UpstreamLimitReport &limit, TimePoint notedAt, bool isFirstHand, TimePoint now);
     /// Determines this process's part of the rate.
-    void divide(Limit &limit, const UpstreamStart &upstream, TimePoint now) const;
+    void divide(Limit &limit, std::uint64_t upstream, const ZoneName &zone, TimePoint now) const;
     /// Returns how many other processes use the upstream rather than this one.
-    [[nodiscard]] std::size_t membersBefore(const UpstreamStart &upstream) const;
-    [[nodiscard]] Distance distance(const ZoneName &from, const ZoneName &to) const;
+    [[nodiscard]] std::size_t membersBefore(std::uint64_t upstream, const ZoneName &zone) const;
 
+    const Locality m_locality;
     const LimitMember m_self;
-    const std::map<ZoneName, RegionName> m_regions;
     std::vector<LimitMember> m_others;
     std::size_t m_processCount = 0;
     std::uint64_t m_membersVersion = 1;
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -40,15 +40,6 @@
 
 } // namespace
 
-Distance Locality::distanceTo(const ZoneName &other) const
-{
-    if (other == zone)
-        return Distance::SameZone;
-    const auto found = regions.find(other);
-    const bool isSameRegion = found != regions.end() && found->second == region;
-    return isSameRegion ? Distance::SameRegion : Distance::OtherRegion;
-}
-
 UpstreamTable::Reservation::Reservation(UpstreamTable &table, UpstreamInfo upstream,
                                         WorkClass workClass, std::uint64_t number,
                                         TimePoint beganAt)
@@ -110,7 +101,7 @@
     : m_self(std::move(self))
     , m_locality(std::move(locality))
     , m_placement(placement)
-    , m_limits({nodeHash(m_self), m_locality.zone}, m_locality.regions)
+    , m_limits(nodeHash(m_self), m_locality)
 {
 }
 
@@ -230,7 +221,7 @@
 
 UpstreamStart UpstreamTable::startOf(const State &state)
 {
-    return {state.hash, state.info.startedAt, state.info.zone};
+    return {state.hash, state.info.startedAt};
 }
 
 bool UpstreamTable::isShortOfRequests(const std::string &service, TimePoint now) const
@@ -247,7 +238,7 @@
     const auto now = SteadyClock().now();
     {
         const std::scoped_lock lock(m_mutex);
-        const UpstreamStart from{upstreamHash(upstream.id), upstream.startedAt, upstream.zone};
+        const UpstreamStart from{upstreamHash(upstream.id), upstream.startedAt};
         if (!m_limits.noteAnswer(from, perSecond, answer, reservation.m_reservedAt, now))
             return;
     }
@@ -312,7 +303,7 @@
         if (state.isInSubset != isInSubset || state.info.service != service || state.info.isDraining
             || isLeaving(state) || excluded.contains(id))
             continue;
-        const auto wait = m_limits.waitTime(startOf(state), now);
+        const auto wait = m_limits.waitTime(startOf(state), state.info.zone, now);
         if (wait && (avoidsLimited || *wait > Duration(0))) {
             result.wasLimited = true;
             result.nextRequest = std::min(result.nextRequest, *wait);
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Catalogue/Catalogue.h>
+#include <Gateway/Locality.h>
 #include <Gateway/PeerLoads.h>
 #include <Gateway/UpstreamInfo.h>
 #include <Gateway/UpstreamLimits.h>
@@ -23,16 +24,6 @@
 
 namespace Radishplank {
 
-/// Availability zone and region of this process, from which distances are measured.
-struct Locality
-{
-    ZoneName zone;
-    RegionName region;
-    std::map<ZoneName, RegionName> regions;
-
-    [[nodiscard]] Distance distanceTo(const ZoneName &other) const;
-};
-
 /// What the outcome of an attempt says about the health of the upstream.
 enum class UpstreamHealth {
     Healthy, ///< The upstream has answered.
--- a/Tests/Gateway/TestUpstreamLimits.cpp
+++ b/Tests/Gateway/TestUpstreamLimits.cpp
@@ -19,9 +19,13 @@
 constexpr Milliseconds window{4'000};
 using Answer = UpstreamLimits::AnswerKind;
 
-const std::map<ZoneName, RegionName> regions{{ZoneName("a"), RegionName("north")},
-                                             {ZoneName("b"), RegionName("north")},
-                                             {ZoneName("c"), RegionName("south")}};
+Locality localityIn(const ZoneName &zone)
+{
+    const std::map<ZoneName, RegionName> regions{{ZoneName("a"), RegionName("north")},
+                                                 {ZoneName("b"), RegionName("north")},
+                                                 {ZoneName("c"), RegionName("south")}};
+    return {zone, regions.at(zone), regions};
+}
 
 LimitMember member(std::size_t index)
 {
@@ -112,7 +116,7 @@
     struct Process
     {
         explicit Process(const LimitMember &self)
-            : limits(self, regions)
+            : limits(self.node, localityIn(self.zone))
         {
         }
         UpstreamLimits limits;
@@ -132,12 +136,12 @@
             auto &limits = m_processes[m_next]->limits;
             if (!m_alive[m_next])
                 continue;
-            const auto wait = limits.waitTime(upstream, m_now);
+            const auto wait = limits.waitTime(m_upstream, m_zone, m_now);
             if (wait && *wait > Duration(0))
                 continue;
-            limits.noteSent(upstream, m_now);
+            limits.noteSent(m_upstream, m_now);
             m_sent.push_back(m_now);
-            limits.noteAnswer(upstream, limit, Answer::Success, m_now, m_now + step);
+            limits.noteAnswer(m_upstream, limit, Answer::Success, m_now, m_now + step);
         }
     }
     void sendReports()
@@ -159,7 +163,8 @@
         }
     }
 
-    const UpstreamStart upstream{upstreamHash(UpstreamId("u1")), 1, ZoneName("a")};
+    const UpstreamStart m_upstream{upstreamHash(UpstreamId("u1")), 1};
+    const ZoneName m_zone{"a"};
     std::vector<std::unique_ptr<Process>> m_processes;
     std::vector<bool> m_alive;
     std::deque<Report> m_reports;
@@ -273,45 +278,46 @@
 
 TEST_CASE("Only a later answer of the same start shows that a limit has ended", "[UpstreamLimits]")
 {
-    const UpstreamStart upstream{7, 100, ZoneName("a")};
-    UpstreamLimits limits(member(0), regions);
+    const ZoneName zone("a");
+    const UpstreamStart upstream{7, 100};
+    UpstreamLimits limits(member(0).node, localityIn(zone));
     const TimePoint begin{std::chrono::hours(1)};
     const auto at = [&](int milliseconds) { return begin + Milliseconds(milliseconds); };
     CHECK(limits.noteAnswer(upstream, 2.0, Answer::Success, at(0), at(100)));
-    REQUIRE(limits.waitTime(upstream, at(100)));
+    REQUIRE(limits.waitTime(upstream, zone, at(100)));
 
     SECTION("not an answer to an earlier request")
     {
         CHECK_FALSE(limits.noteAnswer(upstream, {}, Answer::Success, at(50), at(150)));
-        CHECK(limits.waitTime(upstream, at(150)));
+        CHECK(limits.waitTime(upstream, zone, at(150)));
     }
     SECTION("not a refusal")
     {
         CHECK_FALSE(limits.noteAnswer(upstream, {}, Answer::Other, at(200), at(250)));
-        CHECK(limits.waitTime(upstream, at(250)));
+        CHECK(limits.waitTime(upstream, zone, at(250)));
     }
     SECTION("not an older report of a peer")
     {
         limits.applyReport(std::vector<UpstreamLimitReport>{{7, 100, {}, Milliseconds(500)}},
                            at(300));
-        CHECK(limits.waitTime(upstream, at(300)));
+        CHECK(limits.waitTime(upstream, zone, at(300)));
     }
     SECTION("an answer to a request that was sent after the limit was named")
     {
         CHECK(limits.noteAnswer(upstream, {}, Answer::Success, at(200), at(250)));
-        CHECK(limits.waitTime(upstream, at(250)));
-        CHECK_FALSE(limits.waitTime(upstream, at(4'300)));
+        CHECK(limits.waitTime(upstream, zone, at(250)));
+        CHECK_FALSE(limits.waitTime(upstream, zone, at(4'300)));
         limits.applyReport(std::vector<UpstreamLimitReport>{{7, 100, 2.0, Milliseconds(4'200)}},
                            at(4'400));
-        CHECK_FALSE(limits.waitTime(upstream, at(4'400)));
+        CHECK_FALSE(limits.waitTime(upstream, zone, at(4'400)));
     }
     SECTION("another start of the upstream has no limit yet")
     {
-        CHECK_FALSE(limits.waitTime({7, 101, ZoneName("a")}, at(200)));
+        CHECK_FALSE(limits.waitTime({7, 101}, zone, at(200)));
     }
     SECTION("a limit that no answer has confirmed for long is forgotten")
     {
-        CHECK_FALSE(limits.waitTime(upstream, at(61'000)));
+        CHECK_FALSE(limits.waitTime(upstream, zone, at(61'000)));
     }
 }
 
