--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -63,8 +63,7 @@
     beast::flat_buffer buffer;
     TimePoint idleSince;
     Duration idleTimeout = idleConnectionTimeout;
-    unsigned calls = 0;
-    /// Hashes of the ids of the calls that it has carried.
+    /// Hashes of the ids of the calls that it has carried, for calls that have ids.
     std::vector<std::uint64_t> callIds;
 };
 
@@ -218,7 +217,7 @@
         , m_endpoint(std::move(endpoint))
         , m_options(options)
         , m_interruptGuard(options.cancellation, [this] { abort(); })
-        , m_earlierCalls(m_connection->calls++)
+        , m_calls(m_connection->callIds.size())
     {
         resetParser();
     }
@@ -248,7 +247,10 @@
 
     [[nodiscard]] unsigned status() const override { return m_status; }
     [[nodiscard]] const HttpHeaders &headers() const override { return m_headers; }
-    [[nodiscard]] unsigned earlierCalls() const override { return m_earlierCalls; }
+    [[nodiscard]] std::size_t earlierCalls() const override
+    {
+        return m_calls > 0 ? m_calls - 1 : 0;
+    }
 
     Result<std::string> readChunk() override
     {
@@ -412,7 +414,8 @@
     Endpoint m_endpoint;
     HttpCallOptions m_options;
     InterruptGuard m_interruptGuard;
-    const unsigned m_earlierCalls;
+    /// Calls with ids that the connection has carried, with this one.
+    const std::size_t m_calls;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     HttpHeaders m_headers;
     unsigned m_status = 0;
--- a/Libraries/Net/HttpClient.h
+++ b/Libraries/Net/HttpClient.h
@@ -65,8 +65,8 @@
 
     [[nodiscard]] virtual unsigned status() const = 0;
     [[nodiscard]] virtual const HttpHeaders &headers() const = 0;
-    /// Returns how many calls the connection had carried before this one.
-    [[nodiscard]] virtual unsigned earlierCalls() const = 0;
+    /// Returns how many calls with ids the connection had carried before this one.
+    [[nodiscard]] virtual std::size_t earlierCalls() const = 0;
     /// Returns the next chunk; an empty chunk marks the end of a complete body.
     virtual Result<std::string> readChunk() = 0;
     /// Returns the whole body; TooLarge if it exceeds the call's limit.
