Gateway: Read the head of an answer in one place

Calls and items had a copy each of what an answer's head tells about its upstream: that it leaves, its limit, and that it has not run the request. A limit now ends for items by any 2xx, as for calls; before by 200, the only one that servers send.

--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -3,6 +3,7 @@
 /// Public header of the Gateway library, which proxies calls to upstreams unchanged.
 
 #include <Gateway/AdmissionControl.h>
+#include <Gateway/AnswerHead.h>
 #include <Gateway/CallFingerprint.h>
 #include <Gateway/CallForwarder.h>
 #include <Gateway/CallHeaderNames.h>
--- a/Libraries/Gateway/ItemRun.cpp
+++ b/Libraries/Gateway/ItemRun.cpp
@@ -1,5 +1,6 @@
 #include <Gateway/ItemRun.h>
 
+#include <Gateway/AnswerHead.h>
 #include <Gateway/HeaderRules.h>
 #include <Gateway/StreamProgress.h>
 
@@ -123,22 +124,8 @@
                                                           : ItemRunEnd::Interrupted;
     }
     auto &answer = *std::get<std::unique_ptr<HttpResponseStream>>(opened);
-    if (answer.headers().find(dialect.upstreamLeaving))
-        place.noteLeaving();
-    place.noteRequestLimit(requestLimitOf(answer.headers(), dialect.requestLimit),
-                           answer.status() == 200 ? UpstreamLimits::AnswerKind::Success
-                                                  : UpstreamLimits::AnswerKind::Other);
-    constexpr unsigned misdirected = 421;
-    if (answer.status() == misdirected || answer.headers().find(dialect.notExecuted)) {
-        if (answer.status() == misdirected)
-            place.reportHealth(UpstreamHealth::Failed);
-        logDecision("attempt-not-run", {{"id", item.id},
-                                        {"upstream", upstream.id.text()},
-                                        {"status", std::to_string(answer.status())},
-                                        {"earlierCalls", std::to_string(answer.earlierCalls())}});
-        answer.skipBody();
+    if (noteAnswerHead(place, answer, dialect, item.id))
         return ItemRunEnd::NotRun;
-    }
     if (answer.status() != 200) {
         answer.skipBody();
         return runEndForStatus(answer.status());
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -1,5 +1,6 @@
 #include <Gateway/RelayCall.h>
 
+#include <Gateway/AnswerHead.h>
 #include <Gateway/CallFingerprint.h>
 #include <Gateway/HeaderRules.h>
 #include <Gateway/StreamProgress.h>
@@ -179,24 +180,8 @@
                                                   HttpResponseStream &answer)
 {
     const auto &upstream = reservation.upstream();
-    if (answer.headers().find(m_headerNames.upstreamLeaving))
-        reservation.noteLeaving();
-    const bool isSuccess = answer.status() >= 200 && answer.status() < 300;
-    reservation.noteRequestLimit(requestLimitOf(answer.headers(), m_headerNames.requestLimit),
-                                 isSuccess ? UpstreamLimits::AnswerKind::Success
-                                           : UpstreamLimits::AnswerKind::Other);
-    constexpr unsigned misdirected = 421;
-    if (answer.status() == misdirected || answer.headers().find(m_headerNames.notExecuted)) {
-        // A misdirected request has reached a different upstream than expected, which gets no
-        // further calls for now; a full upstream may be tried again.
-        if (answer.status() == misdirected)
-            reservation.reportHealth(UpstreamHealth::Failed);
+    if (noteAnswerHead(reservation, answer, m_headerNames, id())) {
         m_metrics.attemptsNotRun.increase();
-        logDecision("attempt-not-run", {{"id", id()},
-                                        {"upstream", upstream.id.text()},
-                                        {"status", std::to_string(answer.status())},
-                                        {"earlierCalls", std::to_string(answer.earlierCalls())}});
-        answer.skipBody();
         return AttemptOutcome::NotRun;
     }
     if (promisesNotRun(answer.status())) {
@@ -209,7 +194,7 @@
     const auto outcome = forwardAnswer(reservation, answer);
     if (outcome == AttemptOutcome::Answered) {
         reservation.reportHealth(UpstreamHealth::Healthy);
-        if (isSuccess)
+        if (answer.status() >= 200 && answer.status() < 300)
             noteCompleted(reservation);
         m_answerStatus = answer.status();
     } else if (!m_watch.isStopped()) {
