--- a/Tests/Platform/SoakServer.cpp
+++ b/Tests/Platform/SoakServer.cpp
@@ -26,11 +26,6 @@
 constexpr std::size_t maxCopyBytes = 2'000;
 constexpr std::size_t maxEarlierAnswers = 4;
 
-Milliseconds milliseconds(RandomEngine &random, unsigned least, unsigned most)
-{
-    return Milliseconds(static_cast<long long>(least + randomBelow(random, most - least + 1)));
-}
-
 unsigned eventCountOf(std::string_view body)
 {
     unsigned count = 1;
@@ -288,7 +283,7 @@
 bool SoakServer::run(Connection &connection, const Request &request)
 {
     if (!writeEarlyCopy(connection, request)
-        || !waitWhileOpen(connection, milliseconds(connection.random, 0, 60)))
+        || !waitWhileOpen(connection, randomTime(connection.random, 0, 60)))
         return false;
     if (!chance(connection, failurePercent))
         return runStream(connection, request);
@@ -317,7 +312,7 @@
             = chance(connection, breakPercent)
                       ? event + 1 + static_cast<unsigned>(randomBelow(connection.random, count))
                       : 0;
-    const auto pause = milliseconds(connection.random, 5, 150);
+    const auto pause = randomTime(connection.random, 5, 150);
     while (++event <= count) {
         const auto next = eventBytes(request.body, event);
         if (event == breakAt) {
@@ -362,7 +357,7 @@
                   connection.serverId + " writes in two pieces before it: " + firstLines(copy));
     const auto part = 1 + randomBelow(connection.random, copy.size() - 1);
     return write(connection, copy.substr(0, part))
-           && waitWhileOpen(connection, milliseconds(connection.random, 1, 10))
+           && waitWhileOpen(connection, randomTime(connection.random, 1, 10))
            && write(connection, copy.substr(part) + std::string(bytes));
 }
 
@@ -384,7 +379,7 @@
         return true;
     m_record.countCopy();
     m_record.note(request.id, connection.serverId + " writes a little later: " + firstLines(copy));
-    return waitWhileOpen(connection, milliseconds(connection.random, 1, 5))
+    return waitWhileOpen(connection, randomTime(connection.random, 1, 5))
            && write(connection, copy);
 }
 
--- a/Tests/Platform/SoakServer.h
+++ b/Tests/Platform/SoakServer.h
@@ -17,6 +17,12 @@
 
 namespace Radishplank::Test {
 
+/// Returns a time between two numbers of milliseconds.
+inline Milliseconds randomTime(RandomEngine &random, unsigned least, unsigned most)
+{
+    return Milliseconds(static_cast<long long>(least + randomBelow(random, most - least + 1)));
+}
+
 /// The time during which a server worked on a request.
 struct SoakRun
 {
--- a/Tests/Platform/TestPromiseSoak.cpp
+++ b/Tests/Platform/TestPromiseSoak.cpp
@@ -35,11 +35,6 @@
     return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
 }
 
-Milliseconds milliseconds(RandomEngine &random, unsigned least, unsigned most)
-{
-    return Milliseconds(static_cast<long long>(least + randomBelow(random, most - least + 1)));
-}
-
 std::string addressWithEnd(const std::string &address, unsigned end)
 {
     return address.substr(0, address.rfind('.') + 1) + std::to_string(end);
@@ -329,7 +324,7 @@
         });
         spawn(faults, [this](RandomEngine &random) {
             repeat(random, 500, 2'000,
-                   [&] { entryOf(random).freeze(milliseconds(random, 300, 1'000)); });
+                   [&] { entryOf(random).freeze(randomTime(random, 300, 1'000)); });
         });
         spawn(faults, [this](RandomEngine &random) {
             unsigned version = 1;
@@ -415,7 +410,7 @@
     template<typename Action>
     void repeat(RandomEngine &random, unsigned leastPause, unsigned mostPause, Action action)
     {
-        while (pause(milliseconds(random, leastPause, mostPause)))
+        while (pause(randomTime(random, leastPause, mostPause)))
             action();
     }
     /// Returns false once no more faults are wanted.
@@ -452,7 +447,7 @@
             });
             const auto server = static_cast<unsigned>(randomBelow(random, serverCount));
             // The entry of the earlier start stays.
-            m_oldIds.push_back({m_servers[server]->id(), now + milliseconds(random, 1'000, 4'000)});
+            m_oldIds.push_back({m_servers[server]->id(), now + randomTime(random, 1'000, 4'000)});
             m_servers[server]->restart(nextServerId(server));
             registerServer(server, "ready");
         });
@@ -532,8 +527,8 @@
                 const std::scoped_lock lock(m_mutex);
                 m_calls.push_back({id, entry, isPlain, answer});
             }
-            std::this_thread::sleep_for(answer.status == 200 ? milliseconds(random, 0, 20)
-                                                             : milliseconds(random, 10, 60));
+            std::this_thread::sleep_for(answer.status == 200 ? randomTime(random, 0, 20)
+                                                             : randomTime(random, 10, 60));
         }
     }
 
@@ -562,7 +557,7 @@
     void runJobClient(RandomEngine &random)
     {
         while (m_isRunning) {
-            std::this_thread::sleep_for(milliseconds(random, 50, 300));
+            std::this_thread::sleep_for(randomTime(random, 50, 300));
             if (randomBelow(random, 3) == 0)
                 addJob(random);
             for (auto &job : m_jobs) {
--- a/Tests/Platform/TestRepeatedRefusals.cpp
+++ b/Tests/Platform/TestRepeatedRefusals.cpp
@@ -48,6 +48,15 @@
                     body);
 }
 
+void startEntryBefore(PlatformDeployment &deployment, const std::string &id,
+                      const RepeatingServer &server)
+{
+    deployment.registerAt(id, server.endpoint(), "ready");
+    deployment.writeConfiguration(1);
+    deployment.startEntry("entry1");
+    deployment.waitUntilReady("entry1");
+}
+
 } // namespace
 
 TEST_CASE("A call runs once at a server that restarted under another id and repeats its refusals",
@@ -64,10 +73,7 @@
         runs.add(id);
         return stream(id, whole);
     });
-    deployment.registerAt("i-now", server.endpoint(), "ready");
-    deployment.writeConfiguration(1);
-    deployment.startEntry("entry1");
-    deployment.waitUntilReady("entry1");
+    startEntryBefore(deployment, "i-now", server);
 
     // Each call is sent to the id of the earlier start first with a probability of one half.
     constexpr int calls = 7;
@@ -99,10 +105,7 @@
         runs.add(id);
         return stream(id, whole);
     });
-    deployment.registerAt("i-1", server.endpoint(), "ready");
-    deployment.writeConfiguration(1);
-    deployment.startEntry("entry1");
-    deployment.waitUntilReady("entry1");
+    startEntryBefore(deployment, "i-1", server);
     REQUIRE(deployment.submit("entry1", "job1", {"item"}).status == 202);
     REQUIRE(deployment.waitForResults("entry1", "job1", 1).size() == 1);
     CHECK(runs.of("item") == 1);
@@ -126,10 +129,7 @@
         resumptions.add(id);
         return stream(id, whole.substr(firstEvent.size()));
     });
-    deployment.registerAt("i-1", server.endpoint(), "ready");
-    deployment.writeConfiguration(1);
-    deployment.startEntry("entry1");
-    deployment.waitUntilReady("entry1");
+    startEntryBefore(deployment, "i-1", server);
     const auto answer = deployment.post("entry1", "/resume/x", "hello", "call1");
     CHECK(answer.status == 200);
     CHECK(answer.body == whole);
