--- a/review/9/case.py
+++ b/review/9/case.py
@@ -6,9 +6,11 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin-2"))
-from standin import (ModelServer, TROUBLE, batch_route, item, new_id, read_lot, run_case, submit)
+from standin import (LIMITS, ModelServer, TROUBLE, batch_route, item, new_id, read_lot, run_case,
+                     submit)
 
 PARTS = 5_500  # of 13 tokens each, which an engine with 72,000 tokens holds
+MAX_HEADER_BYTES = 131_072  # the operator's limit, above the header of the item
 FINISH_S = 18
 FAULT_ENDS = 3
 FAULT_MACHINES = 2
@@ -18,7 +20,8 @@
     record = fleet.record
     for number in range(2):
         ModelServer(record, fleet.store, fleet.ip(), f"i-{number}", "flight-lm", gap_s=0.2)
-    fleet.configure(1, [batch_route("flight-lm")], "flight-lm")
+    fleet.configure(1, [batch_route("flight-lm")], "flight-lm",
+                    {"limits": {**LIMITS, "max_header_bytes": MAX_HEADER_BYTES}})
     fleet.start()
     time.sleep(5)
     ordinary = {}
