Gateway: Make sure that a process runs a job before accepting it again

A job's write takes effect late, after its process was killed and has started again. The client repeats the job elsewhere and gets 202, and no process runs its items: 0 of 10 were listed 43 s later.

Cause: the owner in the store is the name that a writer put there, perhaps in an earlier life. A submission, a reload, the list of jobs and a forestalled take-over all took it for the word of a process that knows of the job.

Change: whoever sees a job under another owner looks for a report that names the job, asks the owner, and otherwise takes the job over with a fence.

Ruled out: a second look some seconds after the start, since no time is long enough and a process under another name never looks.

The test "A submission to another process does not change the owner" had an owner that nobody heard; it is now heard, or says that it runs the job, with the same check.

--- a/Libraries/Batch/JobLog.h
+++ b/Libraries/Batch/JobLog.h
@@ -84,6 +84,13 @@
         return !object.isError();
     }
 
+    /// Returns the process that the store names as the owner of a job.
+    Result<NodeId> ownerOf(const std::string &id)
+    {
+        const auto object = TRY(m_store.get(jobKey(id)));
+        return TRY(parseSmallJob(object.value)).owner;
+    }
+
     Result<LoadedJob> load(const std::string &id)
     {
         const auto object = TRY(m_store.get(jobKey(id)));
--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -30,6 +30,7 @@
 #include <Gateway/RouteTable.h>
 #include <Gateway/StreamDelivery.h>
 #include <Gateway/StreamProgress.h>
+#include <Gateway/UnconfirmedOwners.h>
 #include <Gateway/UpstreamLimits.h>
 #include <Gateway/UpstreamSelector.h>
 #include <Gateway/UpstreamTable.h>
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -6,6 +6,7 @@
 #include <Gateway/ItemRun.h>
 #include <Gateway/PeerLink.h>
 #include <Gateway/RouteTable.h>
+#include <Gateway/UnconfirmedOwners.h>
 #include <Gateway/WorkHeaders.h>
 
 #include <algorithm>
@@ -56,13 +57,15 @@
 ///
 /// Everything runs on thread 0; the methods suspend the calling fiber. Results are returned to
 /// callers only once they are durable.
-template<ObjectStore Store, typename Pause>
+template<ObjectStore Store, typename Pause, JobOwnerProbe Probe>
 class JobService
 {
 public:
-    JobService(JobServiceContext context, JobLog<Store, Pause> log)
+    JobService(JobServiceContext context, JobLog<Store, Pause> log, Probe ownerProbe = {})
         : m_context(std::move(context))
         , m_log(std::move(log))
+        , m_ownerProbe(std::move(ownerProbe))
+        , m_unconfirmedOwners(m_context.peers)
         , m_endsMirror(makeEndsMirror())
         , m_claims(m_log.store(), Pause(), m_context.self,
                    [this](const std::string &limit) { return useOf(limit); })
@@ -94,10 +97,10 @@
     /// Returns whether no item is running and no result is waiting to be written to the store.
     [[nodiscard]] bool isIdle() const { return m_runningItems == 0 && m_writers == 0; }
 
-    /// Stores a job durably. Conflict: the name belongs to another job. Refused: the job does not
-    /// run. TooLarge or InvalidInput: the store will never take the job. LimitReached: the job does
-    /// not run because it would exceed its route's limit on waiting tokens. Unavailable or Timeout:
-    /// the job may have been accepted.
+    /// Stores a job durably, and makes sure that a process runs it. Conflict: the name belongs to
+    /// another job. Refused: the job does not run. TooLarge or InvalidInput: the store will never
+    /// take the job. LimitReached: the job does not run because it would exceed its route's limit
+    /// on waiting tokens. Unavailable or Timeout: the job may have been accepted.
     Result<void> submit(SmallJob job)
     {
         if (const auto active = find(job.id)) {
@@ -124,7 +127,7 @@
         }
         auto accepted = written.takeValue();
         if (accepted.owner != m_context.self)
-            return {};
+            return ensureRun(accepted.id, accepted.owner);
         const bool isNew = accepted.submittedAt == job.submittedAt;
         if (!isNew) {
             // The job was submitted before this process started.
@@ -233,6 +236,13 @@
     static constexpr Milliseconds idleDispatchInterval{200};
     static constexpr Milliseconds minRoundInterval{60};
     static constexpr Milliseconds recoveryCheckInterval{500};
+    /// Peers report at least twice a second.
+    static constexpr Milliseconds peerReportTime{700};
+    static constexpr Milliseconds peerReportPollInterval{20};
+    /// How often the owner of a job may change while this process finds out who runs it.
+    static constexpr unsigned maxOwnerChanges = 3;
+    /// Bounds the time between two checks for unreachable peers.
+    static constexpr std::size_t maxOwnerChecksPerRound = 4;
     /// Peers take over the jobs of a process after 2.5 s without a report from it, so a process
     /// that was paused for longer than this must check whether it still owns its jobs.
     static constexpr Milliseconds suspensionThreshold{2'000};
@@ -881,6 +891,8 @@
         if (loaded.isError() || loaded.value().job.owner != m_context.self) {
             for (const auto &result : unwritten)
                 m_unwrittenBytes -= result.output.size();
+            if (!loaded.isError())
+                m_unconfirmedOwners.note(id, loaded.value().job.owner, SteadyClock().now());
             drop(job, "another process owns it");
             return;
         }
@@ -1071,6 +1083,7 @@
             recheckOwnershipAfterIsolation(BootClock::now() - before);
             resolveUncertainOwnership();
             resolveUncertainSubmissions();
+            resolveUnconfirmedOwners();
             const auto unreachable = m_context.peers.takeNewlyUnreachable(SteadyClock().now());
             for (const auto &node : unreachable)
                 logStateChange("peer-silent", {{"peer", node.text()}});
@@ -1112,8 +1125,91 @@
                     = !isOwn && m_isPeerDiscoveryDone
                       && m_context.peers.isSuccessor(listed.job.owner, listed.job.id, now);
             if (isOwn || isOrphan)
-                acquireJob(listed.job.id, listed.job.owner);
+                acquireListed(listed.job.id, listed.job.owner);
+            else
+                m_unconfirmedOwners.note(listed.job.id, listed.job.owner, now);
+        }
+    }
+
+    /// Makes sure that a process runs each job that this process has seen under another owner.
+    void resolveUnconfirmedOwners()
+    {
+        // Before, peers that run jobs may not be known yet.
+        if (!m_isPeerDiscoveryDone)
+            return;
+        const auto unconfirmed = m_unconfirmedOwners.entries();
+        std::size_t checks = 0;
+        for (const auto &[id, entry] : unconfirmed) {
+            const auto step = m_unconfirmedOwners.nextStep(id, entry, SteadyClock().now());
+            if (step == UnconfirmedOwners::Step::Wait)
+                continue;
+            if (step == UnconfirmedOwners::Step::None || owns(id)) {
+                m_unconfirmedOwners.forget(id);
+                continue;
+            }
+            if (checks++ == maxOwnerChecksPerRound)
+                return;
+            const auto ensured = ensureRun(id, entry.owner);
+            if (!ensured.isError() || ensured.error().kind == ErrorKind::NotFound)
+                m_unconfirmedOwners.forget(id);
+        }
+    }
+
+    /// Makes sure that a process runs a job that the store assigns to `owner`: takes the job over
+    /// unless the owner, or another process, says that it runs the job. On failure, the job is
+    /// checked again later; NotFound if it does not exist.
+    Result<void> ensureRun(const std::string &id, NodeId owner)
+    {
+        waitForReportOf(owner);
+        Error failure{ErrorKind::Unavailable, "the owner of the job " + id + " keeps changing"};
+        for (unsigned change = 0; change < maxOwnerChanges; ++change) {
+            if (owner != m_context.self && isRunByPeer(id, owner))
+                return {};
+            const auto acquired = acquire(id, owner);
+            if (!acquired.isError() || acquired.error().kind == ErrorKind::NotFound)
+                return acquired;
+            // After a conflict, the store names another owner.
+            const bool isConflict = acquired.error().kind == ErrorKind::Conflict;
+            const auto current = isConflict ? m_log.ownerOf(id) : Result<NodeId>(acquired.error());
+            if (current.isError()) {
+                failure = m_log.asUnknownOutcome(current.error());
+                break;
+            }
+            owner = current.value();
+        }
+        logStateChange("job-owner-unconfirmed",
+                       {{"job", id}, {"owner", owner.text()}, {"reason", failure.message}});
+        m_unconfirmedOwners.note(id, owner, SteadyClock().now());
+        return failure;
+    }
+
+    /// Waits for a report of a process that this one may not have heard because it has just
+    /// started.
+    void waitForReportOf(const NodeId &node)
+    {
+        const auto until = SteadyClock().now() + peerReportTime;
+        while (!m_isPeerDiscoveryDone && SteadyClock().now() < until
+               && !m_context.peers.isReachable(node, SteadyClock().now()))
+            boost::this_fiber::sleep_for(peerReportPollInterval);
+    }
+
+    /// Returns whether the owner of a job, or another peer, says that it runs the job.
+    bool isRunByPeer(const std::string &id, const NodeId &owner)
+    {
+        const auto now = SteadyClock().now();
+        if (m_context.peers.isReportedAsRunning(id, now))
+            return true;
+        const auto control = m_context.peers.controlOf(owner, now);
+        if (!control)
+            return false;
+        const auto answer = m_ownerProbe(*control, id);
+        if (answer != OwnerAnswer::Runs) {
+            logStateChange("job-unknown-to-owner",
+                           {{"job", id},
+                            {"owner", owner.text()},
+                            {"answer", answer == OwnerAnswer::None ? "none" : "does not run it"}});
         }
+        return answer == OwnerAnswer::Runs;
     }
 
     /// Adopts jobs from submissions with an unknown outcome, if they exist and this process owns
@@ -1141,36 +1237,37 @@
         return error.kind == ErrorKind::Unavailable || error.kind == ErrorKind::Timeout;
     }
 
-    /// Makes this process the owner of a job that it does not run yet, and adopts the job.
-    void acquireJob(const std::string &id, const NodeId &from)
+    /// Makes this process the owner of a job that it does not run yet, and adopts the job. Conflict
+    /// if a third process owns it by now.
+    Result<void> acquire(const std::string &id, const NodeId &from)
     {
         if (from != m_context.self) {
-            const auto takeover = m_log.takeOver(id, from, m_context.self);
-            if (takeover.isError()) {
-                handleAcquireFailure(id, takeover.error());
-                return;
-            }
+            TRY(m_log.takeOver(id, from, m_context.self));
             logStateChange("job-taken-over", {{"job", id}, {"from", from.text()}});
         }
         // The previous owner may have added results since and may still be alive; the fence makes
         // its next write fail with a conflict.
-        auto loaded = m_log.loadFenced(id, makeUniqueId(m_context.self.text()));
-        if (loaded.isError()) {
-            handleAcquireFailure(id, loaded.error());
-            return;
-        }
-        adopt(loaded.takeValue());
+        adopt(TRY(m_log.loadFenced(id, makeUniqueId(m_context.self.text()))));
+        return {};
     }
 
-    void handleAcquireFailure(const std::string &id, const Error &error)
+    void acquireListed(const std::string &id, const NodeId &from)
     {
+        const auto acquired = acquire(id, from);
+        if (!acquired.isError())
+            return;
+        const auto &error = acquired.error();
         logStateChange("job-not-taken-up", {{"job", id}, {"reason", error.message}});
         if (error.kind == ErrorKind::Refused || isOutcomeUnknown(error))
             m_mustRecover = true;
+        else if (error.kind == ErrorKind::Conflict)
+            m_unconfirmedOwners.note(id, from, SteadyClock().now());
     }
 
     const JobServiceContext m_context;
     JobLog<Store, Pause> m_log;
+    Probe m_ownerProbe;
+    UnconfirmedOwners m_unconfirmedOwners;
     ObjectMirror<Store, Pause> m_endsMirror;
     JobQueue m_queue;
     std::unordered_map<std::string, JobPointer> m_jobs;
--- a/Libraries/Gateway/PeerTable.cpp
+++ b/Libraries/Gateway/PeerTable.cpp
@@ -186,6 +186,22 @@
     return owner;
 }
 
+bool PeerTable::isReportedAsRunning(const std::string &job, TimePoint now) const
+{
+    const auto hash = jobHash(job);
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        return entry.second.jobs.contains(hash) && isReachable(entry.first, now);
+    });
+}
+
+std::optional<Endpoint> PeerTable::controlOf(const NodeId &node, TimePoint now) const
+{
+    const auto peer = m_peers.find(node);
+    if (peer == m_peers.end() || !isReachable(node, now))
+        return {};
+    return peer->second.control;
+}
+
 bool PeerTable::shouldWatch(TimePoint now) const
 {
     std::size_t precedingWatchers = 0;
--- a/Libraries/Gateway/PeerTable.h
+++ b/Libraries/Gateway/PeerTable.h
@@ -57,6 +57,10 @@
     /// Returns where the owner of a job accepts calls, if exactly one reachable peer reports the
     /// job as its own. If two peers do, one of them has not learnt yet that the job was taken over.
     [[nodiscard]] std::optional<Endpoint> ownerOf(const std::string &job, TimePoint now) const;
+    /// Returns whether a reachable peer reports a job as its own.
+    [[nodiscard]] bool isReportedAsRunning(const std::string &job, TimePoint now) const;
+    /// Returns where a reachable peer accepts calls.
+    [[nodiscard]] std::optional<Endpoint> controlOf(const NodeId &node, TimePoint now) const;
     /// Returns whether this process should watch the store itself. One process in each zone does,
     /// and at least three in total; the others learn of changes from them.
     [[nodiscard]] bool shouldWatch(TimePoint now) const;
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -17,13 +17,26 @@
     void operator()(Milliseconds time) const { boost::this_fiber::sleep_for(time); }
 };
 
-using Service = JobService<FaultyStore, FiberSleep>;
+/// Answers for the owners of jobs; by default, none does.
+struct ScriptedProbe
+{
+    std::function<OwnerAnswer(const Endpoint &)> answer
+            = [](const Endpoint &) { return OwnerAnswer::None; };
+
+    OwnerAnswer operator()(const Endpoint &owner, const std::string &) const
+    {
+        return answer(owner);
+    }
+};
+
+using Service = JobService<FaultyStore, FiberSleep, ScriptedProbe>;
 
 /// An entry process without upstreams, so that its jobs stay waiting.
 struct EntryProcess
 {
     explicit EntryProcess(MemoryObjectStore &memory, const std::string &name = "entry1",
-                          Milliseconds peerDiscoveryTime = Milliseconds(100))
+                          Milliseconds peerDiscoveryTime = Milliseconds(100),
+                          ScriptedProbe probe = {})
         : store(memory)
         , node(name)
         , upstreams(node, {})
@@ -41,7 +54,7 @@
                    crashingParts,
                    Milliseconds(600'000),
                    peerDiscoveryTime},
-                  {store, FiberSleep(), Milliseconds(150)})
+                  {store, FiberSleep(), Milliseconds(150)}, std::move(probe))
     {
         publishRoute(1, 0);
     }
@@ -69,6 +82,21 @@
         return result.get_future().get();
     }
 
+    /// Notes a report of a peer that runs the given jobs; called on the process's fiber thread.
+    bool noteReport(const std::string &peer, const std::vector<std::string> &jobs)
+    {
+        PeerReport report;
+        report.node = NodeId(peer);
+        report.hasJobs = true;
+        for (const auto &job : jobs)
+            report.ownedJobs.push_back(jobHash(job));
+        return peers.noteReport(report, {"127.0.0.1", 9}, SteadyClock().now());
+    }
+    void hear(const std::string &peer, const std::vector<std::string> &jobs)
+    {
+        on([&] { return noteReport(peer, jobs); });
+    }
+
     /// Injects a fault into each further call to the store.
     void setFault(FaultyStore::Fault fault)
     {
@@ -237,9 +265,23 @@
     {
         REQUIRE_FALSE(entry.on([&] { return entry.service.submit(makeJob(2)); }).isError());
         auto &second = *new EntryProcess(memory, "entry2");
+        second.hear("entry1", {"job1"});
         REQUIRE_FALSE(second.on([&] { return second.service.submit(makeJob(2)); }).isError());
         CHECK_FALSE(second.on([&] { return second.service.owns("job1"); }));
     }
+    SECTION("Its owner has not reported it yet")
+    {
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(makeJob(2)); }).isError());
+        const ScriptedProbe probe{[](const Endpoint &) { return OwnerAnswer::Runs; }};
+        auto &second = *new EntryProcess(memory, "entry2", Milliseconds(100), probe);
+        second.hear("entry1", {});
+
+        SECTION("A submission to another process does not change the owner that says it runs it")
+        {
+            REQUIRE_FALSE(second.on([&] { return second.service.submit(makeJob(2)); }).isError());
+            CHECK_FALSE(second.on([&] { return second.service.owns("job1"); }));
+        }
+    }
     SECTION("Its owner has failed")
     {
         REQUIRE_FALSE(entry.on([&] { return entry.service.submit(makeJob(2)); }).isError());
@@ -551,3 +593,166 @@
     CHECK(upstream.rejected() >= 1);
     CHECK(upstream.rejected() <= maxRejections);
 }
+
+// Guards against accepted jobs without a process: a late write of a process that has ended names an
+// owner that does not know of the job.
+TEST_CASE("A job whose owner does not know of it runs at the process that finds that out",
+          "[JobService]")
+{
+    auto &memory = *new MemoryObjectStore;
+    auto job = makeJob(2);
+    job.owner = NodeId("entry1");
+    OwnerAnswer answer = OwnerAnswer::DoesNotRun;
+    const ScriptedProbe probe{[&](const Endpoint &) { return answer; }};
+    auto &entry = *new EntryProcess(memory, "entry2", Milliseconds(100), probe);
+    const auto write = [&](const SmallJob &changed) {
+        const auto current = memory.get("radishplank-jobs/job1");
+        REQUIRE_FALSE(memory.put("radishplank-jobs/job1", serialize(changed),
+                                 current.isError() ? noVersion : current.value().version)
+                              .isError());
+    };
+    const auto owns = [&] { return entry.service.owns("job1"); };
+
+    SECTION("The job is submitted again")
+    {
+        write(job);
+        SECTION("while its owner says that it does not run it")
+        {
+            entry.hear("entry1", {});
+        }
+        SECTION("while its owner does not answer")
+        {
+            entry.hear("entry1", {});
+            answer = OwnerAnswer::None;
+        }
+        SECTION("after its owner was replaced under another name")
+        {
+            entry.hear("entry3", {});
+        }
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(makeJob(2)); }).isError());
+        CHECK(entry.on(owns));
+        CHECK(parseSmallJob(memory.get("radishplank-jobs/job1").value().value).value().owner
+              == NodeId("entry2"));
+    }
+    SECTION("The job is submitted again, and the store refuses to change its owner")
+    {
+        write(job);
+        entry.hear("entry1", {});
+        entry.on([&] {
+            // The creation, which conflicts, and a read precede the reads and writes of a
+            // take-over.
+            entry.store.nextFault = [calls = 0]() mutable {
+                return calls++ < 2 ? FaultyStore::Fault::None : FaultyStore::Fault::Refusal;
+            };
+            return true;
+        });
+        const auto submitted = entry.on([&] { return entry.service.submit(makeJob(2)); });
+
+        SECTION("The submission is neither accepted nor refused, and the job runs later")
+        {
+            REQUIRE(submitted.isError());
+            CHECK(submitted.error().kind == ErrorKind::Unavailable);
+            entry.setFault(FaultyStore::Fault::None);
+            entry.service.start();
+            entry.hear("entry1", {});
+            CHECK(entry.eventually([&] {
+                (void)entry.noteReport("entry1", {});
+                return owns();
+            }));
+        }
+    }
+    SECTION("A starting process lists the job")
+    {
+        write(job);
+        entry.service.start();
+
+        SECTION("and its owner, which lives, does not know of it")
+        {
+            CHECK(entry.eventually([&] {
+                (void)entry.noteReport("entry1", {});
+                return owns();
+            }));
+        }
+    }
+    SECTION("A process drops the job to an owner that does not know of it")
+    {
+        entry.service.start();
+        entry.hear("entry1", {});
+        REQUIRE_FALSE(entry.on([&] { return entry.service.submit(makeJob(2)); }).isError());
+        write(job);
+        entry.on([&] {
+            PeerReport report;
+            report.node = NodeId("entry3");
+            report.ownedJobs = {jobHash("job1")};
+            entry.link.onReport(report, false);
+            return true;
+        });
+        REQUIRE(entry.eventually([&] { return !owns(); }));
+        CHECK(entry.eventually([&] {
+            (void)entry.noteReport("entry1", {});
+            return owns();
+        }));
+    }
+}
+
+TEST_CASE("An owner that is gone gets a successor, and one that answers keeps its job",
+          "[UnconfirmedOwners]")
+{
+    const TimePoint start{std::chrono::seconds(1'000)};
+    PeerTable peers(NodeId("entry1"), ZoneName("zone1"));
+    UnconfirmedOwners owners(peers);
+    owners.note("job1", NodeId("entry2"), start);
+    const auto stepAt = [&](TimePoint now) {
+        return owners.nextStep("job1", owners.entries().at("job1"), now);
+    };
+    PeerReport report;
+    report.node = NodeId("entry2");
+    report.hasJobs = true;
+
+    SECTION("A living owner that does not report the job is asked")
+    {
+        peers.noteReport(report, {"127.0.0.1", 9}, start);
+        CHECK(stepAt(start) == UnconfirmedOwners::Step::Ask);
+
+        SECTION("until it reports the job")
+        {
+            report.ownedJobs = {jobHash("job1")};
+            peers.noteReport(report, {"127.0.0.1", 9}, start);
+            CHECK(stepAt(start) == UnconfirmedOwners::Step::None);
+        }
+    }
+    SECTION("A job that another process reports needs nothing")
+    {
+        report.node = NodeId("entry3");
+        report.ownedJobs = {jobHash("job1")};
+        peers.noteReport(report, {"127.0.0.1", 9}, start);
+        CHECK(stepAt(start) == UnconfirmedOwners::Step::None);
+    }
+    SECTION("The only process takes over the job of an unknown owner")
+    {
+        CHECK(stepAt(start) == UnconfirmedOwners::Step::TakeOver);
+    }
+    SECTION("One of many processes takes the job over at once, and each later if none has")
+    {
+        const auto later = start + std::chrono::seconds(5);
+        std::size_t successors = 0;
+        constexpr int processes = 9;
+        for (int self = 0; self < processes; ++self) {
+            PeerTable table(NodeId("process" + std::to_string(self)), ZoneName("zone1"));
+            for (int peer = 0; peer < processes; ++peer) {
+                PeerReport alive;
+                alive.node = NodeId("process" + std::to_string(peer));
+                (void)table.noteReport(alive, {"127.0.0.1", 9}, start);
+                (void)table.noteReport(alive, {"127.0.0.1", 9}, later);
+            }
+            UnconfirmedOwners each(table);
+            each.note("job1", NodeId("gone"), start);
+            const auto &entry = each.entries().at("job1");
+            if (each.nextStep("job1", entry, start) == UnconfirmedOwners::Step::TakeOver)
+                successors += 1;
+            CHECK(each.nextStep("job1", entry, later) == UnconfirmedOwners::Step::TakeOver);
+        }
+        CHECK(successors >= 1);
+        CHECK(successors <= 2);
+    }
+}
--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -92,6 +92,22 @@
     m_revision += 1;
 }
 
+void FakeStore::delayWrites(const std::string &kind, Milliseconds delay)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_delayedKind = kind;
+    m_writeDelay = delay;
+}
+
+Milliseconds FakeStore::delayOf(const HttpRequest &request)
+{
+    const std::scoped_lock lock(m_mutex);
+    const bool isDelayed
+            = !m_delayedKind.empty() && request.method != "GET"
+              && request.target.starts_with(std::string(objectsPrefix) + m_delayedKind);
+    return isDelayed ? m_writeDelay : Milliseconds(0);
+}
+
 void FakeStore::put(const std::string &kind, const std::string &name, json::value spec)
 {
     auto &object = m_kinds[kind][name];
@@ -137,6 +153,12 @@
         exchange.abandon();
         return;
     }
+    const auto delay = delayOf(exchange.request());
+    if (delay > Milliseconds(0)) {
+        boost::this_fiber::sleep_for(delay);
+        (void)handleRequest(exchange.request(), body.isError() ? "" : body.value());
+        return exchange.abandon();
+    }
     auto response = handleRequest(exchange.request(), body.isError() ? "" : body.value());
     const bool isLost = m_outages != outages;
     if (isLost || (behaviour == StoreBehaviour::DroppingWriteResponses && isWrite)) {
--- a/Tests/Platform/FakeStore.h
+++ b/Tests/Platform/FakeStore.h
@@ -37,6 +37,9 @@
     [[nodiscard]] std::size_t callsMade() const { return m_calls; }
     /// Rejects the creation of larger objects with 413.
     void limitValues(std::size_t bytes) { m_maxValueBytes = bytes; }
+    /// Executes writes of objects of this kind that arrive from now on after this time, and answers
+    /// none of them; an empty kind ends that for further writes.
+    void delayWrites(const std::string &kind, Milliseconds delay);
     /// Drops the history: watches that start at an earlier revision get 410.
     void dropHistory();
 
@@ -57,6 +60,8 @@
     };
 
     void handle(HttpExchange &exchange);
+    /// Returns how much later a call is executed than it arrives; 0 if at once.
+    Milliseconds delayOf(const HttpRequest &request);
     HttpResponse handleRequest(const HttpRequest &request, const std::string &body);
     HttpResponse list(const std::string &kind, const HttpTarget &target);
     HttpResponse watch(const std::string &kind, const HttpTarget &target);
@@ -75,6 +80,8 @@
     std::atomic<std::size_t> m_calls{0};
     std::atomic<std::size_t> m_maxValueBytes{std::numeric_limits<std::size_t>::max()};
     std::mutex m_mutex;
+    std::string m_delayedKind;
+    Milliseconds m_writeDelay{};
     std::uint64_t m_revision = 1;
     std::uint64_t m_historyBegin = 0;
     std::map<std::string, std::map<std::string, Object>> m_kinds;
