HttpClient: Send only requests that are read as they are meant

Line breaks in the header of an item: servers ran a second request with an id that no client had sent, under another organisation's name. The item itself was sent again and again, and never listed.

Cause: items are JSON, and their texts became the request line and headers without a check. The same held for header names, the path and the id, for radishplankd's path and method, and for ids of servers in the store.

Change: HttpClient checks each request before it connects. A submission with such an item gets 400 with the item and the field.

Ruled out: a longer list of reserved names, which a name with a space or a line break passes by.

--- a/Libraries/Batch/ItemSplitter.cpp
+++ b/Libraries/Batch/ItemSplitter.cpp
@@ -1,7 +1,30 @@
 #include <Batch/ItemSplitter.h>
 
+#include <Net/HttpGrammar.h>
+
 namespace Radishplank {
 
+namespace {
+
+/// Fits into the heads that agents accept.
+constexpr std::size_t maxRequestLineBytes = std::size_t{8} * 1024;
+
+/// Returns what is wrong with the request line that an item asks for; empty if it is valid.
+std::string findRequestLineFault(const boost::json::object &item)
+{
+    const auto method = textField(item, "method").value_or("POST");
+    const auto path = textField(item, "path").value_or("/");
+    if (!isHttpToken(method))
+        return "the 'method' is not a method of HTTP";
+    if (!path.starts_with('/') || !isHttpTarget(path))
+        return "the 'path' does not begin with a slash, or has spaces or control characters";
+    if (method.size() + path.size() > maxRequestLineBytes)
+        return "the 'method' and 'path' are too long";
+    return {};
+}
+
+} // namespace
+
 Result<std::vector<ItemSplitter::UploadPart>> ItemSplitter::addChunk(std::string_view chunk)
 {
     m_digest.append(chunk);
@@ -77,6 +100,8 @@
             && name != "idempotent")
             return lineError(ErrorKind::InvalidInput, "unknown field '" + std::string(name) + "'");
     }
+    if (const auto fault = findRequestLineFault(item); !fault.empty())
+        return lineError(ErrorKind::InvalidInput, fault);
     if (!m_identifiers.insert(stableHash(*id)).second)
         return lineError(ErrorKind::InvalidInput, "the id '" + *id + "' has been used before");
     return {};
--- a/Libraries/Batch/SmallJob.cpp
+++ b/Libraries/Batch/SmallJob.cpp
@@ -1,5 +1,7 @@
 #include <Batch/SmallJob.h>
 
+#include <Net/HttpGrammar.h>
+
 #include <boost/json.hpp>
 
 namespace Radishplank {
@@ -69,6 +71,25 @@
 
 } // namespace
 
+Result<void> checkItem(const JobItem &item)
+{
+    const auto invalid = [](const std::string &message) {
+        return Error{ErrorKind::InvalidInput, message};
+    };
+    constexpr std::string_view whitespace = " \t";
+    // Servers send the id back without whitespace around it, and it would be that of another run.
+    const bool isPadded = !item.id.empty()
+                          && (whitespace.find(item.id.front()) != std::string_view::npos
+                              || whitespace.find(item.id.back()) != std::string_view::npos);
+    if (item.id.empty() || isPadded || !isHttpFieldValue(item.id))
+        return invalid("id: is empty, or has control characters or spaces around it");
+    if (!item.path.starts_with('/') || !isHttpTarget(item.path))
+        return invalid("path: does not begin with a slash, or has spaces or control characters");
+    if (const auto headers = checkHeaders(item.headers); headers.isError())
+        return invalid("headers: " + headers.error().message);
+    return {};
+}
+
 bool SmallJob::hasSameItems(const SmallJob &other) const
 {
     return organisation == other.organisation
--- a/Libraries/Batch/SmallJob.h
+++ b/Libraries/Batch/SmallJob.h
@@ -23,6 +23,10 @@
     std::int64_t tokens = 0;
 };
 
+/// InvalidInput if an item cannot be sent as a request; the message begins with the name of the
+/// field that is not valid.
+[[nodiscard]] Result<void> checkItem(const JobItem &item);
+
 /// A job that is stored with all its items in a single object.
 struct SmallJob
 {
--- a/Libraries/Gateway/ItemRun.cpp
+++ b/Libraries/Gateway/ItemRun.cpp
@@ -118,7 +118,8 @@
     auto opened = HttpClient::open(upstream.endpoint,
                                    itemRequest(upstream, dialect, job, item, progress), options);
     if (const auto *failure = std::get_if<HttpCallError>(&opened)) {
-        if (!control.cancellation.isCancelled())
+        const bool isRequestFault = failure->error.kind == ErrorKind::InvalidInput;
+        if (!control.cancellation.isCancelled() && !isRequestFault)
             place.reportHealth(UpstreamHealth::Failed);
         return failure->progress == CallProgress::NotSent ? ItemRunEnd::NotRun
                                                           : ItemRunEnd::Interrupted;
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -578,6 +578,11 @@
                     skipped.push_back(*item);
                 continue;
             }
+            if (const auto checked = checkItem(job->stored.job.items[item->index]);
+                checked.isError()) {
+                holdUntilExpiry(*item, checked.error());
+                continue;
+            }
             const auto parts = promptPartsOf(*item, *job);
             const auto now = SteadyClock().now();
             if (const auto delay = m_context.crashingParts.itemDelay(parts, now)) {
@@ -606,6 +611,16 @@
             m_queue.requeue(item);
     }
 
+    /// Keeps an item that earlier versions accepted although no request can be made of it. It must
+    /// not be given up before its job expires.
+    void holdUntilExpiry(const ItemKey &item, const Error &reason)
+    {
+        logFailure("item-not-sendable", {{"job", item.job},
+                                         {"item", std::to_string(item.index)},
+                                         {"reason", reason.message}});
+        m_queue.postpone(item, TimePoint::max());
+    }
+
     [[nodiscard]] PromptParts promptPartsOf(const ItemKey &item, const ActiveJob &job) const
     {
         const auto &headers = job.stored.job.items[item.index].headers;
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -163,7 +163,8 @@
     auto opened = HttpClient::open(upstream.endpoint, requestFor(upstream), attemptOptions());
     if (const auto *failure = std::get_if<HttpCallError>(&opened)) {
         if (!m_watch.isStopped()) {
-            reservation.reportHealth(UpstreamHealth::Failed);
+            if (failure->error.kind != ErrorKind::InvalidInput)
+                reservation.reportHealth(UpstreamHealth::Failed);
             logFailedAttempt(upstream, failure->error.message);
         }
         if (failure->progress == CallProgress::NotSent)
--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -4,6 +4,7 @@
 #include <Net/Await.h>
 #include <Net/BodyBuffer.h>
 #include <Net/FiberThreads.h>
+#include <Net/HttpGrammar.h>
 #include <Net/MemoryBudget.h>
 
 #include <algorithm>
@@ -532,6 +533,10 @@
 HttpClient::OpenResult HttpClient::open(const Endpoint &endpoint, const HttpRequest &request,
                                         const HttpCallOptions &options)
 {
+    // Texts of callers and of the store become part of requests. A line break in one of them would
+    // begin another header, or another request.
+    if (auto checked = checkRequestHead(request); checked.isError())
+        return HttpCallError{checked.takeError(), CallProgress::NotSent};
     const auto message = toMessage(endpoint, request);
     ConnectionPointer connection;
     if (options.reuse == ConnectionReuse::Allowed)
--- a/Libraries/Net/HttpClient.h
+++ b/Libraries/Net/HttpClient.h
@@ -97,7 +97,8 @@
 
     using OpenResult = std::variant<std::unique_ptr<HttpResponseStream>, HttpCallError>;
 
-    /// Sends the request and waits for the response headers.
+    /// Sends the request and waits for the response headers. InvalidInput, without sending
+    /// anything, if the request line or a header of it is not valid.
     static OpenResult open(const Endpoint &endpoint, const HttpRequest &request,
                            const HttpCallOptions &options);
     /// Opens a connection to the peer, which is pooled for later calls if the peer accepts it.
--- a/Libraries/Net/Net.h
+++ b/Libraries/Net/Net.h
@@ -5,6 +5,7 @@
 #include <Net/CallCancellation.h>
 #include <Net/FiberThreads.h>
 #include <Net/HttpClient.h>
+#include <Net/HttpGrammar.h>
 #include <Net/HttpMessage.h>
 #include <Net/HttpServer.h>
 #include <Net/Process.h>
--- a/Services/radishplankd/Agent/UpstreamCall.cpp
+++ b/Services/radishplankd/Agent/UpstreamCall.cpp
@@ -27,6 +27,8 @@
             = failure.error.kind == ErrorKind::Timeout && failure.progress == CallProgress::Sent;
     EndMessage line;
     line.end = hasTimedOut ? AttemptEnd::UpstreamSilent : AttemptEnd::UpstreamLost;
+    if (failure.error.kind == ErrorKind::InvalidInput)
+        line.end = AttemptEnd::Rejected;
     line.outcome = failure.progress == CallProgress::NotSent ? Outcome::NotRun : Outcome::Unknown;
     line.detail = failure.error.message;
     return line;
--- a/Services/radishplankd/Entry/AttemptClient.cpp
+++ b/Services/radishplankd/Entry/AttemptClient.cpp
@@ -32,6 +32,9 @@
 
 AttemptStatus statusOf(const EndMessage &line)
 {
+    // No upstream will take it, also if this one has not run it.
+    if (line.end == AttemptEnd::Rejected)
+        return AttemptStatus::Rejected;
     if (line.outcome == Outcome::NotRun)
         return AttemptStatus::NotRun;
     switch (line.end) {
@@ -69,6 +72,12 @@
     auto opened = HttpClient::open(agent, makeStartRequest(request, incarnation),
                                    attemptOptions(ConnectionReuse::Allowed));
     if (const auto *failure = std::get_if<HttpCallError>(&opened)) {
+        if (failure->error.kind == ErrorKind::InvalidInput) {
+            AttemptResult rejected;
+            rejected.status = AttemptStatus::Rejected;
+            rejected.detail = failure->error.message;
+            return rejected;
+        }
         if (failure->progress == CallProgress::NotSent) {
             upstream.noteUnavailable();
             return notRun(failure->error.message);
--- a/Tests/Batch/TestItemSplitter.cpp
+++ b/Tests/Batch/TestItemSplitter.cpp
@@ -57,11 +57,29 @@
         {
             expectError(R"({"id":"x","body":1,"a":1})", "unknown field 'a'");
         }
+        SECTION("a path that would begin another header")
+        {
+            expectError(R"({"id":"x","body":1,"path":"/a\r\nX-A: b"})", "the 'path' does not");
+        }
+        SECTION("a path that is none")
+        {
+            expectError(R"({"id":"x","body":1,"path":"a b"})", "the 'path' does not");
+        }
+        SECTION("a method that would begin another request line")
+        {
+            expectError(R"({"id":"x","body":1,"method":"GET /"})", "the 'method' is not");
+        }
         SECTION("a line too long")
         {
             expectError(std::string(300, 'x'), "the line is too long");
         }
     }
+    SECTION("A path that no agent would accept is rejected")
+    {
+        ItemSplitter large({3, 100'000, 10, 50'000});
+        CHECK(large.addChunk(R"({"id":"x","body":1,"path":"/)" + std::string(20'000, 'x') + "\"}\n")
+                      .isError());
+    }
     SECTION("Too many items are rejected")
     {
         std::string all;
--- a/Tests/Net/TestHttpClient.cpp
+++ b/Tests/Net/TestHttpClient.cpp
@@ -352,3 +352,41 @@
     CHECK(replaced->openConnections() == 0);
     CHECK(current->openConnections() == 1);
 }
+
+// Guards against texts of callers that become further headers or requests.
+TEST_CASE("A request that its receiver would read as something else is not sent", "[HttpClient]")
+{
+    ScriptedServer server(ScriptedServer::Responses{makeResponse("1", "whole")});
+    HttpRequest request{"POST", "/x", {{"Attempt", "1"}}, "body"};
+    SECTION("because of its method")
+    {
+        request.method = GENERATE("", "GET /y HTTP/1.1\r\n\r\nPOST", "PO ST");
+    }
+    SECTION("because of its target")
+    {
+        request.target
+                = GENERATE("", "/x y", "/x HTTP/1.1\r\nA: b\r\n\r\nGET /y", "/x\ny", "/x\x7f");
+    }
+    SECTION("because of the name of a header")
+    {
+        const std::string name = GENERATE("", "A b", "A:", "A ", "A: b\r\nC", "A\nB");
+        request.headers.add(name, "value");
+    }
+    SECTION("because of the value of a header")
+    {
+        const std::string value = GENERATE(as<std::string>(), "a\r\nB: c", "a\nB: c", "a\rb",
+                                           std::string("a\0b", 3));
+        request.headers.add("A", value);
+    }
+    FiberThreads threads(1);
+    std::promise<std::pair<ErrorKind, CallProgress>> result;
+    threads.spawnOn(0, [&] {
+        const auto answer = HttpClient::call(server.endpoint(), request, {});
+        const auto *failure = std::get_if<HttpCallError>(&answer);
+        result.set_value(failure == nullptr ? std::pair(ErrorKind::Internal, CallProgress::Sent)
+                                            : std::pair(failure->error.kind, failure->progress));
+    });
+    const auto [kind, progress] = result.get_future().get();
+    CHECK(kind == ErrorKind::InvalidInput);
+    CHECK(progress == CallProgress::NotSent);
+}
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -139,6 +139,9 @@
                       .isError());
         CHECK(decodeUpstream(serverObject(withReplacement("10.0.0.9:80", "here"))).isError());
         CHECK(decodeUpstream(serverObject(withReplacement("\"s1\"", "[]"))).isError());
+        auto named = serverObject(std::string(validServer));
+        named.key += "\r\nX-Tenant: other";
+        CHECK(decodeUpstream(named).isError());
     }
 }
 
@@ -167,6 +170,37 @@
         }
     }
 
+    SECTION("An item must make a valid request, and the error names the item and the field")
+    {
+        const std::string first = R"({"id":"x","path":"/p","body":"","token_count":9},)";
+        const auto expectError = [&](const std::string &second, const std::string &expected) {
+            CAPTURE(second);
+            const auto refused = decodeItems(R"({"items":[)" + first
+                                             + R"({"body":"","token_count":9,)" + second + "}]}");
+            REQUIRE(refused.isError());
+            CHECK(refused.error().kind == ErrorKind::InvalidInput);
+            CHECK(refused.error().message.starts_with("items[1]." + expected));
+        };
+        expectError(R"("id":"y\r\nX-A: b","path":"/p")", "id: ");
+        expectError(R"("id":"y ","path":"/p")", "id: ");
+        expectError(R"("id":"y","path":"/p\nX-A: b")", "path: ");
+        expectError(R"("id":"y","path":"/p q")", "path: ");
+        expectError(R"("id":"y","path":"/p\u0000")", "path: ");
+        expectError(R"("id":"y","path":"p")", "path: ");
+        expectError(R"("id":"y","path":"/p","headers":{"X-A":"b\r\nX-Tenant: c"})", "headers: ");
+        expectError(R"("id":"y","path":"/p","headers":{"X-A":"b\rc"})", "headers: ");
+        expectError(R"("id":"y","path":"/p","headers":{"X-Tenant ":"c"})", "headers: ");
+        expectError(R"("id":"y","path":"/p","headers":{"X-Tenant:":"c"})", "headers: ");
+        expectError(R"("id":"y","path":"/p","headers":{"X-A\nX-Tenant":"c"})", "headers: ");
+        expectError(R"("id":"y","path":"/p","headers":{"":"c"})", "headers: ");
+    }
+    SECTION("An item may have text beyond ASCII and tabs")
+    {
+        CHECK_FALSE(decodeItems(R"({"items":[{"id":"\u00e9","path":"/\u00e9?q","body":"",)"
+                                R"("token_count":9,"headers":{"X-A":"\u00e9\tb"}}]})")
+                            .isError());
+    }
+
     JobPage page{3, {{"x", ItemState::Completed, "one\ntwo"}, {"y", ItemState::DeadLetter, ""}}};
     CHECK(encodePage(page, 1)
           == R"({"total":3,"next":3,"results":[{"id":"x","state":"completed","output":"one\ntwo"},)"
