Net: Let a call that the HTTP library throws for end nothing else

An item with a header of 66 KB ended each process that sent it, after each restart again; ordinary jobs got no answer. An online call with such a header ended the process that got it, if the operator's limit lets it in.

Cause: Beast's container of fields throws above 65,533 bytes, when a request is made and when one is parsed, there on the stack of the event loop. It also throws for TRACE with a body, and for a response with 204 and a body. Nothing caught that.

Change: HeadParser keeps fields itself, at the client and the server; the client writes the head of a request, and the server checks that of a response. An exception that is left ends one call or one run of an item; what these hold is returned by destructors.

Ruled out: a handler around each fiber alone, which the parser does not run in; a refusal of long fields, which the operator's limit allows.

--- a/Libraries/Core/Core.h
+++ b/Libraries/Core/Core.h
@@ -3,8 +3,10 @@
 /// Public header of the Core library: results, identifiers, time, settings, logs and metrics.
 
 #include <Core/Base64.h>
+#include <Core/CaughtException.h>
 #include <Core/Clock.h>
 #include <Core/Endpoint.h>
+#include <Core/FinalAction.h>
 #include <Core/Findings.h>
 #include <Core/Hash.h>
 #include <Core/Identifier.h>
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -114,10 +114,7 @@
             return Error{ErrorKind::Refused, "too many items are waiting"};
         job.owner = m_context.self;
         const auto limit = limitOf(job);
-        const auto reserved = limit.empty() ? std::int64_t{0} : TRY(reserveCapacity(limit, job));
-        auto written = m_log.accept(job);
-        if (reserved > 0)
-            m_limits[limit].submittingTokens -= reserved;
+        auto written = acceptWithinLimit(job, limit);
         if (written.isError()) {
             // The write may still take effect and make this process the owner of the job.
             if (isOutcomeUnknown(written.error()))
@@ -313,6 +310,17 @@
         TimePoint at;
     };
 
+    /// Writes a new job to the store if its limit leaves room for it.
+    Result<SmallJob> acceptWithinLimit(const SmallJob &job, const std::string &limit)
+    {
+        const auto reserved = limit.empty() ? std::int64_t{0} : TRY(reserveCapacity(limit, job));
+        const FinalAction release([&] {
+            if (reserved > 0)
+                m_limits[limit].submittingTokens -= reserved;
+        });
+        return m_log.accept(job);
+    }
+
     [[nodiscard]] JobPointer find(const std::string &id) const
     {
         const auto found = m_jobs.find(id);
@@ -661,9 +669,15 @@
                     = std::make_shared<UpstreamTable::ReservationPointer>(std::move(place))] {
                     auto &progress = job->progress[item.index];
                     const auto before = progress.lastEvent;
-                    const auto end = runItem(**sharedPlace, m_context.dialect, job->stored.job,
-                                             job->stored.job.items[item.index], progress, *control,
-                                             m_context.crashingParts, m_context.maxObjectBytes);
+                    auto end = ItemRunEnd::Interrupted;
+                    const auto exception = exceptionOf([&] {
+                        end = runItem(**sharedPlace, m_context.dialect, job->stored.job,
+                                      job->stored.job.items[item.index], progress, *control,
+                                      m_context.crashingParts, m_context.maxObjectBytes);
+                    });
+                    if (exception) {
+                        logFailure("item-run-failed", {{"job", item.job}, {"reason", *exception}});
+                    }
                     const auto upstream = (*sharedPlace)->upstream().id;
                     sharedPlace->reset();
                     job->running.erase(control);
--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -4,12 +4,16 @@
 #include <Net/Await.h>
 #include <Net/BodyBuffer.h>
 #include <Net/FiberThreads.h>
+#include <Net/HeadParser.h>
 #include <Net/HttpGrammar.h>
 #include <Net/MemoryBudget.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -362,8 +366,7 @@
         });
         if (outcome.code)
             return outcome.code;
-        for (const auto &field : m_parser->get())
-            m_headers.add(std::string(field.name_string()), std::string(field.value()));
+        m_headers = m_parser->takeHeaders();
         m_status = m_parser->get().result_int();
         return {};
     }
@@ -375,7 +378,7 @@
         const auto &match = m_options.match;
         const bool isIdentified = match.header.empty() || m_headers.find(match.header).has_value();
         return isIdentified && m_connection->callIds.size() < maxCallsPerConnection
-               && m_parser->get().keep_alive();
+               && m_parser->keep_alive();
     }
 
     [[nodiscard]] bool isResponseToThisCall() const
@@ -395,7 +398,7 @@
             if (m_skippedBytes > m_options.bodyBytes)
                 return http::error::body_limit;
         }
-        if (!m_parser->get().keep_alive())
+        if (!m_parser->keep_alive())
             return http::error::end_of_stream;
         return {};
     }
@@ -417,7 +420,7 @@
     InterruptGuard m_interruptGuard;
     /// Calls with ids that the connection has carried, with this one.
     const std::size_t m_calls;
-    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    std::optional<HeadParser<false>> m_parser;
     HttpHeaders m_headers;
     unsigned m_status = 0;
     /// Bytes that readBody() has read.
@@ -466,26 +469,41 @@
     return connection;
 }
 
-/// A request whose body is a view, as requests can have large bodies.
-using RequestMessage = http::request<http::span_body<const char>>;
+/// Returns whether a field frames the body, which the client does itself.
+bool isFraming(std::string_view name)
+{
+    return boost::algorithm::iequals(name, "Content-Length")
+           || boost::algorithm::iequals(name, "Transfer-Encoding");
+}
+
+/// Returns whether a request with this method states the length of its body even if that is 0.
+bool statesEmptyBody(std::string_view method)
+{
+    return method == "POST" || method == "PUT" || method == "OPTIONS";
+}
 
-RequestMessage toMessage(const Endpoint &endpoint, const HttpRequest &request)
+/// Returns the request line and headers of a valid request as they are sent. Beast's message throws
+/// for long fields, and for some bodies.
+std::string serializeHead(const Endpoint &endpoint, const HttpRequest &request)
 {
-    RequestMessage message;
-    message.version(11);
-    message.method_string(request.method);
-    message.target(request.target);
+    std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
+    const auto add = [&](std::string_view name, std::string_view value) {
+        head.append(name).append(": ").append(value).append("\r\n");
+    };
     if (!request.headers.find("Host"))
-        message.set(http::field::host, endpoint.text());
-    for (const auto &header : request.headers.all())
-        message.insert(header.name, header.value);
-    message.body() = {request.body.data(), request.body.size()};
-    message.prepare_payload();
-    return message;
+        add("Host", endpoint.text());
+    for (const auto &header : request.headers.all()) {
+        if (!isFraming(header.name))
+            add(header.name, header.value);
+    }
+    if (!request.body.empty() || statesEmptyBody(request.method))
+        add("Content-Length", std::to_string(request.body.size()));
+    head += "\r\n";
+    return head;
 }
 
 HttpClient::OpenResult sendOn(ConnectionPointer connection, const Endpoint &endpoint,
-                              const RequestMessage &message, const HttpCallOptions &options)
+                              const HttpRequest &request, const HttpCallOptions &options)
 {
     if (isCancelled(options)) {
         return HttpCallError{
@@ -498,8 +516,11 @@
         const InterruptGuard guard(options.cancellation,
                                    [stream = &connection->stream] { stream->cancel(); });
         connection->stream.expires_after(options.readTimeout);
+        const auto head = serializeHead(endpoint, request);
+        const std::array<boost::asio::const_buffer, 2> message{boost::asio::buffer(head),
+                                                               boost::asio::buffer(request.body)};
         const auto written = awaitIo([&](auto handler) {
-            http::async_write(connection->stream, message, std::move(handler));
+            boost::asio::async_write(connection->stream, message, std::move(handler));
         });
         if (written.code) {
             return HttpCallError{callError("sending to", endpoint, written.code),
@@ -537,7 +558,6 @@
     // begin another header, or another request.
     if (auto checked = checkRequestHead(request); checked.isError())
         return HttpCallError{checked.takeError(), CallProgress::NotSent};
-    const auto message = toMessage(endpoint, request);
     ConnectionPointer connection;
     if (options.reuse == ConnectionReuse::Allowed)
         connection = ConnectionPool::ofThread().acquire(endpoint, options.match);
@@ -547,7 +567,7 @@
             return std::move(*error);
         connection = std::move(std::get<ConnectionPointer>(connected));
     }
-    return sendOn(std::move(connection), endpoint, message, options);
+    return sendOn(std::move(connection), endpoint, request, options);
 }
 
 PeerState HttpClient::checkPeer(const Endpoint &endpoint, Milliseconds timeout)
--- a/Libraries/Net/HttpConnection.cpp
+++ b/Libraries/Net/HttpConnection.cpp
@@ -1,6 +1,8 @@
 #include <Net/HttpConnection.h>
 
+#include <Core/Log.h>
 #include <Net/BodyBuffer.h>
+#include <Net/HttpGrammar.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -28,6 +30,30 @@
 /// How long a client may go on sending after the last response on its connection.
 constexpr Milliseconds lingerTime{1'000};
 
+/// Beast throws for longer names and values of a response's headers.
+constexpr std::size_t maxResponseFieldBytes = 65'533;
+
+/// InvalidInput if a response with this status and these headers cannot be sent.
+Result<void> checkResponseHead(unsigned status, const HttpHeaders &headers)
+{
+    if (status < 200 || status > 599) {
+        return Error{ErrorKind::InvalidInput,
+                     std::to_string(status) + " is not the status of a response"};
+    }
+    for (const auto &header : headers.all()) {
+        if (std::max(header.name.size(), header.value.size()) > maxResponseFieldBytes)
+            return Error{ErrorKind::InvalidInput, "a header of the response is too long"};
+    }
+    return checkHeaders(headers);
+}
+
+bool mayHaveBody(unsigned status)
+{
+    constexpr unsigned noContent = 204;
+    constexpr unsigned notModified = 304;
+    return status != noContent && status != notModified;
+}
+
 Error ioError(std::string_view action, const boost::system::error_code &code)
 {
     const bool isTimeout = code == beast::error::timeout;
@@ -206,6 +232,13 @@
 Result<void> HttpConnection::respond(HttpResponse response)
 {
     m_hasResponded = true;
+    if (const auto checked = checkResponseHead(response.status, response.headers);
+        checked.isError()) {
+        logFailure("response-not-sendable", {{"reason", checked.error().message}});
+        response = {500, {}, ""};
+    }
+    if (!mayHaveBody(response.status))
+        response.body.clear();
     http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
     fillHead(message, response.headers);
     message.body() = std::move(response.body);
@@ -236,6 +269,11 @@
 
 Result<void> HttpConnection::beginStream(unsigned status, HttpHeaders headers)
 {
+    if (auto checked = checkResponseHead(status, headers); checked.isError()) {
+        // Sent in place of the stream, with the reason in the log.
+        (void)respond({status, std::move(headers), ""});
+        return checked.takeError();
+    }
     m_hasResponded = true;
     http::response<http::empty_body> message(static_cast<http::status>(status), 11);
     fillHead(message, headers);
@@ -426,10 +464,9 @@
     m_request = {};
     m_request.method = std::string(message.method_string());
     m_request.target = std::string(message.target());
-    for (const auto &field : message)
-        m_request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    m_request.headers = m_parser->takeHeaders();
     m_hasResponded = false;
-    m_mustClose = !message.keep_alive();
+    m_mustClose = !m_parser->keep_alive();
     m_expectsContinue = m_request.headers.value("Expect") == "100-continue";
 }
 
--- a/Libraries/Net/HttpConnection.h
+++ b/Libraries/Net/HttpConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Net/Await.h>
+#include <Net/HeadParser.h>
 #include <Net/HttpServer.h>
 #include <Net/MemoryBudget.h>
 
@@ -104,7 +105,7 @@
     /// Bytes of the body that are held for the current exchange.
     std::size_t m_bodyBytes = 0;
     boost::beast::flat_buffer m_buffer;
-    std::optional<boost::beast::http::request_parser<boost::beast::http::buffer_body>> m_parser;
+    std::optional<HeadParser<true>> m_parser;
     HttpRequest m_request;
     bool m_hasResponded = false;
     bool m_mustClose = false;
--- a/Libraries/Net/HttpServer.cpp
+++ b/Libraries/Net/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include <Net/HttpServer.h>
 
+#include <Core/CaughtException.h>
+#include <Core/Log.h>
 #include <Net/Await.h>
 #include <Net/HttpConnection.h>
 
@@ -52,6 +54,20 @@
 
 namespace {
 
+/// An exception ends the exchange and its connection, and nothing else: handlers return what they
+/// hold by destructors.
+void serveExchange(const HttpServer::Handler &handler, HttpConnection &connection)
+{
+    const auto exception = exceptionOf([&] { handler(connection); });
+    if (!exception)
+        return;
+    logFailure("exchange-failed",
+               {{"target", connection.request().target}, {"reason", *exception}});
+    if (!connection.hasResponded())
+        (void)connection.respond({500, {}, ""});
+    connection.abandon();
+}
+
 template<typename State>
 void serveConnection(const std::shared_ptr<State> &state, tcp::socket socket)
 {
@@ -68,7 +84,7 @@
     while (connection.readHead(isFirst)) {
         isFirst = false;
         state->activeExchanges += 1;
-        state->handler(connection);
+        serveExchange(state->handler, connection);
         const bool mayContinue = connection.finishExchange();
         state->activeExchanges -= 1;
         if (!mayContinue)
--- a/Services/radishplankd/Agent/Agent.cpp
+++ b/Services/radishplankd/Agent/Agent.cpp
@@ -232,8 +232,15 @@
             m_suspectsInProgress += 1;
     }
     m_begun.increase();
-    auto line = order.kind == EntryKind::Model ? runOnEngine(m_settings.upstream, *attempt)
-                                               : runOnService(m_settings.upstream, *attempt);
+    EndMessage line{AttemptEnd::Rejected, Outcome::Unknown, "", false};
+    const auto exception = exceptionOf([&] {
+        line = order.kind == EntryKind::Model ? runOnEngine(m_settings.upstream, *attempt)
+                                              : runOnService(m_settings.upstream, *attempt);
+    });
+    if (exception) {
+        logFailure("attempt-failed", {{"attempt", order.id.text()}, {"reason", *exception}});
+        line.detail = *exception;
+    }
     if (line.end == AttemptEnd::UpstreamLost) {
         m_upstreamLosses.increase();
         m_isUpstreamUp = false;
--- a/Services/radishplankd/Entry/CallRunner.cpp
+++ b/Services/radishplankd/Entry/CallRunner.cpp
@@ -27,12 +27,15 @@
 {
     const auto &pool = spec.entry->pool;
     m_context.demand.noteBegin(pool, SteadyClock().now());
+    bool hadNoCapacity = false;
+    const FinalAction noteEnd([&] {
+        if (hadNoCapacity)
+            m_context.demand.noteRefused(pool, SteadyClock().now());
+        else
+            m_context.demand.noteAnswered(pool, SteadyClock().now());
+    });
     auto result = runOnUpstreams(spec, sink);
-    const bool hadNoCapacity = result.code == noUpstreamCode || result.code == overloadedCode;
-    if (hadNoCapacity)
-        m_context.demand.noteRefused(pool, SteadyClock().now());
-    else
-        m_context.demand.noteAnswered(pool, SteadyClock().now());
+    hadNoCapacity = result.code == noUpstreamCode || result.code == overloadedCode;
     return result;
 }
 
@@ -62,13 +65,19 @@
     }
 }
 
+AttemptResult CallRunner::runOnline(Upstream &upstream, const AttemptRequest &request,
+                                    const TokenSink &sink)
+{
+    upstream.noteOnlineSent();
+    const FinalAction noteEnd([&] { upstream.noteOnlineEnded(); });
+    return m_context.attempts.run(upstream, request, sink);
+}
+
 AttemptResult CallRunner::runOnce(const CallSpec &spec, const AttemptId &id, Upstream &upstream,
                                   const TokenSink &sink)
 {
-    upstream.noteOnlineSent();
-    auto result = m_context.attempts.run(
-            upstream, makeAttempt(spec, WorkClass::Online, id, 0, Suspicion::None), sink);
-    upstream.noteOnlineEnded();
+    auto result = runOnline(upstream, makeAttempt(spec, WorkClass::Online, id, 0, Suspicion::None),
+                            sink);
     if (result.isBlamed)
         noteCrash(spec, id);
     return result;
@@ -115,12 +124,10 @@
     if (progress.tokens > 0)
         m_context.metrics.resumed.increase();
     const auto request = makeAttempt(spec, WorkClass::Online, id, progress.tokens, suspicion);
-    upstream.noteOnlineSent();
-    auto result = m_context.attempts.run(upstream, request, [&](std::string_view token) {
+    auto result = runOnline(upstream, request, [&](std::string_view token) {
         progress.tokens += 1;
         return sink(token);
     });
-    upstream.noteOnlineEnded();
     if (result.isBlamed)
         noteCrash(spec, id);
     return result;
--- a/Services/radishplankd/Entry/CallRunner.h
+++ b/Services/radishplankd/Entry/CallRunner.h
@@ -56,6 +56,9 @@
     CallResult run(const CallSpec &spec, const TokenSink &sink);
     /// Runs a single attempt on the given upstream, under an identifier that the caller of this
     /// function has recorded.
+    /// Runs an attempt and counts it at its upstream meanwhile.
+    AttemptResult runOnline(Upstream &upstream, const AttemptRequest &request,
+                            const TokenSink &sink);
     AttemptResult runOnce(const CallSpec &spec, const AttemptId &id, Upstream &upstream,
                           const TokenSink &sink);
     /// Records an upstream crash that interrupted this attempt and that the call may have caused.
--- a/Services/radishplankd/Entry/CallerApi.cpp
+++ b/Services/radishplankd/Entry/CallerApi.cpp
@@ -277,6 +277,7 @@
     spec.deadline = deadlineOf(request, *spec.entry);
     if (!mayFinish(exchange, spec.deadline) || !admit(exchange, *spec.entry))
         return;
+    const FinalAction releaseLimits([&] { release(*spec.entry); });
     spec.method = "POST";
     spec.isRetryable = spec.entry->isIdempotent(spec.method, spec.target)
                        && request.headers.value("Radishplank-Idempotent") != "false";
@@ -287,7 +288,6 @@
         runStreamed(exchange, spec, isChat);
     else
         runBuffered(exchange, spec, isChat);
-    release(*spec.entry);
 }
 
 void CallerApi::runBuffered(HttpExchange &exchange, const CallSpec &spec, bool isChat)
@@ -376,8 +376,7 @@
     spec.isRetryable = spec.entry->isIdempotent(spec.method, path)
                        && request.headers.value("Radishplank-Idempotent") != "false";
     spec.fingerprint = fingerprintOf(owner, spec.method + request.target, spec.body);
-    const auto result = runService(request, spec);
-    release(*spec.entry);
+    const auto result = runAdmittedService(request, spec);
     if (result.status != 200) {
         respondError(exchange, result);
         return;
@@ -389,6 +388,12 @@
     (void)exchange.respond(std::move(response));
 }
 
+CallResult CallerApi::runAdmittedService(const HttpRequest &request, const CallSpec &spec)
+{
+    const FinalAction releaseLimits([&] { release(*spec.entry); });
+    return runService(request, spec);
+}
+
 CallResult CallerApi::runService(const HttpRequest &request, const CallSpec &spec)
 {
     const auto key = request.headers.value("Idempotency-Key");
--- a/Services/radishplankd/Entry/CallerApi.h
+++ b/Services/radishplankd/Entry/CallerApi.h
@@ -28,6 +28,8 @@
     bool mayFinish(HttpExchange &exchange, TimePoint deadline);
     bool admit(HttpExchange &exchange, const Entry &entry);
     void release(const Entry &entry);
+    /// Runs a service call that the limits have admitted, and releases it from them.
+    CallResult runAdmittedService(const HttpRequest &request, const CallSpec &spec);
     CallResult runService(const HttpRequest &request, const CallSpec &spec);
     void runBuffered(HttpExchange &exchange, const CallSpec &spec, bool isChat);
     void runStreamed(HttpExchange &exchange, const CallSpec &spec, bool isChat);
--- a/Services/radishplankd/Jobs/ShardRunner.cpp
+++ b/Services/radishplankd/Jobs/ShardRunner.cpp
@@ -202,7 +202,12 @@
 
 void ShardRunner::runItem(const ItemPointer &item, const UpstreamPointer &upstream)
 {
-    const auto result = attemptItem(*item, *upstream);
+    AttemptResult result;
+    const auto exception = exceptionOf([&] { result = attemptItem(*item, *upstream); });
+    if (exception) {
+        logFailure("item-run-failed", {{"item", item->id}, {"reason", *exception}});
+        result = {};
+    }
     if (result.status == AttemptStatus::NotRun)
         upstream->noteBatchRefused(SteadyClock().now());
     else
--- a/Tests/Net/TestHttpClient.cpp
+++ b/Tests/Net/TestHttpClient.cpp
@@ -390,3 +390,38 @@
     CHECK(kind == ErrorKind::InvalidInput);
     CHECK(progress == CallProgress::NotSent);
 }
+
+// Guards against requests that end the process: Beast's message throws for them.
+TEST_CASE("A request that the HTTP library would not make is sent as it stands", "[HttpClient]")
+{
+    std::string received;
+    RepeatingServer server("127.0.0.1", [&](const std::string &head) {
+        received = head;
+        return makeResponse("1", "whole");
+    });
+    HttpRequest request{"POST", "/x", {{"Attempt", "1"}}, "body"};
+    const std::string longText(70'000, 'x');
+    SECTION("with the value of a header beyond 64 KB")
+    {
+        request.headers.add("A", longText);
+    }
+    SECTION("with the name of a header beyond 64 KB")
+    {
+        request.headers.add(longText, "a");
+    }
+    SECTION("with a method that usually has no body")
+    {
+        request.method = "TRACE";
+    }
+    FiberThreads threads(1);
+    std::promise<std::string> body;
+    threads.spawnOn(0, [&] {
+        const auto answer = HttpClient::call(server.endpoint(), request, {});
+        const auto *response = std::get_if<HttpResponse>(&answer);
+        body.set_value(response == nullptr ? "" : response->body);
+    });
+    CHECK(body.get_future().get() == "whole");
+    CHECK(received.starts_with(request.method + " /x HTTP/1.1\r\n"));
+    for (const auto &header : request.headers.all())
+        CHECK(RepeatingServer::fieldOf(received, header.name) == header.value);
+}
--- a/Tests/Net/TestHttpServer.cpp
+++ b/Tests/Net/TestHttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <stdexcept>
 #include <thread>
 
 using namespace Radishplank;
@@ -162,3 +163,64 @@
         CHECK(client.readToEnd().value_or("").size() > largeBody.size());
     }
 }
+
+// Guards against single calls that end the process.
+TEST_CASE("A call that cannot be served ends nothing but itself", "[HttpServer]")
+{
+    FiberThreads threads(1);
+    HttpServerLimits limits;
+    limits.headerBytes = 131'072;
+    HttpServer::Handler handler = [](HttpExchange &exchange) {
+        (void)exchange.respond({200, {}, exchange.request().headers.value("A")});
+    };
+    std::string headers;
+    std::string expectedStatus;
+    const std::string longText(70'000, 'x');
+
+    SECTION("A header's value is longer than 64 KB, within the limit")
+    {
+        headers = "A: " + longText + "\r\n";
+        expectedStatus = "HTTP/1.1 200 ";
+    }
+    SECTION("A header's name is longer than 64 KB, within the limit")
+    {
+        headers = longText + ": a\r\n";
+        expectedStatus = "HTTP/1.1 200 ";
+    }
+    SECTION("A header is beyond the limit")
+    {
+        headers = "A: " + longText + longText + "\r\n";
+        expectedStatus = "HTTP/1.1 431 ";
+    }
+    SECTION("The response would have a header beyond 64 KB")
+    {
+        handler = [&](HttpExchange &exchange) {
+            (void)exchange.respond({200, {{"A", longText}}, ""});
+        };
+        expectedStatus = "HTTP/1.1 500 ";
+    }
+    SECTION("The response would have a header with a line break")
+    {
+        handler = [&](HttpExchange &exchange) {
+            (void)exchange.beginStream(200, {{"A", "a\r\nB: c"}});
+        };
+        expectedStatus = "HTTP/1.1 500 ";
+    }
+    SECTION("The response would have a body that its status does not allow")
+    {
+        handler = [&](HttpExchange &exchange) { (void)exchange.respond({204, {}, "body"}); };
+        expectedStatus = "HTTP/1.1 204 ";
+    }
+    SECTION("The handler throws")
+    {
+        handler = [](HttpExchange &) { throw std::length_error("too long"); };
+        expectedStatus = "HTTP/1.1 500 ";
+    }
+    const auto server = HttpServer::listen(threads, {"127.0.0.1", 0}, limits, handler).takeValue();
+    for (int call = 0; call < 2; ++call) {
+        RawClient client(server->endpoint());
+        client.send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + headers + "\r\n");
+        CHECK(client.readToEnd().value_or("").starts_with(expectedStatus));
+    }
+    CHECK(server->activeExchanges() == 0);
+}
--- a/Tests/Platform/FakeServer.cpp
+++ b/Tests/Platform/FakeServer.cpp
@@ -4,6 +4,13 @@
 
 namespace Radishplank::Test {
 
+namespace {
+
+/// As large as any caller's limit.
+constexpr std::size_t maxHeadBytes = std::size_t{256} * 1024;
+
+} // namespace
+
 FakeServer::FakeServer(const Endpoint &listen, std::string id)
     : m_id(std::move(id))
     , m_threads(*new FiberThreads(1)) // Leaked: its fibers run until the process exits.
@@ -13,7 +20,9 @@
 
 void FakeServer::listen(const Endpoint &address)
 {
-    m_server = HttpServer::listen(m_threads, address, {}, [this](HttpExchange &exchange) {
+    HttpServerLimits limits;
+    limits.headerBytes = maxHeadBytes;
+    m_server = HttpServer::listen(m_threads, address, limits, [this](HttpExchange &exchange) {
                    handle(exchange);
                }).takeValue();
     m_endpoint = m_server->endpoint();
--- a/Tests/Platform/PlatformDeployment.cpp
+++ b/Tests/Platform/PlatformDeployment.cpp
@@ -133,7 +133,7 @@
     json::object configuration{{"version", version},
                                {"routes", json::array{plain, resumable, batch, open}},
                                {"services", json::array{}},
-                               {"limits", json::object{{"max_header_bytes", 16'384},
+                               {"limits", json::object{{"max_header_bytes", maxHeaderBytes},
                                                        {"max_body_bytes", 100'000},
                                                        {"header_timeout_ms", 3'000},
                                                        {"idle_timeout_ms", 15'000}}}};
--- a/Tests/Platform/PlatformDeployment.h
+++ b/Tests/Platform/PlatformDeployment.h
@@ -18,6 +18,8 @@
     PlatformDeployment();
     ~PlatformDeployment();
 
+    /// The operator's limit for the head of a request, in further configurations.
+    unsigned maxHeaderBytes = 16'384;
     /// The fakes are never destroyed, as their fibers run until the test program exits.
     FakeStore &store;
     TestClient client;
