HttpClient: Fail a call whose response has a status that HTTP does not know

Cause: Beast's parser takes any three digits, and nothing looked at them.

Change: a status outside 200 to 599 that is no interim one fails the call; it counts as bytes that are no answer, also beside the statement that the call has not run. Calls, streams, items, calls of peers, the store and radishplankd all read answers there.

Evidence: TestPlatform, "A status that HTTP does not know never reaches a caller": six of six forms failed on, none now. TestNet, "A response whose status HTTP does not know fails the call": six of six failed before.

--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -368,6 +368,9 @@
             return outcome.code;
         m_headers = m_parser->takeHeaders();
         m_status = m_parser->get().result_int();
+        // The parser takes any three digits.
+        if (!isInterim() && (m_status < 200 || m_status > 599))
+            return http::error::bad_status;
         return {};
     }
 
--- a/Tests/Net/TestHttpClient.cpp
+++ b/Tests/Net/TestHttpClient.cpp
@@ -169,6 +169,16 @@
     }
 }
 
+// Guards against bytes that are passed on although they are no answer of HTTP.
+TEST_CASE("A response whose status HTTP does not know fails the call", "[HttpClient]")
+{
+    const std::string status = GENERATE("000", "001", "099", "101", "600", "999");
+    const auto response = "HTTP/1.1 " + status + " Odd"
+                          + "\r\nAttempt: a\r\nX-Not-Executed: full\r\nContent-Length: 2\r\n\r\nno";
+    ScriptedServer server(ScriptedServer::Responses{response});
+    CHECK(isFailedCall(server.endpoint()));
+}
+
 TEST_CASE("A copy of an earlier response is not taken for the response when a call is sent again",
           "[HttpClient]")
 {
--- a/Tests/Platform/TestMalformedResponses.cpp
+++ b/Tests/Platform/TestMalformedResponses.cpp
@@ -1,3 +1,4 @@
+#include "../Net/RawClient.h"
 #include "PlatformDeployment.h"
 #include "RawResponseServer.h"
 
@@ -89,6 +90,38 @@
     CHECK_FALSE(healthy.served().empty());
 }
 
+TEST_CASE("A status that HTTP does not know never reaches a caller", "[Platform]")
+{
+    PlatformDeployment deployment;
+    const auto whole = FakeServer::responseBytes("hello");
+    std::string statusLine;
+    SECTION("alone")
+    {
+        statusLine = GENERATE("000 Odd", "099 Odd", "600 Odd", "999 Odd");
+    }
+    SECTION("beside the statement that the call has not run")
+    {
+        statusLine = "999 Odd\r\nX-Not-Executed: full";
+    }
+    SECTION("or as a switch of protocols that nobody has asked for")
+    {
+        statusLine = "101 Switching\r\nUpgrade: x";
+    }
+    RawResponseServer server(deployment.freeAddress(), [&](const std::string &attempt) {
+        return "HTTP/1.1 " + statusLine + "\r\nX-Attempt-Id: " + attempt
+               + "\r\nX-Response-Seal: spoilt\r\n" + contentLength(whole) + "\r\n" + whole;
+    });
+    deployment.registerAt("i-9", server.endpoint(), "ready");
+    deployment.writeConfiguration(1);
+    deployment.startEntry("entry1");
+    deployment.waitUntilReady("entry1");
+    RawClient caller(deployment.callers("entry1"));
+    caller.send("POST /plain/x HTTP/1.1\r\nHost: " + std::string(PlatformDeployment::host)
+                + "\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 9000\r\nContent-Length: 5\r\n"
+                  "Connection: close\r\n\r\nhello");
+    CHECK(caller.readToEnd().value_or("").starts_with("HTTP/1.1 502 "));
+}
+
 TEST_CASE("A stream without length or chunks that ends with its connection is complete",
           "[Platform]")
 {
