HttpClient: Tell a body that ends with its connection from one that was reset

Cause: if the server closes its sending side before the reset, the kernel reports the end of the stream to reads and never the error; and the write had succeeded, as the rest of the upload lay in the kernel's buffer.

Change: such a body is complete once the server's host has acknowledged the whole request and no error is pending on the connection.

Ruled out: an error that a write or a peek takes away, as a failed write ends the call, and peeks happen on idle connections only.

--- a/Libraries/Net/HttpClient.cpp
+++ b/Libraries/Net/HttpClient.cpp
@@ -16,11 +16,15 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/fiber/operations.hpp>
+#include <cerrno>
 #include <charconv>
 #include <limits>
+#include <linux/sockios.h>
 #include <map>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <vector>
 
@@ -51,6 +55,9 @@
 /// A body that nobody needs is read for this long, so that its connection can be used again.
 constexpr Milliseconds skippedBodyTimeout{250};
 
+/// How often a call checks whether its peer has taken the whole request.
+constexpr Milliseconds acknowledgementPollInterval{2};
+
 /// Bytes of response bodies that readBody() holds, for all calls of the process.
 std::atomic<std::size_t> totalBodyBytes{0};
 std::atomic<std::size_t> maxTotalBodyBytes{std::numeric_limits<std::size_t>::max()};
@@ -191,6 +198,23 @@
     return options.cancellation != nullptr && options.cancellation->isCancelled();
 }
 
+/// Returns the error of a connection that no operation has reported yet.
+boost::system::error_code pendingError(int socket)
+{
+    int error = 0;
+    socklen_t length = sizeof error;
+    if (::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &length) != 0)
+        error = errno;
+    return {error, boost::system::system_category()};
+}
+
+/// Returns how many sent bytes the peer's host has not acknowledged.
+int unacknowledgedBytes(int socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
 /// Registers an interrupt function with a call's cancellation for the lifetime of this object.
 class InterruptGuard
 {
@@ -332,9 +356,35 @@
         if (outcome.code && outcome.code != http::error::need_buffer)
             return outcome.code;
         chunk.resize(chunk.size() - body.size);
+        if (m_parser->is_done() && m_parser->need_eof())
+            return confirmEnd(deadline);
         return {};
     }
 
+    /// Returns an error if the connection was reset although it has ended in order before that.
+    ///
+    /// A peer that closes its sending side may still reset the connection when it leaves the rest
+    /// of the request unread. The kernel reports the end first, so that reads do not show the
+    /// reset. Once the peer's host has acknowledged the request as a whole, there is nothing left
+    /// that would be answered with a reset.
+    boost::system::error_code confirmEnd(TimePoint deadline)
+    {
+        const int socket = m_connection->stream.socket().native_handle();
+        while (true) {
+            // In this order, as a reset in between discards the bytes.
+            const int unacknowledged = unacknowledgedBytes(socket);
+            if (const auto code = pendingError(socket))
+                return code;
+            if (unacknowledged == 0)
+                return {};
+            if (isCancelled(m_options))
+                return boost::asio::error::operation_aborted;
+            if (SteadyClock().now() >= deadline)
+                return beast::error::timeout;
+            boost::this_fiber::sleep_for(acknowledgementPollInterval);
+        }
+    }
+
     Result<void> reserveBodyBytes(std::size_t bytes)
     {
         m_bodyBytes += bytes;
--- a/Tests/Net/TestHttpClient.cpp
+++ b/Tests/Net/TestHttpClient.cpp
@@ -435,3 +435,96 @@
     for (const auto &header : request.headers.all())
         CHECK(RepeatingServer::fieldOf(received, header.name) == header.value);
 }
+
+namespace {
+
+/// Answers an upload before it has read it, with a body that ends with the connection.
+class EarlyAnswerServer
+{
+public:
+    enum class End {
+        Reset,          ///< Resets the connection.
+        CloseThenReset, ///< Closes the sending side, and then resets the connection.
+        CloseThenRead,  ///< Closes the sending side, and reads the upload to its end.
+    };
+
+    explicit EarlyAnswerServer(End end)
+        : m_acceptor(m_context, tcp::v4())
+    {
+        // The upload does not fit, so that a part of it stays with the client.
+        constexpr int receiveBufferBytes = 4'096;
+        m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes));
+        m_acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+        m_acceptor.listen();
+        m_thread = std::thread([this, end] { serve(end); });
+    }
+    ~EarlyAnswerServer() { m_thread.join(); }
+
+    [[nodiscard]] Endpoint endpoint() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+private:
+    void serve(End end)
+    {
+        constexpr Milliseconds pause{100};
+        tcp::socket socket(m_context);
+        m_acceptor.accept(socket);
+        std::string received;
+        boost::system::error_code ignored;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n", ignored);
+        const std::string answer = "HTTP/1.1 200 OK\r\nAttempt: a\r\n\r\npart";
+        boost::asio::write(socket, boost::asio::buffer(answer), ignored);
+        std::this_thread::sleep_for(pause);
+        if (end != End::Reset)
+            socket.shutdown(tcp::socket::shutdown_send, ignored);
+        std::this_thread::sleep_for(pause);
+        if (end == End::CloseThenRead) {
+            boost::asio::read(socket, boost::asio::dynamic_buffer(received), ignored);
+            return;
+        }
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+} // namespace
+
+// Guards against a part of an answer that is taken for the whole.
+TEST_CASE("A body that ends with its connection is complete unless the connection is reset",
+          "[HttpClient]")
+{
+    const std::size_t uploadBytes
+            = GENERATE(std::size_t{20'000}, std::size_t{150'000}, std::size_t{400'000});
+    const auto bodyAfter = [&](EarlyAnswerServer::End end) {
+        EarlyAnswerServer server(end);
+        FiberThreads threads(1);
+        std::promise<std::string> body;
+        threads.spawnOn(0, [&] {
+            const auto response = HttpClient::fetch(
+                    server.endpoint(),
+                    {"POST", "/", {{"Attempt", "a"}}, std::string(uploadBytes, 'x')}, {});
+            body.set_value(response.isError() ? "" : response.value().body);
+        });
+        return body.get_future().get();
+    };
+    CAPTURE(uploadBytes);
+
+    SECTION("A reset before the end fails the call")
+    {
+        CHECK(bodyAfter(EarlyAnswerServer::End::Reset).empty());
+    }
+    SECTION("A reset behind the end, with a part of the upload unread, fails the call")
+    {
+        CHECK(bodyAfter(EarlyAnswerServer::End::CloseThenReset).empty());
+    }
+    SECTION("A server that reads the upload after its answer has answered")
+    {
+        CHECK(bodyAfter(EarlyAnswerServer::End::CloseThenRead) == "part");
+    }
+}
