JobService: Keep the items of a job in place when it is read again

A process ended when an item was refused after its job had been read again, and calls on kept connections lost their answers.

Cause: a reload replaced the job, items and all, while runs held references to them.

Change: a reload takes over the results and the end, and the job, which never changes, stays. An end that it finds stops the items; before, it was noted without that, and the later notice of the end was ignored.

Evidence: TestGateway, "A run that waits for its upstream survives a reload of its job": ended the test program three of three times before, passes three of three times now.

--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -927,9 +927,15 @@
         }
         {
             const std::scoped_lock lock(job->mutex);
-            job->stored = loaded.takeValue();
+            // Runs refer to the items, so the job itself stays in place; it never changes.
+            auto &read = loaded.value();
+            job->stored.version = read.version;
+            job->stored.results = std::move(read.results);
+            job->stored.segments = read.segments;
             job->isOwnershipUncertain = false;
         }
+        if (loaded.value().isEnded)
+            stopEndedJob(id);
         // The other process may have written results for the same items in the meantime.
         auto retained = std::exchange(job->pending, {});
         retained.insert(retained.end(), unwritten.begin(), unwritten.end());
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -6,6 +6,7 @@
 #include <boost/fiber/operations.hpp>
 #include <catch2/catch.hpp>
 #include <future>
+#include <malloc.h>
 #include <map>
 
 using namespace Radishplank;
@@ -133,8 +134,8 @@
 };
 
 /// An upstream that responds with one event (/jobs/huge: 11); requests to /jobs/later take 1.6 s
-/// longer, requests to /jobs/impossible are rejected, and responses to /jobs/long have 1,000 bytes,
-/// those to /jobs/huge 1.1 MB, which no object of the store can hold.
+/// longer, requests to /jobs/impossible are rejected, those to /jobs/full refused, and responses to
+/// /jobs/long have 1,000 bytes, those to /jobs/huge 1.1 MB, which no object of the store can hold.
 class FakeUpstream
 {
 public:
@@ -148,6 +149,12 @@
                                    (void)exchange.respond({422, {}, ""});
                                    return;
                                }
+                               if (exchange.request().target == "/jobs/full") {
+                                   m_refused += 1;
+                                   boost::this_fiber::sleep_for(refusalTime);
+                                   (void)exchange.respond({503, {{"Not-Executed", "full"}}, ""});
+                                   return;
+                               }
                                if (exchange.request().target == "/jobs/later")
                                    boost::this_fiber::sleep_for(Milliseconds(1'600));
                                const auto isLong = exchange.request().target == "/jobs/long";
@@ -168,11 +175,15 @@
     {
         return {UpstreamId("u1"), "service", m_server->endpoint(), ZoneName("zone1"), 4, false, 1};
     }
+    /// Number of requests that are refused because the upstream is full, after `refusalTime`.
+    [[nodiscard]] unsigned refused() const { return m_refused; }
+    static constexpr Milliseconds refusalTime{1'200};
     /// Number of requests answered with 422.
     [[nodiscard]] unsigned rejected() const { return m_rejected; }
 
 private:
     std::atomic<unsigned> m_rejected{0};
+    std::atomic<unsigned> m_refused{0};
     FiberThreads &m_threads;
     std::unique_ptr<HttpServer> m_server;
 };
@@ -594,6 +605,35 @@
     CHECK(upstream.rejected() <= maxRejections);
 }
 
+// Guards against a use of the job's memory after it was read again from the store.
+TEST_CASE("A run that waits for its upstream survives a reload of its job", "[JobService]")
+{
+    auto &memory = *new MemoryObjectStore;
+    auto &upstream = *new FakeUpstream;
+    auto &entry = *new EntryProcess(memory);
+    entry.upstreams.put(upstream.info());
+    entry.service.start();
+    auto job = makeJob(20);
+    for (auto &item : job.items) {
+        item.id += "-with-a-name-that-is-not-stored-in-place";
+        item.path = "/jobs/full";
+    }
+    REQUIRE_FALSE(entry.on([&] { return entry.service.submit(job); }).isError());
+    constexpr int overwritten = 0x5a;
+    ::mallopt(M_PERTURB, overwritten);
+    PeerReport report;
+    report.node = NodeId("entry2");
+    report.ownedJobs = {jobHash("job1")};
+    // Each report makes the process read its job again; meanwhile runs wait for their refusals.
+    constexpr unsigned refusals = 6;
+    CHECK(entry.eventually([&] {
+        entry.link.onReport(report, false);
+        return upstream.refused() > refusals;
+    }));
+    ::mallopt(M_PERTURB, 0);
+    CHECK(entry.on([&] { return entry.service.owns("job1"); }));
+}
+
 // Guards against accepted jobs without a process: a late write of a process that has ended names an
 // owner that does not know of the job.
 TEST_CASE("A job whose owner does not know of it runs at the process that finds that out",
