JobLog: Read the jobs of the fleet page by page to find their owners

One of three processes is killed for 3.5 s; all three then go over 110 MB again and again, and open items of accepted jobs are not run again.

Cause: a process that looks for jobs read all jobs of the fleet into one list and decoded them beside it, only to learn the names of their owners.

Change: one page of the list is held at a time, and only ids and owners are kept.

--- a/Libraries/Batch/JobLog.h
+++ b/Libraries/Batch/JobLog.h
@@ -20,6 +20,13 @@
     bool isEnded = false;
 };
 
+/// A stored job and the process that it names as its owner.
+struct JobOwner
+{
+    std::string id;
+    NodeId owner;
+};
+
 /// Key prefixes of the objects that a JobLog writes.
 struct JobLogPrefixes
 {
@@ -119,24 +126,22 @@
         return loaded;
     }
 
-    /// Returns all stored jobs with their versions, without results.
-    Result<std::vector<LoadedJob>> listJobs()
+    /// Returns the owners of all stored jobs. The jobs themselves, of all processes together, may
+    /// take more memory than this one has, so they are not held.
+    Result<std::vector<JobOwner>> listOwners()
     {
-        const auto page = TRY(listAll(m_store, m_prefixes.jobs, ListContent::KeysAndValues));
-        std::vector<LoadedJob> jobs;
-        for (const auto &object : page.objects) {
+        std::vector<JobOwner> owners;
+        const auto note = [&](const StoredObject &object) {
             auto job = parseSmallJob(object.value);
             if (job.isError()) {
                 logStateChange("job-unreadable",
                                {{"key", object.key}, {"reason", job.error().message}});
-                continue;
+                return;
             }
-            LoadedJob loaded;
-            loaded.job = job.takeValue();
-            loaded.version = object.version;
-            jobs.push_back(std::move(loaded));
-        }
-        return jobs;
+            owners.push_back({std::move(job.value().id), std::move(job.value().owner)});
+        };
+        (void)TRY(visitAll(m_store, m_prefixes.jobs, ListContent::KeysAndValues, note));
+        return owners;
     }
 
     /// Appends a segment after the first `segments` ones. Conflict: another process has written
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -1146,23 +1146,22 @@
     /// processes that this process succeeds.
     void recover()
     {
-        auto jobs = m_log.listJobs();
+        auto jobs = m_log.listOwners();
         while (jobs.isError()) {
             boost::this_fiber::sleep_for(storeRetryDelay);
-            jobs = m_log.listJobs();
+            jobs = m_log.listOwners();
         }
-        for (auto &listed : jobs.value()) {
-            if (owns(listed.job.id))
+        for (const auto &[id, owner] : jobs.value()) {
+            if (owns(id))
                 continue;
             const auto now = SteadyClock().now();
-            const bool isOwn = listed.job.owner == m_context.self;
-            const bool isOrphan
-                    = !isOwn && m_isPeerDiscoveryDone
-                      && m_context.peers.isSuccessor(listed.job.owner, listed.job.id, now);
+            const bool isOwn = owner == m_context.self;
+            const bool isOrphan = !isOwn && m_isPeerDiscoveryDone
+                                  && m_context.peers.isSuccessor(owner, id, now);
             if (isOwn || isOrphan)
-                acquireListed(listed.job.id, listed.job.owner);
+                acquireListed(id, owner);
             else
-                m_unconfirmedOwners.note(listed.job.id, listed.job.owner, now);
+                m_unconfirmedOwners.note(id, owner, now);
         }
     }
 
--- a/Libraries/Store/ConfirmedWrite.h
+++ b/Libraries/Store/ConfirmedWrite.h
@@ -3,6 +3,7 @@
 #include <Store/ObjectStore.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace Radishplank {
 
@@ -57,22 +58,35 @@
     }
 }
 
-/// Reads every object under a prefix; the revision is that of the first page.
-template<ObjectStore Store>
-Result<ObjectPage> listAll(Store &store, std::string_view prefix, ListContent content)
+/// Reads every object under a prefix, and holds one page of them at a time. Returns the revision of
+/// the first page.
+template<ObjectStore Store, typename Visitor>
+Result<Version> visitAll(Store &store, std::string_view prefix, ListContent content,
+                         Visitor &&visit)
 {
-    ObjectPage all;
+    std::optional<Version> revision;
     std::string after;
     while (true) {
         auto page = TRY(store.list(prefix, after, content));
-        if (after.empty())
-            all.revision = page.revision;
+        revision = revision.value_or(page.revision);
+        if (!page.objects.empty())
+            after = page.objects.back().key;
         for (auto &object : page.objects)
-            all.objects.push_back(std::move(object));
+            visit(std::move(object));
         if (page.isLast || page.objects.empty())
-            return all;
-        after = all.objects.back().key;
+            return *revision;
     }
 }
 
+/// Reads every object under a prefix; the revision is that of the first page.
+template<ObjectStore Store>
+Result<ObjectPage> listAll(Store &store, std::string_view prefix, ListContent content)
+{
+    ObjectPage all;
+    all.revision = TRY(visitAll(store, prefix, content, [&](StoredObject &&object) {
+        all.objects.push_back(std::move(object));
+    }));
+    return all;
+}
+
 } // namespace Radishplank
