CallForwarder: Serve a call about a job whose head a peer does not take

What callers saw: a read of a job with headers of 30 KB, which the operator's limit of 131,072 bytes allows, got 431 at each process but the job's owner.

Cause: such a call is forwarded with all its headers, and processes take heads of 16 KB from each other; the peer's 431 was passed on to the caller.

Change: a 431 of a peer counts as no answer, and the job is read from the store.

Evidence: TestPlatform, "A call about a job with a head that the operator allows is served at any process": 431 on, 200 now.

--- a/Libraries/Gateway/CallForwarder.cpp
+++ b/Libraries/Gateway/CallForwarder.cpp
@@ -27,7 +27,10 @@
         request.headers.add(header.name, header.value);
     auto result = HttpClient::call(peer, request, options);
     auto *answer = std::get_if<HttpResponse>(&result);
-    if (answer == nullptr || answer->status == misdirectedRequestStatus || answer->status >= 500)
+    // The operator may allow callers longer heads than processes take from each other.
+    constexpr unsigned headTooLarge = 431;
+    if (answer == nullptr || answer->status == misdirectedRequestStatus
+        || answer->status == headTooLarge || answer->status >= 500)
         return false;
     answer->headers = endToEndHeaders(answer->headers);
     (void)exchange.respond(std::move(*answer));
--- a/Tests/Platform/TestLongHeaders.cpp
+++ b/Tests/Platform/TestLongHeaders.cpp
@@ -58,3 +58,25 @@
     CHECK((sent.value("X-Prompt-Prefix") == longText || sent.value(longText) == "a"));
     CHECK(entry.isRunning());
 }
+
+// Guards against a limit between processes that callers are held to.
+TEST_CASE("A call about a job with a head that the operator allows is served at any process",
+          "[Platform]")
+{
+    PlatformDeployment deployment;
+    deployment.maxHeaderBytes = 131'072;
+    deployment.addServer("i-1");
+    deployment.writeConfiguration(1);
+    for (const auto *name : {"entry1", "entry2"}) {
+        deployment.startEntry(name);
+        deployment.waitUntilReady(name);
+    }
+    REQUIRE(deployment.submit("entry1", "job1", {"a"}).status == 202);
+    REQUIRE(deployment.waitForResults("entry2", "job1", 1).size() == 1);
+    const HttpRequest read{"GET",
+                           "/-/lots/job1?after=0",
+                           {{"Host", PlatformDeployment::host}, {"A", std::string(30'000, 'x')}},
+                           ""};
+    for (const auto *name : {"entry1", "entry2"})
+        CHECK(deployment.client.call(deployment.callers(name), read).status == 200);
+}
