UnconfirmedOwners: Leave an owner time to report its jobs

A process that has just started is reachable before it has read its jobs. One that looked for owners at that moment asked it, and took its jobs over for nothing: nothing is lost by that, but items run again. An owner now has 2 s to report a job that was seen in a list; a submission still finds out at once.

Evidence: TestGateway, [UnconfirmedOwners].

--- a/Libraries/Gateway/UnconfirmedOwners.cpp
+++ b/Libraries/Gateway/UnconfirmedOwners.cpp
@@ -7,6 +7,8 @@
 /// The successors of an unreachable owner take over its jobs within about this time, if they see
 /// them in the store.
 constexpr Milliseconds successorTime{5'000};
+/// A process that has just started reads its jobs and reports them within about this time.
+constexpr Milliseconds startTime{2'000};
 
 } // namespace
 
@@ -27,9 +29,10 @@
 {
     if (m_peers.isReportedAsRunning(job, now))
         return Step::None;
+    const auto age = now - entry.since;
     if (m_peers.isReachable(entry.owner, now))
-        return Step::Ask;
-    const bool isLeftBehind = now - entry.since >= successorTime;
+        return age >= startTime ? Step::Ask : Step::Wait;
+    const bool isLeftBehind = age >= successorTime;
     return isLeftBehind || m_peers.isSuccessor(entry.owner, job, now) ? Step::TakeOver : Step::Wait;
 }
 
--- a/Libraries/Gateway/UnconfirmedOwners.h
+++ b/Libraries/Gateway/UnconfirmedOwners.h
@@ -51,7 +51,7 @@
         None,     ///< A process runs the job.
         Ask,      ///< The owner has to be asked.
         TakeOver, ///< The owner is gone, and this process takes the job over.
-        Wait,     ///< The owner is gone, and another process may take the job over.
+        Wait,     ///< The owner may report the job yet, or its successor take the job over.
     };
     [[nodiscard]] Step nextStep(const std::string &job, const Entry &entry, TimePoint now) const;
 
