--- a/Tests/Platform/SoakServer.cpp
+++ b/Tests/Platform/SoakServer.cpp
@@ -22,6 +22,7 @@
 constexpr unsigned failurePercent = 5;
 constexpr unsigned breakPercent = 15;
 constexpr unsigned copyPercent = 30;
+constexpr unsigned oddStatusPercent = 2;
 
 constexpr std::size_t maxCopyBytes = 2'000;
 constexpr std::size_t maxEarlierAnswers = 4;
@@ -263,7 +264,10 @@
                       randomBelow(connection.random, 2) == 0 ? "503 Service Unavailable"
                                                              : "421 Misdirected Request");
     const auto number = m_record.begin(request.id, connection.serverId, request.after);
-    const bool isOpen = run(connection, request);
+    const bool isOpen
+            = chance(connection, oddStatusPercent)
+                      ? write(connection, head("600 Odd", request.id, "Content-Length: 0\r\n"))
+                      : run(connection, request);
     // Others may begin to run the request as soon as they see the connection close.
     m_record.end(number);
     return isOpen && writeLateCopy(connection, request);
--- a/Tests/Platform/TestPromiseSoak.cpp
+++ b/Tests/Platform/TestPromiseSoak.cpp
@@ -337,6 +337,7 @@
                 m_deployment.store.setBehaviour(StoreBehaviour::Normal);
             });
         });
+        spawn(faults, [this](RandomEngine &random) { delayJobWrites(random); });
         spawn(faults, [this](RandomEngine &random) { restartServers(random); });
         std::this_thread::sleep_for(time);
         m_isFaulting = false;
@@ -436,6 +437,16 @@
                                 PlatformDeployment::firstStart + m_starts * timeBetweenStarts);
     }
 
+    /// Lets writes of jobs, and of their owners, take effect long after they were sent.
+    void delayJobWrites(RandomEngine &random)
+    {
+        repeat(random, 300, 2'000, [&] {
+            m_deployment.store.delayWrites("radishplank-jobs", randomTime(random, 1'000, 6'000));
+            (void)pause(randomTime(random, 200, 800));
+            m_deployment.store.delayWrites("", Milliseconds(0));
+        });
+    }
+
     void restartServers(RandomEngine &random)
     {
         repeat(random, 100, 700, [&] {
@@ -538,6 +549,9 @@
             m_violations.add("MIXED", id, "answer with the id " + answer.attemptId);
         if (!answer.seal.empty() && answer.seal != "seal-of-" + id)
             m_violations.add("MIXED", id, "answer with " + answer.seal);
+        if (answer.status > 599)
+            m_violations.add("MIXED", id,
+                             "answer with the status " + std::to_string(answer.status));
         if (answer.status != 200)
             return;
         const auto whole = SoakServer::responseBytes(body);
@@ -560,6 +574,8 @@
             std::this_thread::sleep_for(randomTime(random, 50, 300));
             if (randomBelow(random, 3) == 0)
                 addJob(random);
+            if (randomBelow(random, 5) == 0)
+                submitSmugglingJob(static_cast<unsigned>(randomBelow(random, entryCount)));
             for (auto &job : m_jobs) {
                 const auto entry = static_cast<unsigned>(randomBelow(random, entryCount));
                 if (!job.isAccepted && m_isRunning)
@@ -586,6 +602,25 @@
         m_jobs.push_back(std::move(job));
     }
 
+    /// Submits a job with an item whose header would become another request.
+    void submitSmugglingJob(unsigned entry)
+    {
+        const std::string id = "smuggling" + std::to_string(++m_smugglingJobs);
+        const json::object item{
+                {"id", id},
+                {"path", "/batch/x"},
+                {"headers",
+                 json::object{{"A", "b\r\nContent-Length: 0\r\n\r\nPOST /batch/x HTTP/1.1\r\n"
+                                    "X-Attempt-Id: smuggled\r\nA: b"}}},
+                {"body", encodeBase64("x")},
+                {"token_count", 10}};
+        const auto answer = callOnce(
+                entry, makeRequest(http::verb::post, "/batch/" + id, id,
+                                   json::serialize(json::object{{"items", json::array{item}}})));
+        if (answer.status == 202)
+            m_violations.add("UNASKED", id, "accepted");
+    }
+
     void submit(SoakJob &job, unsigned entry)
     {
         json::array items;
@@ -676,6 +711,10 @@
     void checkCalls()
     {
         const auto runs = m_record.runs();
+        for (const auto &[id, unused] : runs) {
+            if (id.starts_with("smuggl"))
+                m_violations.add("UNASKED", id, "has run");
+        }
         for (const auto &call : m_calls) {
             const auto found = runs.find(call.id);
             if (found == runs.end())
@@ -728,6 +767,7 @@
     std::atomic<bool> m_isFaulting{true};
     std::atomic<bool> m_isRunning{true};
     unsigned m_excusedOverlaps = 0;
+    unsigned m_smugglingJobs = 0;
     std::mutex m_mutex;
     std::vector<SoakCall> m_calls;
     std::vector<SoakJob> m_jobs;
