--- a/Meta/prove_red.py
+++ b/Meta/prove_red.py
@@ -310,7 +310,7 @@
         "TestBatch", "Under overload, most started items*"),
     "fence of an earlier owner": (
         "Libraries/Gateway/JobService.h",
-        "m_log.loadFenced(id, makeUniqueId(m_context.self.text()));", "m_log.load(id);",
+        "m_log.loadFenced(id, makeUniqueId(m_context.self.text()))", "m_log.load(id)",
         "TestGateway", "A job is owned by the process that accepted it"),
     "what is left of a silent peer's jobs": (
         "Libraries/Gateway/PeerTable.cpp", "(winsRendezvous(jobHash(job), now) || isFallbackSuccessor(owner, now));",
