--- a/review/standin-3/harness.py
+++ b/review/standin-3/harness.py
@@ -222,6 +222,7 @@
         self.changed = threading.Condition()
         # Answers every call with 503 and does nothing, as a store that is down and says so.
         self.is_busy = False
+        self.answer_s = 0.0
         self.value_bytes = 1048576
         super().__init__(ip)
 
@@ -272,6 +273,7 @@
         path, _, query = target.partition("?")
         parameters = dict(urllib.parse.parse_qsl(query))
         parts = [urllib.parse.unquote(part) for part in path.split("/")[3:]]
+        time.sleep(self.answer_s)
         status, answer = self._call(method, parts, parameters, body)
         self.respond(connection, status, json.dumps(answer).encode(),
                      [("Content-Type", "application/json")])
@@ -514,6 +516,7 @@
         self.store = Store(f"{self.base}.250", record)
         self.store_address = {}
         self.memory_mb = 260
+        self.bounds = BOUNDS
         self.entries = []
         with open(os.path.join(ROOT, "deploy", "system.toml"), encoding="utf-8") as file:
             text = file.read()
@@ -560,7 +563,7 @@
             "limits": {"cpu_share": 0.19, "cores": 1, "memory_mb": self.memory_mb, "max_fds": 4100,
                        "link_mbps": 1000.0, "disk_mb": 0},
             "data_dir": None, "discovery": "platform", "entry": "virtual_ip",
-            "heartbeat_ms": 1200, "bounds": BOUNDS,
+            "heartbeat_ms": 1200, "bounds": self.bounds,
             "platform": {"address": self.store_address.get(entry, self.store.address),
                          "form": "objects", "writes_per_s": 400, "reads_per_s": 2000,
                          "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000},
@@ -623,15 +626,17 @@
             self.processes[entry].wait()
             self.record(f"{entry}: killed")
 
-    def configure(self, version, routes):
+    def configure(self, version, routes, tenants=None):
         spec = {"version": version, "routes": routes, "services": [],
                 "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                            "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+        if tenants is not None:
+            spec["tenants"] = tenants
         self.store.write("config", "main", spec)
         self.record(f"operator: the store acknowledges configuration {version}")
 
-    def results(self, entry, job, after=0):
-        return call(self.callers(entry), "GET", f"/-/lots/{job}?after={after}", timeout=4)
+    def results(self, entry, job, headers=()):
+        return call(self.callers(entry), "GET", f"/-/lots/{job}?after=0", headers, timeout=4)
 
     def log(self, entry):
         try:
