Tests: Show that items starve at a process without a part of a limit

The test names the limit all the time, so that its end cannot hide the fault: the processes with a part finish their jobs, then nobody uses the servers, and the items of the third process wait until they expire.

--- a/Tests/Platform/TestUpstreamRequestLimits.cpp
+++ b/Tests/Platform/TestUpstreamRequestLimits.cpp
@@ -17,6 +17,8 @@
 constexpr Milliseconds window{4'000};
 /// What the users' pages allow in a window.
 constexpr double mostInWindow = 1.5 * limit * 4 + 5;
+/// Time after the end of the load until which every item must have a result.
+constexpr Milliseconds finishTime{18'000};
 /// A refusal does not wait for the limit.
 constexpr Milliseconds maxRefusalTime{1'000};
 
@@ -78,6 +80,35 @@
 
 } // namespace
 
+// Guards against items that wait for ever at a process without a part of a limited rate.
+TEST_CASE("Items run at each process although two servers name a limit all the time", "[Platform]")
+{
+    const std::vector<std::string> entries{"entry1", "entry2", "entry3"};
+    PlatformDeployment deployment;
+    std::vector<FakeServer *> servers{&deployment.addServer("i-1"), &deployment.addServer("i-2")};
+    for (auto *server : servers)
+        server->nameRequestLimit(1);
+    deployment.writeConfiguration(1);
+    for (const auto &entry : entries)
+        deployment.startEntry(entry);
+    for (const auto &entry : entries)
+        deployment.waitUntilReady(entry);
+    REQUIRE(deployment.submit("entry1", "first", {"a", "b", "c", "d"}).status == 202);
+    deployment.waitForResults("entry1", "first", 4);
+    const auto since = SteadyClock().now() + contactTime;
+    for (const auto &entry : entries)
+        REQUIRE(deployment.submit(entry, "job-" + entry, {"a", "b", "c", "d"}).status == 202);
+    const auto submitted = SteadyClock().now();
+    for (const auto &entry : entries) {
+        CAPTURE(entry);
+        for (const auto &result : deployment.waitForResults(entry, "job-" + entry, 4))
+            CHECK(result.at("state") == "completed");
+        CHECK(SteadyClock().now() - submitted < finishTime);
+    }
+    for (auto *server : servers)
+        CHECK(mostRequests(*server, since) <= 1.5 * 1 * 4 + 5);
+}
+
 TEST_CASE("The processes together send a server no more requests than it asks for", "[Platform]")
 {
     const std::vector<std::string> entries{"entry1", "entry2", "entry3"};
