--- a/Libraries/Gateway/FleetReporter.cpp
+++ b/Libraries/Gateway/FleetReporter.cpp
@@ -32,7 +32,10 @@
     for (const auto &demand : report.waiting) {
         add(demand.service);
         add((std::uint64_t{demand.items} << 32U) + demand.lateItems);
+        add(demand.hasLimitedCalls ? 1 : 0);
     }
+    for (const auto &grant : report.requestGrants)
+        add(grant.id);
     for (const auto &leaving : report.leaving) {
         add(leaving.upstream);
         add(static_cast<std::uint64_t>(leaving.startedAt));
@@ -108,6 +111,9 @@
             return !subset->isServiceShared(m_position, recipient, demand.service);
         });
     }
+    // Only the processes of a cell divide the rates of limited upstreams among them.
+    if (FleetPartition::cellOf(recipient, m_cells) != FleetPartition::cellOf(m_position, m_cells))
+        result.report.requestGrants.clear();
     result.hasLoads = !result.report.loads.empty() || !result.report.waiting.empty();
     result.loadDigest = loadDigestOf(result.report);
     return result;
--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -27,6 +27,7 @@
 #include <Gateway/QuotaMessage.h>
 #include <Gateway/Relay.h>
 #include <Gateway/ReportRelay.h>
+#include <Gateway/RequestAllowance.h>
 #include <Gateway/RouteTable.h>
 #include <Gateway/StreamDelivery.h>
 #include <Gateway/StreamProgress.h>
--- a/Libraries/Gateway/PeerLink.cpp
+++ b/Libraries/Gateway/PeerLink.cpp
@@ -86,6 +86,7 @@
     for (const auto &leaving : report.leaving)
         m_upstreams.noteLeaving(leaving);
     m_upstreams.noteLimitReport(report.upstreamLimits, now);
+    m_upstreams.noteGrants(report.requestGrants, now);
     m_crashes.applyReport(report.crashUpdates, now);
     m_crashingParts.applyReport(report.partUpdates, now);
     if (onReport)
@@ -119,6 +120,8 @@
     m_crashingParts.onUrgentReport = m_crashes.onUrgentReport;
     while (true) {
         const auto now = SteadyClock().now();
+        if (!m_isLeaving && m_upstreams.serveRequestNeeds())
+            m_hasLoadChanged = true;
         if (m_hasLoadChanged || m_mustSendFullReport || m_mustAnnounceFleet
             || now - m_fullReportSentAt >= fullReportInterval)
             sendReports(now);
@@ -230,6 +233,8 @@
     report.leaving = m_upstreams.leaving();
     if (describeWaiting)
         describeWaiting(report);
+    m_upstreams.describeLimitedCalls(report.waiting);
+    report.requestGrants = m_upstreams.grantsToReport();
     return report;
 }
 
@@ -241,6 +246,7 @@
 void PeerLink::announceLeaving()
 {
     m_threads.spawnOn(0, [this] {
+        m_isLeaving = true;
         auto report = loadReport();
         // The peers distribute the jobs of this process among themselves.
         report.hasJobs = true;
--- a/Libraries/Gateway/PeerLink.h
+++ b/Libraries/Gateway/PeerLink.h
@@ -88,6 +88,8 @@
     std::map<Endpoint, TimePoint> m_sentAt;
     TimePoint m_fullReportSentAt{};
     Milliseconds m_loadPropagationTime{};
+    /// The peers have divided the part of this process among themselves.
+    bool m_isLeaving = false;
     std::atomic<bool> m_mustSendFullReport{true};
     std::atomic<bool> m_mustAnnounceFleet{false};
     std::atomic<bool> m_hasLoadChanged{true};
--- a/Libraries/Gateway/PeerLoads.cpp
+++ b/Libraries/Gateway/PeerLoads.cpp
@@ -61,6 +61,7 @@
     auto &report = m_reports[peer];
     remove(report);
     report.at = now;
+    report.node = nodeHash(peer);
     m_oldestAt = std::min(m_oldestAt, now);
     report.loads.assign(loads.begin(), loads.end());
     report.waiting.assign(waiting.begin(), waiting.end());
@@ -130,6 +131,21 @@
     return found == m_waiting.end() ? WaitingItems() : found->second;
 }
 
+std::vector<PeerNeed> PeerLoads::needsOf(std::uint64_t service) const
+{
+    std::vector<PeerNeed> needs;
+    for (const auto &[peer, report] : m_reports) {
+        for (const auto &demand : report.waiting) {
+            const bool hasItems = demand.items > 0 || demand.lateItems > 0;
+            if (demand.service != service || (!hasItems && !demand.hasLimitedCalls))
+                continue;
+            needs.push_back({report.node,
+                             demand.hasLimitedCalls ? RequestNeed::Calls : RequestNeed::Items});
+        }
+    }
+    return needs;
+}
+
 bool PeerLoads::mustPeerPreemptFirst(std::uint64_t upstream, unsigned ownBatch,
                                      const NodeId &self) const
 {
--- a/Libraries/Gateway/PeerLoads.h
+++ b/Libraries/Gateway/PeerLoads.h
@@ -2,6 +2,7 @@
 
 #include <Core/Core.h>
 #include <Gateway/PeerReport.h>
+#include <Gateway/UpstreamLimits.h>
 
 #include <map>
 #include <span>
@@ -65,6 +66,8 @@
     /// Returns the sum of the items that wait at the peers for a service, given the hash of its
     /// name.
     [[nodiscard]] WaitingItems waiting(std::uint64_t service) const;
+    /// Returns the peers that have something to send to a service, given the hash of its name.
+    [[nodiscard]] std::vector<PeerNeed> needsOf(std::uint64_t service) const;
     /// Returns whether some peer must preempt batch items at an upstream before this process does,
     /// because it has more batch items there, or as many and a greater node id.
     [[nodiscard]] bool mustPeerPreemptFirst(std::uint64_t upstream, unsigned ownBatch,
@@ -74,6 +77,7 @@
     struct Report
     {
         TimePoint at;
+        std::uint64_t node = 0;
         /// Sorted by upstream.
         std::vector<UpstreamStreams> loads;
         std::vector<ServiceDemand> waiting;
--- a/Libraries/Gateway/PeerReport.capnp
+++ b/Libraries/Gateway/PeerReport.capnp
@@ -29,6 +29,7 @@
   service @0 :UInt64;    # Hash of the service's name.
   items @1 :UInt32;      # Items that can be completed before they are due.
   lateItems @2 :UInt32;  # Items that cannot be completed before they are due.
+  hasLimitedCalls @3 :Bool; # Whether online calls need the requests that limited upstreams take.
 }
 
 # An upstream whose responses announced that it is about to leave.
@@ -46,6 +47,15 @@
   ageMs @4 :UInt32;      # Time since the sender received the answer.
 }
 
+# A request to a limited upstream that the sender leaves to another process.
+struct RequestGrant {
+  upstream @0 :UInt64;   # Hash of the upstream's name.
+  startedAt @1 :Int64;   # Start time of the instance.
+  node @2 :UInt64;       # Hash of the name of the process that may send the request.
+  id @3 :UInt64;         # Tells repetitions of a grant from another one.
+  ageMs @4 :UInt32;
+}
+
 # An upstream that terminated while it was executing a call.
 struct UpstreamCrash {
   call @0 :UInt64;           # Fingerprint of the call.
@@ -119,4 +129,5 @@
   heardAgesMs @27 :List(UInt16);      # their names, and the time since then.
   relayedReports @28 :List(RelayedReport); # Reports of some of these.
   upstreamLimits @29 :List(UpstreamLimit); # As answers to the sender named them.
+  requestGrants @30 :List(RequestGrant);
 }
--- a/Libraries/Gateway/PeerReport.capnp.h
+++ b/Libraries/Gateway/PeerReport.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(aee4fa194d61b53b);
 CAPNP_DECLARE_SCHEMA(b936efe46a5d9c00);
 CAPNP_DECLARE_SCHEMA(863f501e5b30d50e);
+CAPNP_DECLARE_SCHEMA(a67a6e279ac79b07);
 CAPNP_DECLARE_SCHEMA(ed63e63dc91e7af2);
 CAPNP_DECLARE_SCHEMA(f8bf2225f818a14e);
 CAPNP_DECLARE_SCHEMA(fc17798d09740c2d);
@@ -88,7 +89,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aee4fa194d61b53b, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(aee4fa194d61b53b, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -125,6 +126,21 @@
   };
 };
 
+struct RequestGrant {
+  RequestGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a67a6e279ac79b07, 5, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct UpstreamCrash {
   UpstreamCrash() = delete;
 
@@ -208,7 +224,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 5, 20)
+    CAPNP_DECLARE_STRUCT_HEADER(904a47b5c1f7db18, 5, 21)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -504,6 +520,8 @@
 
   inline  ::uint32_t getLateItems() const;
 
+  inline bool getHasLimitedCalls() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -541,6 +559,9 @@
   inline  ::uint32_t getLateItems();
   inline void setLateItems( ::uint32_t value);
 
+  inline bool getHasLimitedCalls();
+  inline void setHasLimitedCalls(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -744,6 +765,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class RequestGrant::Reader {
+public:
+  typedef RequestGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+  inline  ::uint64_t getNode() const;
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RequestGrant::Builder {
+public:
+  typedef RequestGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream();
+  inline void setUpstream( ::uint64_t value);
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+  inline  ::uint64_t getNode();
+  inline void setNode( ::uint64_t value);
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RequestGrant::Pipeline {
+public:
+  typedef RequestGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class UpstreamCrash::Reader {
 public:
   typedef UpstreamCrash Reads;
@@ -1314,6 +1431,9 @@
   inline bool hasUpstreamLimits() const;
   inline  ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader getUpstreamLimits() const;
 
+  inline bool hasRequestGrants() const;
+  inline  ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>::Reader getRequestGrants() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1517,6 +1637,13 @@
   inline void adoptUpstreamLimits(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::UpstreamLimit,  ::capnp::Kind::STRUCT>> disownUpstreamLimits();
 
+  inline bool hasRequestGrants();
+  inline  ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>::Builder getRequestGrants();
+  inline void setRequestGrants( ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>::Builder initRequestGrants(unsigned int size);
+  inline void adoptRequestGrants(::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>> disownRequestGrants();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1738,6 +1865,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServiceDemand::Reader::getHasLimitedCalls() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServiceDemand::Builder::getHasLimitedCalls() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setHasLimitedCalls(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t LeavingUpstream::Reader::getUpstream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1836,6 +1977,76 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t RequestGrant::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RequestGrant::Builder::getUpstream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RequestGrant::Builder::setUpstream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RequestGrant::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RequestGrant::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RequestGrant::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RequestGrant::Reader::getNode() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RequestGrant::Builder::getNode() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RequestGrant::Builder::setNode( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RequestGrant::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RequestGrant::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RequestGrant::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RequestGrant::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RequestGrant::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void RequestGrant::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t UpstreamCrash::Reader::getCall() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3034,6 +3245,40 @@
       ::capnp::bounded<19>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::hasRequestGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasRequestGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getRequestGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getRequestGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setRequestGrants( ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initRequestGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptRequestGrants(
+    ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownRequestGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Radishplank::Rpc::RequestGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/Gateway/PeerReport.cpp
+++ b/Libraries/Gateway/PeerReport.cpp
@@ -116,7 +116,8 @@
                                 load.getPaceHundredths() / 100.0});
     }
     for (const auto demand : reader.getWaiting())
-        report.waiting.push_back({demand.getService(), demand.getItems(), demand.getLateItems()});
+        report.waiting.push_back({demand.getService(), demand.getItems(), demand.getLateItems(),
+                                  demand.getHasLimitedCalls()});
     for (const auto upstream : reader.getLeaving())
         report.leaving.push_back({upstream.getUpstream(), upstream.getStartedAt()});
     for (const auto limit : reader.getUpstreamLimits()) {
@@ -124,6 +125,10 @@
         report.upstreamLimits.push_back({limit.getUpstream(), limit.getStartedAt(), perSecond,
                                          Milliseconds(limit.getAgeMs())});
     }
+    for (const auto grant : reader.getRequestGrants()) {
+        report.requestGrants.push_back({grant.getUpstream(), grant.getStartedAt(), grant.getNode(),
+                                        grant.getId(), Milliseconds(grant.getAgeMs())});
+    }
     for (const auto crash : reader.getCrashes()) {
         report.crashUpdates.crashes.push_back({crash.getCall(), crash.getUpstreamStart(),
                                                crash.getObservation(),
@@ -186,6 +191,7 @@
         waiting[i].setService(report.waiting[i].service);
         waiting[i].setItems(report.waiting[i].items);
         waiting[i].setLateItems(report.waiting[i].lateItems);
+        waiting[i].setHasLimitedCalls(report.waiting[i].hasLimitedCalls);
     }
     auto leaving = builder.initLeaving(static_cast<unsigned>(report.leaving.size()));
     for (unsigned i = 0; i < report.leaving.size(); ++i) {
@@ -201,6 +207,15 @@
         limits[i].setHasEnded(!limit.perSecond);
         limits[i].setAgeMs(encodeMilliseconds(limit.age));
     }
+    auto grants = builder.initRequestGrants(static_cast<unsigned>(report.requestGrants.size()));
+    for (unsigned i = 0; i < report.requestGrants.size(); ++i) {
+        const auto &grant = report.requestGrants[i];
+        grants[i].setUpstream(grant.upstream);
+        grants[i].setStartedAt(grant.startedAt);
+        grants[i].setNode(grant.node);
+        grants[i].setId(grant.id);
+        grants[i].setAgeMs(encodeMilliseconds(grant.age));
+    }
     const auto &updates = report.crashUpdates;
     auto crashes = builder.initCrashes(static_cast<unsigned>(updates.crashes.size()));
     for (unsigned i = 0; i < updates.crashes.size(); ++i) {
--- a/Libraries/Gateway/PeerReport.h
+++ b/Libraries/Gateway/PeerReport.h
@@ -46,6 +46,8 @@
     std::uint32_t items = 0;
     /// Items that cannot be completed before they are due.
     std::uint32_t lateItems = 0;
+    /// Whether online calls need the requests that limited upstreams of the service take.
+    bool hasLimitedCalls = false;
 };
 
 /// An upstream whose responses announced that it is about to leave.
@@ -74,6 +76,22 @@
     bool operator==(const UpstreamLimitReport &) const = default;
 };
 
+/// A request to a limited upstream that the sender leaves to another process.
+struct RequestGrant
+{
+    /// Hash of the upstream's name, as upstreamHash() gives it.
+    std::uint64_t upstream = 0;
+    /// Start time of the instance.
+    std::int64_t startedAt = 0;
+    /// Hash of the name of the process that may send it, as nodeHash() gives it.
+    std::uint64_t node = 0;
+    /// Tells repetitions of a grant from another one.
+    std::uint64_t id = 0;
+    Milliseconds age{0};
+
+    bool operator==(const RequestGrant &) const = default;
+};
+
 /// Versions of the configuration and of the list of upstreams that a process has.
 struct FleetVersion
 {
@@ -116,6 +134,7 @@
     std::vector<LeavingUpstream> leaving;
     /// Only in full reports.
     std::vector<UpstreamLimitReport> upstreamLimits;
+    std::vector<RequestGrant> requestGrants;
     CrashReport crashUpdates;
     CrashingPartReport partUpdates;
     /// Whether the lists of jobs are part of this report.
--- a/Libraries/Gateway/RelayCall.cpp
+++ b/Libraries/Gateway/RelayCall.cpp
@@ -35,6 +35,8 @@
 /// How often a resumed stream that waits for a limited upstream checks for its caller and for
 /// other upstreams.
 constexpr Milliseconds limitCheckInterval{100};
+/// How often a call that has not run checks whether a peer has granted it a request.
+constexpr Milliseconds grantCheckInterval{20};
 /// An upstream that has sent this many events of a stream has got past the beginning of its answer.
 constexpr std::size_t minEventsOfAnswer = 2;
 
@@ -104,10 +106,8 @@
         if (!admission.reservation && m_runs > 0)
             admission = m_upstreams.reserveOnline(m_call.service, {}, wait, m_features);
         if (!admission.reservation) {
-            if (m_runs > 0 && admission.nextRequest && *admission.nextRequest < timeLeft()) {
-                boost::this_fiber::sleep_for(std::min(*admission.nextRequest, limitCheckInterval));
+            if (waitForRequest(admission, limit))
                 continue;
-            }
             if (m_runs > 0)
                 return giveUp("no upstream is available for another attempt");
             return refuseForLackOfSlots(admission, limit);
@@ -142,6 +142,28 @@
         checkForCrash(*silentUpstream);
 }
 
+bool RelayCall::waitForRequest(const UpstreamTable::OnlineAdmission &admission,
+                               const AdmissionLimit &limit)
+{
+    if (!admission.wasLimited)
+        return false;
+    const auto now = SteadyClock().now();
+    if (m_runs == 0) {
+        // While grants are rare, further calls would wait in vain, so they are refused at once.
+        if (admission.mayBeGranted && admission.isFirstInNeed && !m_grantAwaitedUntil)
+            m_grantAwaitedUntil = now + std::min(limit.longestWait, timeLeft());
+        if (now + grantCheckInterval >= m_grantAwaitedUntil.value_or(now))
+            return false;
+        boost::this_fiber::sleep_for(grantCheckInterval);
+        return true;
+    }
+    const auto nextRequest = admission.nextRequest.value_or(limitCheckInterval);
+    if (timeLeft() <= limitCheckInterval || (nextRequest >= timeLeft() && !admission.mayBeGranted))
+        return false;
+    boost::this_fiber::sleep_for(std::min(nextRequest, limitCheckInterval));
+    return true;
+}
+
 bool RelayCall::mayRetry() const
 {
     if (m_watch.isStopped())
--- a/Libraries/Gateway/RelayCall.h
+++ b/Libraries/Gateway/RelayCall.h
@@ -73,6 +73,10 @@
     [[nodiscard]] HttpCallOptions attemptOptions();
     [[nodiscard]] Milliseconds timeLeft() const;
     [[nodiscard]] Milliseconds upstreamIdleTimeout() const;
+    /// Waits for a moment if an upstream that limits its requests may soon take one from this
+    /// process; returns false at once otherwise.
+    [[nodiscard]] bool waitForRequest(const UpstreamTable::OnlineAdmission &admission,
+                                      const AdmissionLimit &limit);
     [[nodiscard]] bool mayRetry() const;
 
     /// Records that an upstream crashed while it ran the call, if it no longer accepts connections.
@@ -133,6 +137,8 @@
     std::optional<Milliseconds> m_firstBytesAge;
     /// When the upstream last sent something, or when the request was sent to it.
     TimePoint m_lastActivity{};
+    /// Until when the call, which has not run yet, waits for a peer to grant it a request.
+    std::optional<TimePoint> m_grantAwaitedUntil;
     std::optional<std::uint64_t> m_lastEvent;
     /// Reads of the body that the current attempt has received, and the time of the first one.
     unsigned m_attemptReads = 0;
--- a/Libraries/Gateway/UpstreamLimits.cpp
+++ b/Libraries/Gateway/UpstreamLimits.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 namespace Radishplank {
 
@@ -25,6 +26,17 @@
 /// A limit is forgotten if no answer has confirmed it for so long.
 constexpr Milliseconds limitRetention{60'000};
 constexpr std::size_t maxLimits = 10'000;
+/// A granted request is sent within this time, so that the upstream gets it about when its rate
+/// allows it.
+constexpr Milliseconds grantLifetime{1'000};
+/// Reports are datagrams, which may be lost, so several of them contain a grant.
+constexpr Milliseconds grantReportTime{500};
+/// A process with a part of the rate that fails is replaced within this time.
+constexpr Milliseconds replacementTime{3'000};
+/// Without grants, each process in need waits for this many turns of all of them.
+constexpr double patienceTurns = 2;
+/// Requests that are sent without a grant take at most a part of the rate: one in so many.
+constexpr double unaidedRequestSpacing = 4;
 
 } // namespace
 
@@ -99,11 +111,8 @@
 void UpstreamLimits::set(const UpstreamLimitReport &limit, TimePoint notedAt, bool isFirstHand,
                          TimePoint now)
 {
-    if (m_limits.size() >= maxLimits) {
-        std::erase_if(m_limits, [&](const auto &entry) {
-            return now - entry.second.notedAt > limitRetention;
-        });
-    }
+    if (m_limits.size() >= maxLimits)
+        (void)evictStale(now);
     auto known = m_limits.find(limit.upstream);
     const bool isSameStart = known != m_limits.end() && known->second.startedAt == limit.startedAt;
     if (!limit.perSecond) {
@@ -113,7 +122,7 @@
     } else if (!isSameStart || known->second.hasEnded) {
         known = m_limits.insert_or_assign(limit.upstream,
                                           Limit{limit.startedAt, *limit.perSecond, false, notedAt,
-                                                isFirstHand, TokenBucket(0, 0, now)})
+                                                isFirstHand, RequestAllowance(now)})
                         .first;
     } else if (known->second.perSecond != *limit.perSecond) {
         known->second.perSecond = *limit.perSecond;
@@ -128,6 +137,24 @@
     return now - limit.notedAt <= (limit.hasEnded ? recoveryTime : limitRetention);
 }
 
+bool UpstreamLimits::evictStale(TimePoint now)
+{
+    std::erase_if(m_limits,
+                  [&](const auto &entry) { return now - entry.second.notedAt > limitRetention; });
+    return std::any_of(m_limits.begin(), m_limits.end(),
+                       [&](const auto &entry) { return isRestricting(entry.second, now); });
+}
+
+double UpstreamLimits::Limit::rate() const
+{
+    return std::max(minLimitPerSecond, perSecond);
+}
+
+bool UpstreamLimits::Limit::isHolder(std::uint64_t node) const
+{
+    return std::binary_search(holders.begin(), holders.end(), node);
+}
+
 std::optional<Duration> UpstreamLimits::waitTime(const UpstreamStart &upstream,
                                                  const ZoneName &zone, TimePoint now)
 {
@@ -136,13 +163,185 @@
         return {};
     if (limit->hasEnded || limit->membersVersion != m_membersVersion)
         divide(*limit, upstream.upstream, zone, now);
-    return limit->isUser ? limit->allowance.waitTime(now) : Duration::max();
+    while (!limit->granted.empty() && limit->granted.front() <= now)
+        limit->granted.pop_front();
+    if (!limit->granted.empty())
+        return Duration(0);
+    if (limit->hasPart)
+        return limit->allowance.waitTime(now);
+    if (now >= limit->unaidedRequestAt)
+        return Duration(0);
+    const std::chrono::duration<double> turns(limit->callsInNeed / limit->rate());
+    return std::chrono::ceil<Duration>(turns);
+}
+
+bool UpstreamLimits::mayBeGranted(const UpstreamStart &upstream) const
+{
+    const auto *limit = findIn(m_limits, upstream);
+    return limit != nullptr && !limit->hasPart;
 }
 
 void UpstreamLimits::noteSent(const UpstreamStart &upstream, TimePoint now)
 {
-    if (auto *limit = findIn(m_limits, upstream))
-        (void)limit->allowance.take(now);
+    auto *limit = findIn(m_limits, upstream);
+    if (limit == nullptr)
+        return;
+    if (!limit->granted.empty())
+        limit->granted.pop_front();
+    else if (limit->hasPart)
+        limit->allowance.take(now);
+    limit->unmetSince.reset();
+    limit->unaidedRequestAt = TimePoint::max();
+}
+
+bool UpstreamLimits::serveNeeds(const UpstreamStart &upstream, const ZoneName &zone,
+                                RequestNeed own, std::span<const PeerNeed> peers, TimePoint now)
+{
+    auto *limit = findIn(m_limits, upstream);
+    if (limit == nullptr || !isRestricting(*limit, now))
+        return false;
+    if (limit->hasEnded || limit->membersVersion != m_membersVersion)
+        divide(*limit, upstream.upstream, zone, now);
+    if (limit->hasPart)
+        return grant(*limit, upstream, own, peers, now);
+    scheduleUnaidedRequest(*limit, own, peers, now);
+    return false;
+}
+
+bool UpstreamLimits::isMember(std::uint64_t node) const
+{
+    return std::any_of(m_others.begin(), m_others.end(),
+                       [&](const LimitMember &other) { return other.node == node; });
+}
+
+std::size_t UpstreamLimits::positionIn(const Limit &limit) const
+{
+    const auto position = std::lower_bound(limit.holders.begin(), limit.holders.end(), m_self.node);
+    return static_cast<std::size_t>(position - limit.holders.begin());
+}
+
+bool UpstreamLimits::grant(Limit &limit, const UpstreamStart &upstream, RequestNeed own,
+                           std::span<const PeerNeed> peers, TimePoint now)
+{
+    limit.unmetSince.reset();
+    limit.unaidedRequestAt = TimePoint::max();
+    RequestNeed greatest = std::max(own, RequestNeed::Items);
+    for (const auto &peer : peers)
+        greatest = std::max(greatest, peer.need);
+    // All processes with the greatest need get equal parts; of those, holders have theirs already.
+    const bool keepsPart = own == greatest;
+    double holdersInNeed = keepsPart ? 1 : 0;
+    std::vector<std::uint64_t> recipients;
+    for (const auto &peer : peers) {
+        if (peer.need != greatest || !isMember(peer.node))
+            continue;
+        if (keepsPart && limit.isHolder(peer.node))
+            holdersInNeed += 1;
+        else
+            recipients.push_back(peer.node);
+    }
+    const auto count = static_cast<double>(recipients.size());
+    limit.allowance.setPeerPart(recipients.empty() ? 0 : count / (count + holdersInNeed));
+    bool hasGranted = false;
+    while (!recipients.empty() && limit.allowance.takeForPeer(now)) {
+        const auto grantee = chooseGrantee(limit, recipients);
+        limit.grantedAt[grantee] = now;
+        limit.grantCount += 1;
+        // Unique, also if this process has been restarted.
+        const auto number = static_cast<std::uint64_t>(now.time_since_epoch().count());
+        const auto id
+                = rendezvousWeight(m_self.node ^ upstream.upstream, number + limit.grantCount);
+        m_sentGrants.push_back(
+                {{upstream.upstream, upstream.startedAt, grantee, id, Milliseconds(0)}, now});
+        hasGranted = true;
+    }
+    return hasGranted;
+}
+
+std::uint64_t UpstreamLimits::chooseGrantee(const Limit &limit,
+                                            std::span<std::uint64_t> recipients) const
+{
+    const auto rank = [&](std::uint64_t node) {
+        const auto found = limit.grantedAt.find(node);
+        return std::pair(found == limit.grantedAt.end() ? TimePoint::min() : found->second, node);
+    };
+    // Those that have waited longest come first. Holders whose requests become available at the
+    // same time choose different ones, as they have not heard of each other's grants yet.
+    const auto choices = std::min(recipients.size(), limit.holders.size());
+    const auto index = (positionIn(limit) + limit.grantCount) % choices;
+    const auto chosen = recipients.begin() + static_cast<std::ptrdiff_t>(index);
+    std::nth_element(recipients.begin(), chosen, recipients.end(),
+                     [&](auto left, auto right) { return rank(left) < rank(right); });
+    return *chosen;
+}
+
+void UpstreamLimits::scheduleUnaidedRequest(Limit &limit, RequestNeed own,
+                                            std::span<const PeerNeed> peers, TimePoint now) const
+{
+    RequestNeed greatest = own;
+    // The processes in need take turns, in the order of their hashes.
+    double needy = 1;
+    double turn = 0;
+    limit.callsInNeed = 1;
+    for (const auto &peer : peers) {
+        greatest = std::max(greatest, peer.need);
+        limit.callsInNeed += peer.need == RequestNeed::Calls ? 1 : 0;
+        if (peer.need == RequestNeed::None)
+            continue;
+        needy += 1;
+        turn += peer.node < m_self.node ? 1 : 0;
+    }
+    // While calls need the requests, items are not meant to get any.
+    if (own == RequestNeed::None || own < greatest) {
+        limit.unmetSince.reset();
+        limit.unaidedRequestAt = TimePoint::max();
+        return;
+    }
+    if (!limit.unmetSince)
+        limit.unmetSince = now;
+    const std::chrono::duration<double> turns((patienceTurns * needy + unaidedRequestSpacing * turn)
+                                              / limit.rate());
+    limit.unaidedRequestAt
+            = *limit.unmetSince + replacementTime + std::chrono::duration_cast<Duration>(turns);
+}
+
+void UpstreamLimits::applyGrants(std::span<const RequestGrant> grants, TimePoint now)
+{
+    for (const auto &grant : grants) {
+        auto *limit = findIn(m_limits, {grant.upstream, grant.startedAt});
+        if (limit == nullptr)
+            continue;
+        const auto grantedAt = now - grant.age;
+        auto &latest = limit->grantedAt.try_emplace(grant.node, grantedAt).first->second;
+        latest = std::max(latest, grantedAt);
+        const auto until = grantedAt + grantLifetime;
+        if (grant.node != m_self.node || until <= now
+            || !m_receivedGrants.try_emplace(grant.id, now).second)
+            continue;
+        limit->granted.insert(std::upper_bound(limit->granted.begin(), limit->granted.end(), until),
+                              until);
+        // Reports may arrive late and all at once.
+        const double most
+                = 1 + limit->rate() * std::chrono::duration<double>(grantLifetime).count();
+        if (static_cast<double>(limit->granted.size()) > most)
+            limit->granted.pop_front();
+        limit->unmetSince.reset();
+        limit->unaidedRequestAt = TimePoint::max();
+    }
+    std::erase_if(m_receivedGrants,
+                  [&](const auto &entry) { return now - entry.second > 2 * grantLifetime; });
+}
+
+std::vector<RequestGrant> UpstreamLimits::grantsToReport(TimePoint now)
+{
+    while (!m_sentGrants.empty() && now - m_sentGrants.front().at > grantReportTime)
+        m_sentGrants.pop_front();
+    std::vector<RequestGrant> result;
+    for (const auto &[grant, at] : m_sentGrants) {
+        result.push_back(grant);
+        result.back().age = std::chrono::duration_cast<Milliseconds>(now - at);
+    }
+    return result;
 }
 
 std::optional<double> UpstreamLimits::limitOf(const UpstreamStart &upstream) const
@@ -155,7 +354,7 @@
                             TimePoint now) const
 {
     const auto alive = m_others.size() + 1;
-    double perSecond = std::max(minLimitPerSecond, limit.perSecond);
+    double perSecond = limit.rate();
     // All processes would otherwise send their load to the upstream at the same moment, and it
     // would be in need again.
     if (limit.hasEnded)
@@ -165,22 +364,40 @@
     const bool isIsolated = alive * 2 < m_processCount;
     const double users = isIsolated ? static_cast<double>(m_processCount)
                                     : std::min(std::max(1.0, wanted), static_cast<double>(alive));
-    limit.isUser = isIsolated || static_cast<double>(membersBefore(upstream, zone)) < users;
+    limit.holders = chooseHolders(static_cast<std::size_t>(users), upstream, zone);
+    limit.hasPart = limit.isHolder(m_self.node);
     const double rate = perSecond / users;
-    limit.allowance.configure(rate, std::max(1.0, burstSeconds * rate), now);
+    limit.allowance.setRate(rate, std::max(1.0, burstSeconds * rate), now);
+    if (limit.hasPart && !std::exchange(limit.isStaggered, true)) {
+        // All holders learn of the limit at about the same time, and would send together.
+        const auto position = static_cast<double>(positionIn(limit));
+        limit.allowance.advance(position / static_cast<double>(limit.holders.size()), now);
+    }
     limit.membersVersion = m_membersVersion;
 }
 
-std::size_t UpstreamLimits::membersBefore(std::uint64_t upstream, const ZoneName &zone) const
+std::vector<std::uint64_t> UpstreamLimits::chooseHolders(std::size_t count, std::uint64_t upstream,
+                                                         const ZoneName &zone) const
 {
-    const auto rank = [&](const LimitMember &member) {
-        return std::tuple(m_locality.distance(member.zone, zone),
-                          rendezvousWeight(member.node, upstream), member.node);
+    using Rank = std::tuple<Distance, std::uint64_t, std::uint64_t>;
+    std::vector<Rank> ranks;
+    const auto add = [&](const LimitMember &member) {
+        ranks.emplace_back(m_locality.distance(member.zone, zone),
+                           rendezvousWeight(member.node, upstream), member.node);
     };
-    const auto own = rank(m_self);
-    return static_cast<std::size_t>(
-            std::count_if(m_others.begin(), m_others.end(),
-                          [&](const LimitMember &other) { return rank(other) < own; }));
+    add(m_self);
+    for (const auto &other : m_others)
+        add(other);
+    if (count < ranks.size()) {
+        const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(count);
+        std::nth_element(ranks.begin(), end, ranks.end());
+        ranks.erase(end, ranks.end());
+    }
+    std::vector<std::uint64_t> holders;
+    for (const auto &rank : ranks)
+        holders.push_back(std::get<2>(rank));
+    std::sort(holders.begin(), holders.end());
+    return holders;
 }
 
 } // namespace Radishplank
--- a/Libraries/Gateway/UpstreamLimits.h
+++ b/Libraries/Gateway/UpstreamLimits.h
@@ -3,9 +3,10 @@
 #include <Core/Core.h>
 #include <Gateway/Locality.h>
 #include <Gateway/PeerReport.h>
-#include <Serving/TokenBucket.h>
+#include <Gateway/RequestAllowance.h>
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -31,11 +32,22 @@
     bool operator==(const LimitMember &) const = default;
 };
 
+/// What a process has to send to an upstream; calls go before items.
+enum class RequestNeed { None, Items, Calls };
+
+struct PeerNeed
+{
+    /// Hash of the process's name, as nodeHash() gives it.
+    std::uint64_t node = 0;
+    RequestNeed need = RequestNeed::None;
+};
+
 /// Divides the request rates that upstreams ask for among the entry processes. Pure.
 ///
 /// An upstream that names a limit is used by a few processes only, near ones first, each with an
 /// equal part of its rate. They follow from the members, so nothing is agreed on for each request.
-/// When the limit ends, the rate grows for a few seconds before it is unlimited again.
+/// They grant requests of their parts to processes that need some and have no part. When the limit
+/// ends, the rate grows for a few seconds before it is unlimited again.
 class UpstreamLimits
 {
 public:
@@ -56,12 +68,25 @@
     [[nodiscard]] std::vector<UpstreamLimitReport> report(TimePoint now) const;
 
     /// Returns how long this process must wait before it sends the next request to an upstream in
-    /// the given zone; nothing if the upstream has no limit, and Duration::max() if only other
-    /// processes use it.
+    /// the given zone; nothing if the upstream has no limit. Positive if it may not send one now.
     [[nodiscard]] std::optional<Duration> waitTime(const UpstreamStart &upstream,
                                                    const ZoneName &zone, TimePoint now);
+    /// Returns whether the wait is an estimate, as a peer may grant a request at any moment.
+    [[nodiscard]] bool mayBeGranted(const UpstreamStart &upstream) const;
     /// Counts a request that is sent now.
     void noteSent(const UpstreamStart &upstream, TimePoint now);
+    /// Grants requests to peers that need them, if this process has a part of the upstream's rate.
+    /// Otherwise notes how long its own need has not been met. To be called several times a second;
+    /// returns whether there are new grants.
+    bool serveNeeds(const UpstreamStart &upstream, const ZoneName &zone, RequestNeed own,
+                    std::span<const PeerNeed> peers, TimePoint now);
+    /// Applies a peer's grants; those for other processes are ignored.
+    void applyGrants(std::span<const RequestGrant> grants, TimePoint now);
+    /// Returns the grants that the next reports have to contain.
+    [[nodiscard]] std::vector<RequestGrant> grantsToReport(TimePoint now);
+    /// Forgets limits that have not mattered for long, and returns whether any restricts requests.
+    [[nodiscard]] bool evictStale(TimePoint now);
+
     /// Returns the requests per second that the upstream names at present, if it does.
     [[nodiscard]] std::optional<double> limitOf(const UpstreamStart &upstream) const;
 
@@ -75,11 +100,28 @@
         TimePoint notedAt{};
         /// Whether an answer to this process said so.
         bool isFirstHand = false;
-        /// Requests that this process may send.
-        TokenBucket allowance;
-        /// Whether this process uses the upstream, for the members of this version.
-        bool isUser = false;
+        /// Requests of this process's part of the rate.
+        RequestAllowance allowance;
+        /// The processes that have a part of the rate, for the members of this version; sorted.
+        std::vector<std::uint64_t> holders = {};
+        bool hasPart = false;
+        /// Whether this process has been given its place among the holders in time.
+        bool isStaggered = false;
         std::uint64_t membersVersion = 0;
+        /// When each process got its latest grant from any other, as far as known.
+        std::unordered_map<std::uint64_t, TimePoint> grantedAt = {};
+        std::size_t grantCount = 0;
+        /// Until when each unused request may be sent that peers have granted; the earliest first.
+        std::deque<TimePoint> granted = {};
+        /// Since when this process has needed requests without having sent one.
+        std::optional<TimePoint> unmetSince = {};
+        /// When this process sends a request that no peer has granted.
+        TimePoint unaidedRequestAt = TimePoint::max();
+        /// Calls at other processes that need requests take turns with those of this one.
+        double callsInNeed = 1;
+
+        [[nodiscard]] double rate() const;
+        [[nodiscard]] bool isHolder(std::uint64_t node) const;
     };
 
     /// Returns the limit of this start of an upstream in m_limits; null if there is none.
@@ -88,10 +130,22 @@
     /// Returns whether the limit still restricts requests: also for a while after its end.
     [[nodiscard]] static bool isRestricting(const Limit &limit, TimePoint now);
     void set(const UpstreamLimitReport &limit, TimePoint notedAt, bool isFirstHand, TimePoint now);
-    /// Determines this process's part of the rate.
+    /// Determines who has a part of the rate, and this process's part.
     void divide(Limit &limit, std::uint64_t upstream, const ZoneName &zone, TimePoint now) const;
-    /// Returns how many other processes use the upstream rather than this one.
-    [[nodiscard]] std::size_t membersBefore(std::uint64_t upstream, const ZoneName &zone) const;
+    /// Returns the first `count` processes to get a part of the rate; sorted.
+    [[nodiscard]] std::vector<std::uint64_t>
+    chooseHolders(std::size_t count, std::uint64_t upstream, const ZoneName &zone) const;
+    [[nodiscard]] bool isMember(std::uint64_t node) const;
+    /// Returns the position of this process among the holders of a limit.
+    [[nodiscard]] std::size_t positionIn(const Limit &limit) const;
+    bool grant(Limit &limit, const UpstreamStart &upstream, RequestNeed own,
+               std::span<const PeerNeed> peers, TimePoint now);
+    /// Returns which of the processes in need gets the next request; reorders them.
+    [[nodiscard]] std::uint64_t chooseGrantee(const Limit &limit,
+                                              std::span<std::uint64_t> recipients) const;
+    /// Determines when this process, which has no part of the rate, stops waiting for a grant.
+    void scheduleUnaidedRequest(Limit &limit, RequestNeed own, std::span<const PeerNeed> peers,
+                                TimePoint now) const;
 
     const Locality m_locality;
     const LimitMember m_self;
@@ -99,6 +153,15 @@
     std::size_t m_processCount = 0;
     std::uint64_t m_membersVersion = 1;
     std::unordered_map<std::uint64_t, Limit> m_limits;
+    struct SentGrant
+    {
+        RequestGrant grant;
+        TimePoint at;
+    };
+    /// Grants that reports repeat.
+    std::deque<SentGrant> m_sentGrants;
+    /// When each recent grant to this process arrived, by its id.
+    std::unordered_map<std::uint64_t, TimePoint> m_receivedGrants;
 };
 
 } // namespace Radishplank
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -24,6 +24,8 @@
 /// Batch items leave the requests of limited upstreams to online calls for this long after an
 /// online call needed one.
 constexpr Milliseconds onlinePriorityTime{1'000};
+/// Scheduling rounds of waiting items follow each other within this time.
+constexpr Milliseconds itemNeedTime{1'000};
 
 double millisecondsOf(Duration duration)
 {
@@ -224,10 +226,78 @@
     return {state.hash, state.info.startedAt};
 }
 
-bool UpstreamTable::isShortOfRequests(const std::string &service, TimePoint now) const
+RequestNeed UpstreamTable::needOf(std::uint64_t service, TimePoint now) const
 {
-    const auto found = m_limitedCallAt.find(serviceHash(service));
-    return found != m_limitedCallAt.end() && now - found->second < onlinePriorityTime;
+    const auto found = m_needs.find(service);
+    if (found == m_needs.end())
+        return RequestNeed::None;
+    const auto &[limitedCallAt, waitingItemsAt] = found->second;
+    if (limitedCallAt && now - *limitedCallAt < onlinePriorityTime)
+        return RequestNeed::Calls;
+    const bool hasItems = waitingItemsAt && now - *waitingItemsAt < itemNeedTime;
+    return hasItems ? RequestNeed::Items : RequestNeed::None;
+}
+
+bool UpstreamTable::noteLimitedCall(const std::string &service, TimePoint now)
+{
+    const auto hash = serviceHash(service);
+    const bool isNews = needOf(hash, now) != RequestNeed::Calls;
+    m_needs[hash].limitedCallAt = now;
+    return isNews;
+}
+
+bool UpstreamTable::serveRequestNeeds()
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto now = SteadyClock().now();
+    if (!m_limits.evictStale(now))
+        return false;
+    m_peers.expire(now);
+    std::unordered_map<std::uint64_t, std::vector<PeerNeed>> peersByService;
+    bool hasGranted = false;
+    for (const auto &[id, state] : m_states) {
+        if (state.info.isDraining || isLeaving(state))
+            continue;
+        const auto [peers, isNew] = peersByService.try_emplace(state.serviceHash);
+        if (isNew)
+            peers->second = m_peers.needsOf(state.serviceHash);
+        if (!m_limits.serveNeeds(startOf(state), state.info.zone, needOf(state.serviceHash, now),
+                                 peers->second, now))
+            continue;
+        hasGranted = true;
+        logDecision("upstream-request-granted", {{"upstream", id.text()}});
+    }
+    return hasGranted;
+}
+
+void UpstreamTable::noteGrants(std::span<const RequestGrant> grants, TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_limits.applyGrants(grants, now);
+}
+
+std::vector<RequestGrant> UpstreamTable::grantsToReport()
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_limits.grantsToReport(SteadyClock().now());
+}
+
+void UpstreamTable::describeLimitedCalls(std::vector<ServiceDemand> &demands) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto now = SteadyClock().now();
+    for (const auto &entry : m_needs) {
+        const auto service = entry.first;
+        if (needOf(service, now) != RequestNeed::Calls)
+            continue;
+        const auto known = std::find_if(demands.begin(), demands.end(), [&](const auto &demand) {
+            return demand.service == service;
+        });
+        if (known == demands.end())
+            demands.push_back({service, 0, 0, true});
+        else
+            known->hasLimitedCalls = true;
+    }
 }
 
 void UpstreamTable::noteRequestLimit(const Reservation &reservation,
@@ -298,7 +368,8 @@
                                      WorkClass workClass, const std::set<UpstreamId> &excluded,
                                      bool isInSubset, TimePoint now)
 {
-    const bool avoidsLimited = workClass == WorkClass::Batch && isShortOfRequests(service, now);
+    const bool avoidsLimited = workClass == WorkClass::Batch
+                               && needOf(serviceHash(service), now) == RequestNeed::Calls;
     for (auto &[id, state] : m_states) {
         if (state.isInSubset != isInSubset || state.info.service != service || state.info.isDraining
             || isLeaving(state) || excluded.contains(id))
@@ -307,6 +378,7 @@
         if (wait && (avoidsLimited || *wait > Duration(0))) {
             result.wasLimited = true;
             result.nextRequest = std::min(result.nextRequest, *wait);
+            result.mayBeGranted |= m_limits.mayBeGranted(startOf(state));
             continue;
         }
         const auto peers = m_peers.at(state.hash);
@@ -484,7 +556,7 @@
     const auto now = SteadyClock().now();
     std::function<void()> stop;
     {
-        const std::scoped_lock lock(m_mutex);
+        std::unique_lock lock(m_mutex);
         auto found = candidates(service, WorkClass::Online, excluded, now);
         WorkEstimate estimate;
         auto known = features;
@@ -502,14 +574,17 @@
             if (choice)
                 admission.expectedWait = choice->wait;
             admission.wasLimited = found.wasLimited;
-            if (found.nextRequest != Duration::max())
-                admission.nextRequest = std::chrono::ceil<Milliseconds>(found.nextRequest);
             if (found.wasLimited)
-                m_limitedCallAt[serviceHash(service)] = now;
+                admission.nextRequest = std::chrono::ceil<Milliseconds>(found.nextRequest);
+            admission.mayBeGranted = found.mayBeGranted;
+            admission.isFirstInNeed = found.wasLimited && noteLimitedCall(service, now);
+            lock.unlock();
+            if (admission.isFirstInNeed && onLoadChange)
+                onLoadChange();
             return admission;
         }
         if (found.entries[choice->index].isLimited)
-            m_limitedCallAt[serviceHash(service)] = now;
+            noteLimitedCall(service, now);
         auto &state = *found.states[choice->index];
         m_limits.noteSent(startOf(state), now);
         state.own.online += 1;
@@ -535,18 +610,28 @@
 {
     const std::scoped_lock lock(m_mutex);
     const auto now = SteadyClock().now();
+    if (waiting.sum() > 0)
+        m_needs[serviceHash(service)].waitingItemsAt = now;
     double capacity = 0;
-    for (const auto &candidate : candidates(service, WorkClass::Batch, {}, now).entries)
-        capacity += candidate.isLimited ? std::min(1.0, batchCapacity(candidate))
-                                        : batchCapacity(candidate);
+    // Requests to limited upstreams that only this process may send now.
+    double ownRequests = 0;
+    for (const auto &candidate : candidates(service, WorkClass::Batch, {}, now).entries) {
+        if (candidate.isLimited)
+            ownRequests += std::min(1.0, batchCapacity(candidate));
+        else
+            capacity += batchCapacity(candidate);
+    }
     auto &random = threadRandomEngine();
     const double draw = std::uniform_real_distribution<double>(0, 1)(random);
     auto all = waiting;
     all += m_peers.waiting(serviceHash(service));
     // Items that miss their deadline anyway only get capacity that no other items wait for.
     const double capacityForLate = std::max(0.0, capacity - all.inTime);
-    return batchShare(capacity, waiting.inTime, all.inTime, draw)
-           + batchShare(capacityForLate, waiting.late, all.late, draw);
+    const auto shared = batchShare(capacity, waiting.inTime, all.inTime, draw)
+                        + batchShare(capacityForLate, waiting.late, all.late, draw);
+    const double rest = std::max(0.0, waiting.sum() - static_cast<double>(shared));
+    return shared
+           + (ownRequests > 0 ? static_cast<std::size_t>(std::min(rest, ownRequests + draw)) : 0);
 }
 
 UpstreamTable::ReservationPointer UpstreamTable::reserveBatch(const std::string &service,
--- a/Libraries/Gateway/UpstreamTable.h
+++ b/Libraries/Gateway/UpstreamTable.h
@@ -125,6 +125,10 @@
         /// requests, and when the first of them takes the next one from this process.
         bool wasLimited = false;
         std::optional<Milliseconds> nextRequest;
+        /// Whether a peer may grant a request to one of them at any moment.
+        bool mayBeGranted = false;
+        /// Whether the peers did not know yet that calls here need one.
+        bool isFirstInNeed = false;
     };
     /// Reserves an upstream for an online call, and preempts a batch item of this process if the
     /// call needs its slot. The features matter only if upstreams are chosen by work.
@@ -160,6 +164,14 @@
     /// Applies a peer's report about the limits of upstreams.
     void noteLimitReport(std::span<const UpstreamLimitReport> limits, TimePoint now);
     [[nodiscard]] std::vector<UpstreamLimitReport> limitsToReport() const;
+    /// Grants requests to limited upstreams to peers that need them; to be called several times a
+    /// second. Returns whether the peers must hear of it.
+    bool serveRequestNeeds();
+    /// Applies a peer's grants of requests.
+    void noteGrants(std::span<const RequestGrant> grants, TimePoint now);
+    [[nodiscard]] std::vector<RequestGrant> grantsToReport();
+    /// Adds to a report for which services calls need the requests of limited upstreams.
+    void describeLimitedCalls(std::vector<ServiceDemand> &demands) const;
     /// Returns the number of upstreams that limit their requests.
     [[nodiscard]] std::size_t limitedUpstreams() const;
     /// Called when an upstream becomes limited or is no longer, without the lock held.
@@ -177,7 +189,7 @@
     [[nodiscard]] unsigned slots() const;
     /// Preempts batch items of this process at upstreams that hold more work than they have slots.
     void preemptExcessBatch();
-    /// Called when the loads of this process have changed, without the lock held.
+    /// Called when the loads or needs of this process have changed, without the lock held.
     std::function<void()> onLoadChange;
 
 private:
@@ -207,9 +219,11 @@
         std::vector<UpstreamCandidate> entries;
         std::vector<State *> states;
         /// Whether upstreams are left out because they limit their requests, and the shortest wait
-        /// for one of them; the maximum if only other processes use them.
+        /// for one of them.
         bool wasLimited = false;
         Duration nextRequest = Duration::max();
+        /// Whether a peer may grant a request to one of them at any moment.
+        bool mayBeGranted = false;
     };
 
     [[nodiscard]] bool isLeaving(const State &state) const;
@@ -229,8 +243,19 @@
     std::optional<double> noteCompleted(const Reservation &reservation);
     void appendCandidates(Candidates &result, const std::string &service, WorkClass workClass,
                           const std::set<UpstreamId> &excluded, bool isInSubset, TimePoint now);
-    /// Returns whether online calls of a service use all requests that limited upstreams take.
-    [[nodiscard]] bool isShortOfRequests(const std::string &service, TimePoint now) const;
+    /// What this process has had to send to a service, and when that was last so.
+    struct ServiceNeed
+    {
+        /// When an online call last needed a limited upstream.
+        std::optional<TimePoint> limitedCallAt;
+        std::optional<TimePoint> waitingItemsAt;
+    };
+    /// Notes that an online call needs a limited upstream; returns whether the peers must hear of
+    /// it.
+    bool noteLimitedCall(const std::string &service, TimePoint now);
+    /// Returns what this process has to send to limited upstreams of a service. While calls need
+    /// their requests, items leave all of them to calls.
+    [[nodiscard]] RequestNeed needOf(std::uint64_t service, TimePoint now) const;
     [[nodiscard]] static UpstreamStart startOf(const State &state);
     /// Returns how many slots online calls can use, given the limit of the upstream.
     [[nodiscard]] unsigned usableSlots(const State &state) const;
@@ -249,8 +274,8 @@
     WorkEstimator m_estimator;
     UpstreamPace m_pace;
     UpstreamLimits m_limits;
-    /// By hash of the service: when an online call last needed a limited upstream.
-    std::unordered_map<std::uint64_t, TimePoint> m_limitedCallAt;
+    /// By hash of the service.
+    std::unordered_map<std::uint64_t, ServiceNeed> m_needs;
     CellPosition m_position = 0;
     unsigned m_cells = 1;
     std::shared_ptr<const UpstreamSubset> m_subset;
--- a/Tests/Gateway/TestUpstreamTable.cpp
+++ b/Tests/Gateway/TestUpstreamTable.cpp
@@ -317,6 +317,15 @@
             CHECK_FALSE(table.reserveBatch("service"));
         }
     }
+    SECTION("and the requests that a process may send are for its items, however many wait at "
+            "peers")
+    {
+        limitTo(5);
+        std::this_thread::sleep_for(Milliseconds(1'100));
+        table.notePeerLoads(NodeId("entry2"), {}, waitingFor("service", 4'000),
+                            SteadyClock().now());
+        CHECK(table.batchQuota("service", {1, 0}) == 1);
+    }
     SECTION("until another start of it comes")
     {
         limitTo(0);
--- a/Tests/Platform/TestUpstreamRequestLimits.cpp
+++ b/Tests/Platform/TestUpstreamRequestLimits.cpp
@@ -109,6 +109,41 @@
         CHECK(mostRequests(*server, since) <= 1.5 * 1 * 4 + 5);
 }
 
+// Guards against calls that are always refused at a process without a part of a limited rate.
+TEST_CASE("Calls are answered whichever process gets them although two servers name a limit",
+          "[Platform]")
+{
+    const std::vector<std::string> entries{"entry1", "entry2", "entry3"};
+    PlatformDeployment deployment;
+    std::vector<FakeServer *> servers{&deployment.addServer("i-1"), &deployment.addServer("i-2")};
+    for (auto *server : servers)
+        server->nameRequestLimit(1);
+    deployment.writeConfiguration(1);
+    for (const auto &entry : entries)
+        deployment.startEntry(entry);
+    for (const auto &entry : entries)
+        deployment.waitUntilReady(entry);
+    (void)callFor(deployment, entries, "/plain/x", contactTime);
+    const auto since = SteadyClock().now();
+
+    for (const auto &entry : entries) {
+        for (int i = 0; i < 6; ++i) {
+            CAPTURE(entry, i);
+            auto answer = deployment.post(entry, "/plain/x", "a", makeUniqueId("call"));
+            if (answer.status == 503) {
+                const auto wait = std::stod(answer.headers.value("Retry-After"));
+                CHECK(wait < 3);
+                std::this_thread::sleep_for(std::chrono::duration<double>(wait));
+                answer = deployment.post(entry, "/plain/x", "a", makeUniqueId("call"));
+            }
+            CHECK(answer.status == 200);
+            std::this_thread::sleep_for(Milliseconds(1'200));
+        }
+    }
+    for (auto *server : servers)
+        CHECK(mostRequests(*server, since) <= 1.5 * 1 * 4 + 5);
+}
+
 TEST_CASE("The processes together send a server no more requests than it asks for", "[Platform]")
 {
     const std::vector<std::string> entries{"entry1", "entry2", "entry3"};
