JobService: Start items whatever waits for services without capacity

Cause: a scheduling round took items in one order over all services and ended after it had put 64 aside whose service took none; each later round began with the same 64. An earlier due time is enough, or upstreams that refuse everything; the estimates of run times have no part in it. In a second form, an item of a route with several services waited for the one that it had drawn while another was idle.

Change: a round takes the next item of the jobs whose route has a service with a quota left, so that items of others are not looked at and the bound goes. An item goes to one of its route's services with a quota, by weight.

Ruled out: the order by lateness (the cases differ in it and fail alike), and reserveBatch(), whose choice depends on the item only by a factor.

--- a/Libraries/Batch/JobQueue.cpp
+++ b/Libraries/Batch/JobQueue.cpp
@@ -52,29 +52,26 @@
     m_jobs.erase(job);
 }
 
-std::optional<ItemKey> JobQueue::takeNext(TimePoint now)
+void JobQueue::chooseFirst(std::optional<Candidate> &first, const std::string &name, const Job &job,
+                           TimePoint now) const
 {
-    std::optional<ItemKey> next;
-    std::pair<bool, TimePoint> nextRank;
-    for (const auto &[name, job] : m_jobs) {
-        for (std::size_t index = 0; index < job.items.size(); ++index) {
-            const auto &item = job.items[index];
-            if (!item.isWaiting() || item.notBefore > now || item.postponedUntil > now)
-                continue;
-            const bool isLate = slackOf(job, item, now) < Duration(0);
-            const std::pair rank(isLate, job.limits.due);
-            if (!next || rank < nextRank) {
-                next = ItemKey{name, index};
-                nextRank = rank;
-            }
-        }
-    }
-    if (next) {
-        auto *item = find(*next);
-        item->isRunning = true;
-        item->startedAt = now;
+    for (std::size_t index = 0; index < job.items.size(); ++index) {
+        const auto &item = job.items[index];
+        if (!item.isWaiting() || item.notBefore > now || item.postponedUntil > now)
+            continue;
+        const bool isLate = slackOf(job, item, now) < Duration(0);
+        if (!first || std::pair(isLate, job.limits.due) < std::pair(first->isLate, first->due))
+            first = Candidate{&name, index, isLate, job.limits.due};
     }
-    return next;
+}
+
+ItemKey JobQueue::take(const Candidate &candidate, TimePoint now)
+{
+    const ItemKey key{*candidate.job, candidate.index};
+    auto *item = find(key);
+    item->isRunning = true;
+    item->startedAt = now;
+    return key;
 }
 
 Duration JobQueue::slackOf(const Job &job, const Item &item, TimePoint now) const
--- a/Libraries/Batch/JobQueue.h
+++ b/Libraries/Batch/JobQueue.h
@@ -3,6 +3,7 @@
 #include <Batch/RunTimeEstimate.h>
 #include <Core/Core.h>
 
+#include <concepts>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -57,7 +58,21 @@
     void removeJob(const std::string &job);
 
     /// Returns the item to run next and marks it as running.
-    std::optional<ItemKey> takeNext(TimePoint now);
+    std::optional<ItemKey> takeNext(TimePoint now)
+    {
+        return takeNext(now, [](const std::string &) { return true; });
+    }
+    /// As above, of the jobs of which items may be started.
+    template<std::predicate<const std::string &> MayStart>
+    std::optional<ItemKey> takeNext(TimePoint now, MayStart mayStart)
+    {
+        std::optional<Candidate> first;
+        for (const auto &[name, job] : m_jobs) {
+            if (mayStart(name))
+                chooseFirst(first, name, job, now);
+        }
+        return first ? take(*first, now) : std::optional<ItemKey>();
+    }
     /// Returns an item from takeNext() that was not started.
     void requeue(const ItemKey &item);
     /// Returns an item from takeNext() that must not be started before the given time.
@@ -107,6 +122,19 @@
         std::vector<Item> items;
     };
 
+    /// An item that may run next.
+    struct Candidate
+    {
+        const std::string *job = nullptr;
+        std::size_t index = 0;
+        bool isLate = false;
+        TimePoint due;
+    };
+
+    /// Replaces the candidate if the job has an item that ranks before it.
+    void chooseFirst(std::optional<Candidate> &first, const std::string &name, const Job &job,
+                     TimePoint now) const;
+    ItemKey take(const Candidate &candidate, TimePoint now);
     Item *find(const ItemKey &item);
     [[nodiscard]] Duration slackOf(const Job &job, const Item &item, TimePoint now) const;
 
--- a/Libraries/Gateway/JobService.h
+++ b/Libraries/Gateway/JobService.h
@@ -78,8 +78,8 @@
         m_context.link.describeWaiting = [this](PeerReport &report) {
             for (const auto &[service, items] : waitingByService()) {
                 report.waiting.push_back({serviceHash(service),
-                                          static_cast<std::uint32_t>(std::ceil(items.inTime)),
-                                          static_cast<std::uint32_t>(std::ceil(items.late))});
+                                          static_cast<std::uint32_t>(items.inTime),
+                                          static_cast<std::uint32_t>(items.late)});
             }
         };
         m_context.link.onReport = [this](const PeerReport &report, bool becameReachable) {
@@ -255,8 +255,6 @@
     /// owner take two intervals.
     static constexpr Milliseconds endsWatchInterval{300};
     static constexpr Milliseconds claimCheckInterval{100};
-    /// Items that one scheduling round may skip because their service has no capacity.
-    static constexpr std::size_t maxSkippedItems = 64;
     /// How often an item is reconsidered whose prompt has a part that crashes upstreams.
     static constexpr Milliseconds blockedItemInterval{1'000};
 
@@ -545,8 +543,8 @@
         startItems(std::move(quotas));
     }
 
-    /// Returns how many items wait for each service; items of a route with several services are
-    /// split by the route's weights.
+    /// Returns how many items wait for each service, as whole numbers; items of a route with
+    /// several services are split by the route's weights.
     [[nodiscard]] std::map<std::string, WaitingItems> waitingByService() const
     {
         std::map<std::string, WaitingItems> result;
@@ -567,23 +565,43 @@
                                          share * static_cast<double>(items.late)};
             }
         }
+        for (auto &[service, items] : result)
+            items = {std::ceil(items.inTime), std::ceil(items.late)};
         return result;
     }
 
+    /// Returns the routes of all jobs that have not ended; null where there is none any more.
+    [[nodiscard]] std::unordered_map<std::string, std::shared_ptr<const Route>> routesOfJobs() const
+    {
+        std::unordered_map<std::string, std::shared_ptr<const Route>> result;
+        for (const auto &[id, job] : m_jobs) {
+            if (m_queue.contains(id))
+                result[id] = m_context.routes.find(job->stored.job.host, job->stored.job.path);
+        }
+        return result;
+    }
+
+    /// Starts items of services with a quota. The items of other services do not keep them waiting,
+    /// however many there are.
     void startItems(std::map<std::string, std::size_t> quotas)
     {
-        std::vector<ItemKey> skipped;
-        while (skipped.size() < maxSkippedItems && !quotas.empty()) {
-            const auto item = m_queue.takeNext(SteadyClock().now());
-            if (!item)
-                break;
+        if (!m_context.routes.isConfigured())
+            return;
+        const auto routes = routesOfJobs();
+        const auto hasQuota
+                = [&](const WeightedService &each) { return quotas.contains(each.name); };
+        const auto mayStart = [&](const std::string &id) {
+            const auto found = routes.find(id);
+            if (found == routes.end())
+                return false;
+            const auto &route = found->second;
+            return !route || std::ranges::any_of(route->services, hasQuota);
+        };
+        while (const auto item = m_queue.takeNext(SteadyClock().now(), mayStart)) {
             const auto job = find(item->job);
-            const auto route = m_context.routes.find(job->stored.job.host, job->stored.job.path);
+            const auto &route = routes.at(item->job);
             if (!route) {
-                if (m_context.routes.isConfigured())
-                    giveUp(*item, "its route no longer exists");
-                else
-                    skipped.push_back(*item);
+                giveUp(*item, "its route no longer exists");
                 continue;
             }
             if (const auto checked = checkItem(job->stored.job.items[item->index]);
@@ -598,16 +616,12 @@
                 continue;
             }
             const double draw = std::uniform_real_distribution<double>(0, 1)(threadRandomEngine());
-            const auto &service = chooseService(*route, draw);
-            const auto quota = quotas.find(service);
-            auto place = quota == quotas.end()
-                                 ? UpstreamTable::ReservationPointer()
-                                 : m_context.upstreams.reserveBatch(service,
-                                                                    featuresOf(*item, *job, *route),
-                                                                    m_queue.slackOf(*item, now));
+            const auto quota = quotas.find(*chooseService(*route, draw, hasQuota));
+            auto place = m_context.upstreams.reserveBatch(
+                    quota->first, featuresOf(*item, *job, *route), m_queue.slackOf(*item, now));
             if (!place) {
-                skipped.push_back(*item);
-                quotas.erase(service);
+                m_queue.requeue(*item);
+                quotas.erase(quota);
                 continue;
             }
             if (--quota->second == 0)
@@ -615,8 +629,6 @@
             m_context.crashingParts.noteItemSent(parts, now);
             startItem(job, *item, std::move(place));
         }
-        for (const auto &item : skipped)
-            m_queue.requeue(item);
     }
 
     /// Keeps an item that earlier versions accepted although no request can be made of it. It must
--- a/Libraries/Gateway/Route.h
+++ b/Libraries/Gateway/Route.h
@@ -2,6 +2,7 @@
 
 #include <Core/Core.h>
 
+#include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -78,5 +79,24 @@
 
 /// Chooses one of a route's services by weight; `draw` is in [0, 1).
 [[nodiscard]] const std::string &chooseService(const Route &route, double draw);
+/// As above, among the services that the predicate accepts; null if there is none.
+template<std::predicate<const WeightedService &> IsUsable>
+[[nodiscard]] const std::string *chooseService(const Route &route, double draw, IsUsable isUsable)
+{
+    double total = 0;
+    for (const auto &service : route.services)
+        total += isUsable(service) ? service.weight : 0;
+    double rest = draw * total;
+    const std::string *chosen = nullptr;
+    for (const auto &service : route.services) {
+        if (!isUsable(service))
+            continue;
+        chosen = &service.name;
+        rest -= service.weight;
+        if (rest < 0)
+            break;
+    }
+    return chosen;
+}
 
 } // namespace Radishplank
--- a/Tests/Gateway/TestJobService.cpp
+++ b/Tests/Gateway/TestJobService.cpp
@@ -61,17 +61,27 @@
     }
 
     void publishRoute(std::uint64_t version, std::int64_t maxPendingTokens)
+    {
+        auto route = makeRoute("batch", "/jobs/", {{"service", 1}});
+        route.maxPendingTokens = maxPendingTokens;
+        publishRoutes(version, {route});
+    }
+    void publishRoutes(std::uint64_t version, std::vector<Route> published)
+    {
+        routes.publish(
+                std::make_unique<const RouteTable>(version, std::move(published), CallerLimits()));
+    }
+    static Route makeRoute(const std::string &name, const std::string &pathPrefix,
+                           std::vector<WeightedService> services)
     {
         Route route;
-        route.name = "batch";
+        route.name = name;
         route.host = "example";
-        route.pathPrefix = "/jobs/";
+        route.pathPrefix = pathPrefix;
         route.kind = RouteKind::Batch;
-        route.services = {{"service", 1}};
+        route.services = std::move(services);
         route.jobExpiry = Milliseconds(60'000);
-        route.maxPendingTokens = maxPendingTokens;
-        routes.publish(std::make_unique<const RouteTable>(version, std::vector<Route>{route},
-                                                          CallerLimits()));
+        return route;
     }
 
     /// Runs a function on the process's fiber thread and returns its result.
@@ -634,6 +644,58 @@
     CHECK(entry.on([&] { return entry.service.owns("job1"); }));
 }
 
+// Guards against items that wait behind items of a service that takes none.
+TEST_CASE("Items run at idle upstreams although more items wait for another service",
+          "[JobService]")
+{
+    auto &memory = *new MemoryObjectStore;
+    auto &upstream = *new FakeUpstream;
+    auto &entry = *new EntryProcess(memory);
+    entry.upstreams.put(upstream.info());
+    entry.service.start();
+    entry.publishRoutes(
+            2, {EntryProcess::makeRoute("batch", "/jobs/", {{"service", 1}}),
+                EntryProcess::makeRoute("other", "/other/", {{"other", 1}}),
+                EntryProcess::makeRoute("split", "/split/", {{"other", 999}, {"service", 1}})});
+    auto waitingJob = makeJob(150);
+    waitingJob.id = "waiting";
+    waitingJob.path = "/other/waiting";
+    const auto submit = [&](const SmallJob &job) {
+        return !entry.on([&] { return entry.service.submit(job); }).isError();
+    };
+    const auto hasAllResults = [&] {
+        const auto page = entry.service.read("job1", 0, Milliseconds(0));
+        return !page.isError() && page.value().results.size() == 4;
+    };
+
+    SECTION("that has no upstream")
+    {
+        REQUIRE(submit(waitingJob));
+        REQUIRE(submit(makeJob(4)));
+        CHECK(entry.eventually(hasAllResults));
+    }
+    SECTION("whose upstream refuses everything")
+    {
+        for (auto &item : waitingJob.items)
+            item.path = "/jobs/full";
+        auto refusing = upstream.info();
+        refusing.id = UpstreamId("u2");
+        refusing.service = "other";
+        entry.upstreams.put(refusing);
+        REQUIRE(submit(waitingJob));
+        REQUIRE(entry.eventually([&] { return upstream.refused() > 0; }));
+        REQUIRE(submit(makeJob(4)));
+        CHECK(entry.eventually(hasAllResults));
+    }
+    SECTION("also if their route sends nearly all items to that service")
+    {
+        auto job = makeJob(4);
+        job.path = "/split/job1";
+        REQUIRE(submit(job));
+        CHECK(entry.eventually(hasAllResults));
+    }
+}
+
 // Guards against accepted jobs without a process: a late write of a process that has ended names an
 // owner that does not know of the job.
 TEST_CASE("A job whose owner does not know of it runs at the process that finds that out",
