UpstreamLimits: Keep no limit whose end peers have reported

What callers could see: a process that hears of an earlier answer last keeps a limit that its peers no longer know, and refuses calls beside idle upstreams. Found by reading; not seen at callers.

Cause: a report tells the ages of answers without the time that it is on its way, so an answer counts as newer than it is, also than the end of the limit.

Change: if reports contradict each other within 0.2 s, the limit has ended. A limit that lasts is renewed by each answer.

--- a/Libraries/Gateway/UpstreamLimits.cpp
+++ b/Libraries/Gateway/UpstreamLimits.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds recoveryTime{4'000};
 /// Peers hear of the end of a limit in several reports.
 constexpr Milliseconds endReportTime{5'000};
+/// What a report tells is older than its age says by the time that the report takes to arrive.
+constexpr Milliseconds maxReportDelay{200};
 /// A limit is forgotten if no answer has confirmed it for so long.
 constexpr Milliseconds limitRetention{60'000};
 constexpr std::size_t maxLimits = 10'000;
@@ -85,10 +87,17 @@
     for (const auto &limit : limits) {
         const auto notedAt = now - limit.age;
         const auto known = m_limits.find(limit.upstream);
-        const bool isNews = known == m_limits.end() || limit.startedAt > known->second.startedAt
-                            || (limit.startedAt == known->second.startedAt
-                                && notedAt > known->second.notedAt);
-        if (isNews)
+        if (known == m_limits.end() || limit.startedAt > known->second.startedAt) {
+            set(limit, notedAt, false, now);
+            continue;
+        }
+        // In doubt, a limit has ended: otherwise, a process that hears of an earlier answer last
+        // would keep a limit that nobody else knows any more.
+        const bool isEnd = !limit.perSecond;
+        Duration margin{0};
+        if (isEnd != known->second.hasEnded)
+            margin = isEnd ? -maxReportDelay : maxReportDelay;
+        if (limit.startedAt == known->second.startedAt && notedAt > known->second.notedAt + margin)
             set(limit, notedAt, false, now);
     }
 }
--- a/Tests/Gateway/TestUpstreamLimits.cpp
+++ b/Tests/Gateway/TestUpstreamLimits.cpp
@@ -535,6 +535,40 @@
     }
 }
 
+// Guards against a limit that one process keeps after its peers have learnt of its end.
+TEST_CASE("A report that was long on its way brings no limit back", "[UpstreamLimits]")
+{
+    const ZoneName zone("a");
+    const UpstreamStart upstream{7, 100};
+    UpstreamLimits limits(member(0).node, localityIn(zone));
+    const TimePoint begin{std::chrono::hours(1)};
+    const auto at = [&](int milliseconds) { return begin + Milliseconds(milliseconds); };
+    using Reports = std::vector<UpstreamLimitReport>;
+    // Another process got an answer that names the limit at 150 ms; its report arrives at 300 ms.
+    const Reports naming{{7, 100, 2.0, Milliseconds(20)}};
+
+    SECTION("to a process that knows its end")
+    {
+        limits.noteAnswer(upstream, 2.0, Answer::Success, at(0), at(100));
+        limits.noteAnswer(upstream, {}, Answer::Success, at(200), at(250));
+        limits.applyReport(naming, at(300));
+        CHECK_FALSE(limits.limitOf(upstream));
+
+        SECTION("but a later answer does")
+        {
+            limits.applyReport(naming, at(600));
+            CHECK(limits.limitOf(upstream) == 2.0);
+        }
+    }
+    SECTION("to a process that hears of its end next")
+    {
+        limits.applyReport(naming, at(300));
+        REQUIRE(limits.limitOf(upstream) == 2.0);
+        limits.applyReport(Reports{{7, 100, {}, Milliseconds(60)}}, at(310));
+        CHECK_FALSE(limits.limitOf(upstream));
+    }
+}
+
 TEST_CASE("A limit is read from the answer of an upstream", "[UpstreamLimits]")
 {
     const auto limitIn = [](const std::string &value) {
