Tests: Let the soak check that no item waits beside an idle server

Now servers name limits for a while, each process holds a job of a service without servers for the whole run, and in the end there are fewer servers than processes, each of which takes one request a second, while each process has items.

--- a/Tests/Platform/SoakServer.cpp
+++ b/Tests/Platform/SoakServer.cpp
@@ -53,11 +53,6 @@
     return text.str();
 }
 
-std::string head(const std::string &status, const std::string &id, const std::string &headers)
-{
-    return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + id + "\r\n" + headers + "\r\n";
-}
-
 /// Returns the status and the id of an answer.
 std::string firstLines(const std::string &answer)
 {
@@ -339,6 +334,15 @@
     return true;
 }
 
+std::string SoakServer::head(const std::string &status, const std::string &id,
+                             const std::string &headers) const
+{
+    const unsigned limit = m_requestLimit;
+    return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + id + "\r\n"
+           + (limit > 0 ? "Server-Limit: " + std::to_string(limit) + "\r\n" : "") + headers
+           + "\r\n";
+}
+
 bool SoakServer::write(Connection &connection, std::string_view bytes)
 {
     boost::system::error_code code;
--- a/Tests/Platform/SoakServer.h
+++ b/Tests/Platform/SoakServer.h
@@ -86,6 +86,8 @@
     void restart(std::string id);
     /// Serves all further requests without faults, except those that name another id.
     void stopFaults() { m_isFaulty = false; }
+    /// Names in all further answers how many requests a second the server takes; 0 for none.
+    void nameRequestLimit(unsigned perSecond) { m_requestLimit = perSecond; }
 
     /// A body that asks for a number of events.
     static std::string bodyFor(const std::string &id, unsigned events);
@@ -135,11 +137,15 @@
     /// Returns an earlier answer of the connection, most often a refusal; empty if there is none.
     static std::string earlierAnswer(Connection &connection);
     bool chance(Connection &connection, unsigned percent) const;
+    /// Returns the beginning of an answer, up to its body.
+    [[nodiscard]] std::string head(const std::string &status, const std::string &id,
+                                   const std::string &headers) const;
     void shutDownConnections();
 
     SoakRecord &m_record;
     std::atomic<bool> m_isFaulty{true};
     std::atomic<bool> m_isStopping{false};
+    std::atomic<unsigned> m_requestLimit{0};
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     const Endpoint m_endpoint;
--- a/Tests/Platform/TestPromiseSoak.cpp
+++ b/Tests/Platform/TestPromiseSoak.cpp
@@ -287,6 +287,8 @@
                     m_deployment, "entry" + std::to_string(i + 1), settings));
         for (const auto &entry : m_entries)
             m_deployment.waitUntilReady(entry->name());
+        for (unsigned i = 0; i < entryCount; ++i)
+            submitJobWithoutServers(i);
     }
 
     ~PromiseSoak()
@@ -339,6 +341,17 @@
         });
         spawn(faults, [this](RandomEngine &random) { delayJobWrites(random); });
         spawn(faults, [this](RandomEngine &random) { restartServers(random); });
+        spawn(faults, [this](RandomEngine &random) {
+            // The other servers take the load that the limited ones leave.
+            constexpr unsigned maxLimited = 2;
+            constexpr unsigned maxLimit = 5;
+            repeat(random, 500, 3'000, [&] {
+                auto &server = *m_servers[randomBelow(random, maxLimited)];
+                server.nameRequestLimit(1 + static_cast<unsigned>(randomBelow(random, maxLimit)));
+                (void)pause(randomTime(random, 300, 1'500));
+                server.nameRequestLimit(0);
+            });
+        });
         std::this_thread::sleep_for(time);
         m_isFaulting = false;
         for (auto &thread : faults)
@@ -354,7 +367,14 @@
             if (!entry->isRunning())
                 m_violations.add("FAULT", entry->name(), "the process ended by itself");
         }
+        leaveFewLimitedServers();
+        addLastJob(0);
         readJobsToTheEnd();
+        // All processes know the limits now, and each has items.
+        for (unsigned i = 0; i < entryCount; ++i)
+            addLastJob(i);
+        readJobsToTheEnd();
+        checkJobs();
         checkCalls();
     }
 
@@ -478,12 +498,13 @@
     void writeConfiguration(unsigned version)
     {
         json::array routes;
-        const auto add = [&](const std::string &name, const std::string &type, unsigned attempts) {
+        const auto add = [&](const std::string &name, const std::string &type, unsigned attempts,
+                             const std::string &service = "assist") {
             json::object route{{"name", name},
                                {"host", PlatformDeployment::host},
                                {"path_prefix", "/" + name + "/"},
                                {"route_type", type},
-                               {"service", "assist"},
+                               {"service", service},
                                {"timeout_ms", 10'000},
                                {"target_latency_ms", 5'000},
                                {"gap_aim_ms", 500},
@@ -500,6 +521,7 @@
         add("plain", "streaming", 3);
         add("resume", "streaming", 4);
         add("batch", "batch", 3);
+        add("lost", "batch", 3, "service-without-servers");
         // The other routes stay as they are.
         add("extra" + std::to_string(version % 2), "streaming", 1);
         m_deployment.store.write(
@@ -588,7 +610,7 @@
         }
     }
 
-    void addJob(RandomEngine &random)
+    SoakJob &addJob(RandomEngine &random)
     {
         SoakJob job;
         job.id = "job" + std::to_string(m_jobs.size());
@@ -599,7 +621,18 @@
                     SoakServer::bodyFor(job.id + "-" + std::to_string(item),
                                         1 + static_cast<unsigned>(randomBelow(random, maxEvents))));
         }
-        m_jobs.push_back(std::move(job));
+        return m_jobs.emplace_back(std::move(job));
+    }
+
+    /// Submits a job after the faults, to a process that must accept it.
+    void addLastJob(unsigned entry)
+    {
+        auto &job = addJob(m_random);
+        if (!eventually([&] {
+                submit(job, entry);
+                return job.isAccepted;
+            }))
+            m_violations.add("LOST", job.id, "not accepted");
     }
 
     /// Submits a job with an item whose header would become another request.
@@ -621,19 +654,38 @@
             m_violations.add("UNASKED", id, "accepted");
     }
 
-    void submit(SoakJob &job, unsigned entry)
+    static http::request<http::string_body> submission(const std::string &route,
+                                                       const std::string &job,
+                                                       const std::vector<std::string> &itemIds)
     {
         json::array items;
-        for (const auto &item : job.items) {
+        for (const auto &item : itemIds) {
             items.push_back(json::object{{"id", item},
-                                         {"path", "/batch/" + item},
+                                         {"path", "/" + route + "/" + item},
                                          {"headers", json::object{{"X-Model", "m"}}},
                                          {"body", encodeBase64(item)},
                                          {"token_count", 10}});
         }
-        auto request = makeRequest(http::verb::post, "/batch/" + job.id, job.id,
-                                   json::serialize(json::object{{"items", std::move(items)}}));
-        const auto answer = callOnce(entry, request);
+        return makeRequest(http::verb::post, "/" + route + "/" + job, job,
+                           json::serialize(json::object{{"items", std::move(items)}}));
+    }
+
+    /// Submits a job whose items wait for the whole run.
+    void submitJobWithoutServers(unsigned entry)
+    {
+        constexpr unsigned itemCount = 100;
+        const auto id = "lost" + std::to_string(entry);
+        std::vector<std::string> items;
+        for (unsigned item = 0; item < itemCount; ++item)
+            items.push_back(id + "-" + std::to_string(item));
+        const auto answer = callOnce(entry, submission("lost", id, items));
+        if (answer.status != 202)
+            m_violations.add("LOST", id, "answered with " + std::to_string(answer.status));
+    }
+
+    void submit(SoakJob &job, unsigned entry)
+    {
+        const auto answer = callOnce(entry, submission("batch", job.id, job.items));
         m_record.note(job.id, m_entries[entry]->name() + " answers the submission with "
                                       + std::to_string(answer.status));
         if (answer.status == 202)
@@ -667,19 +719,45 @@
         }
     }
 
+    /// Leaves fewer servers than processes, each of which takes one request a second.
+    void leaveFewLimitedServers()
+    {
+        constexpr unsigned remaining = entryCount - 1;
+        for (unsigned server = 0; server < serverCount; ++server) {
+            if (server < remaining)
+                m_servers[server]->nameRequestLimit(1);
+            else
+                m_deployment.store.remove("servers", m_servers[server]->id());
+        }
+    }
+
+    static bool isWhole(const SoakJob &job)
+    {
+        return !job.isAccepted || job.results.size() >= job.items.size();
+    }
+
     void readJobsToTheEnd()
     {
         unsigned entry = 0;
-        const auto isWhole = [](const SoakJob &job) {
-            return !job.isAccepted || job.results.size() >= job.items.size();
-        };
-        (void)eventually([&] {
+        const auto readRest = [&] {
+            std::size_t missing = 0;
             for (auto &job : m_jobs) {
                 if (!isWhole(job))
                     read(job, entry++ % entryCount, job.results.size());
+                if (!isWhole(job))
+                    missing += job.items.size() - job.results.size();
             }
-            return std::all_of(m_jobs.begin(), m_jobs.end(), isWhole);
-        });
+            return missing;
+        };
+        // Half of the requests that the servers take must be used.
+        constexpr std::chrono::seconds finishTime{18};
+        const auto until = SteadyClock().now() + finishTime + std::chrono::seconds(readRest());
+        while (readRest() > 0 && SteadyClock().now() < until)
+            std::this_thread::sleep_for(Milliseconds(20));
+    }
+
+    void checkJobs()
+    {
         for (auto &job : m_jobs) {
             if (!job.isAccepted)
                 continue;
