UpstreamLimits: Look only at limited upstreams for grants

Every 20 ms, a process with any limit looked up the needs for all upstreams, also for those without a limit, and evicted limits as a side effect of the question whether there are any. It now asks for each upstream first, and limits are evicted only where there are too many, as before the grants. Names follow what they hold.

--- a/Libraries/Gateway/UpstreamLimits.cpp
+++ b/Libraries/Gateway/UpstreamLimits.cpp
@@ -120,8 +120,11 @@
 void UpstreamLimits::set(const UpstreamLimitReport &limit, TimePoint notedAt, bool isFirstHand,
                          TimePoint now)
 {
-    if (m_limits.size() >= maxLimits)
-        (void)evictStale(now);
+    if (m_limits.size() >= maxLimits) {
+        std::erase_if(m_limits, [&](const auto &entry) {
+            return now - entry.second.notedAt > limitRetention;
+        });
+    }
     auto known = m_limits.find(limit.upstream);
     const bool isSameStart = known != m_limits.end() && known->second.startedAt == limit.startedAt;
     if (!limit.perSecond) {
@@ -146,10 +149,14 @@
     return now - limit.notedAt <= (limit.hasEnded ? recoveryTime : limitRetention);
 }
 
-bool UpstreamLimits::evictStale(TimePoint now)
+bool UpstreamLimits::isRestricted(const UpstreamStart &upstream, TimePoint now) const
+{
+    const auto *limit = findIn(m_limits, upstream);
+    return limit != nullptr && isRestricting(*limit, now);
+}
+
+bool UpstreamLimits::isAnyRestricted(TimePoint now) const
 {
-    std::erase_if(m_limits,
-                  [&](const auto &entry) { return now - entry.second.notedAt > limitRetention; });
     return std::any_of(m_limits.begin(), m_limits.end(),
                        [&](const auto &entry) { return isRestricting(entry.second, now); });
 }
@@ -180,7 +187,7 @@
         return limit->allowance.waitTime(now);
     if (now >= limit->unaidedRequestAt)
         return Duration(0);
-    const std::chrono::duration<double> turns(limit->callsInNeed / limit->rate());
+    const std::chrono::duration<double> turns(limit->processesWithCalls / limit->rate());
     return std::chrono::ceil<Duration>(turns);
 }
 
@@ -291,10 +298,10 @@
     // The processes in need take turns, in the order of their hashes.
     double needy = 1;
     double turn = 0;
-    limit.callsInNeed = 1;
+    limit.processesWithCalls = 1;
     for (const auto &peer : peers) {
         greatest = std::max(greatest, peer.need);
-        limit.callsInNeed += peer.need == RequestNeed::Calls ? 1 : 0;
+        limit.processesWithCalls += peer.need == RequestNeed::Calls ? 1 : 0;
         if (peer.need == RequestNeed::None)
             continue;
         needy += 1;
@@ -371,11 +378,11 @@
     const double wanted = std::ceil(perSecond / minRequestsPerSecond);
     // A process that has lost most of the others cannot tell which of them still send requests.
     const bool isIsolated = alive * 2 < m_processCount;
-    const double users = isIsolated ? static_cast<double>(m_processCount)
+    const double parts = isIsolated ? static_cast<double>(m_processCount)
                                     : std::min(std::max(1.0, wanted), static_cast<double>(alive));
-    limit.holders = chooseHolders(static_cast<std::size_t>(users), upstream, zone);
+    limit.holders = chooseHolders(static_cast<std::size_t>(parts), upstream, zone);
     limit.hasPart = limit.isHolder(m_self.node);
-    const double rate = perSecond / users;
+    const double rate = perSecond / parts;
     limit.allowance.setRate(rate, std::max(1.0, burstSeconds * rate), now);
     if (limit.hasPart && !std::exchange(limit.isStaggered, true)) {
         // All holders learn of the limit at about the same time, and would send together.
--- a/Libraries/Gateway/UpstreamLimits.h
+++ b/Libraries/Gateway/UpstreamLimits.h
@@ -84,8 +84,11 @@
     void applyGrants(std::span<const RequestGrant> grants, TimePoint now);
     /// Returns the grants that the next reports have to contain.
     [[nodiscard]] std::vector<RequestGrant> grantsToReport(TimePoint now);
-    /// Forgets limits that have not mattered for long, and returns whether any restricts requests.
-    [[nodiscard]] bool evictStale(TimePoint now);
+    /// Returns whether requests to an upstream are limited: also for a while after the end of its
+    /// limit.
+    [[nodiscard]] bool isRestricted(const UpstreamStart &upstream, TimePoint now) const;
+    /// Returns whether requests to any upstream are limited.
+    [[nodiscard]] bool isAnyRestricted(TimePoint now) const;
 
     /// Returns the requests per second that the upstream names at present, if it does.
     [[nodiscard]] std::optional<double> limitOf(const UpstreamStart &upstream) const;
@@ -117,8 +120,8 @@
         std::optional<TimePoint> unmetSince = {};
         /// When this process sends a request that no peer has granted.
         TimePoint unaidedRequestAt = TimePoint::max();
-        /// Calls at other processes that need requests take turns with those of this one.
-        double callsInNeed = 1;
+        /// Number of processes whose calls need requests, including this one.
+        double processesWithCalls = 1;
 
         [[nodiscard]] double rate() const;
         [[nodiscard]] bool isHolder(std::uint64_t node) const;
@@ -127,7 +130,6 @@
     /// Returns the limit of this start of an upstream in m_limits; null if there is none.
     template<typename Limits>
     [[nodiscard]] static auto *findIn(Limits &limits, const UpstreamStart &upstream);
-    /// Returns whether the limit still restricts requests: also for a while after its end.
     [[nodiscard]] static bool isRestricting(const Limit &limit, TimePoint now);
     void set(const UpstreamLimitReport &limit, TimePoint notedAt, bool isFirstHand, TimePoint now);
     /// Determines who has a part of the rate, and this process's part.
@@ -138,6 +140,7 @@
     [[nodiscard]] bool isMember(std::uint64_t node) const;
     /// Returns the position of this process among the holders of a limit.
     [[nodiscard]] std::size_t positionIn(const Limit &limit) const;
+    /// Grants requests of this process's part to peers in need; returns whether it has.
     bool grant(Limit &limit, const UpstreamStart &upstream, RequestNeed own,
                std::span<const PeerNeed> peers, TimePoint now);
     /// Returns which of the processes in need gets the next request; reorders them.
--- a/Libraries/Gateway/UpstreamTable.cpp
+++ b/Libraries/Gateway/UpstreamTable.cpp
@@ -250,13 +250,14 @@
 {
     const std::scoped_lock lock(m_mutex);
     const auto now = SteadyClock().now();
-    if (!m_limits.evictStale(now))
+    if (!m_limits.isAnyRestricted(now))
         return false;
     m_peers.expire(now);
     std::unordered_map<std::uint64_t, std::vector<PeerNeed>> peersByService;
     bool hasGranted = false;
     for (const auto &[id, state] : m_states) {
-        if (state.info.isDraining || isLeaving(state))
+        if (state.info.isDraining || isLeaving(state)
+            || !m_limits.isRestricted(startOf(state), now))
             continue;
         const auto [peers, isNew] = peersByService.try_emplace(state.serviceHash);
         if (isNew)
