--- a/Tests/Platform/TestUpstreamRequestLimits.cpp
+++ b/Tests/Platform/TestUpstreamRequestLimits.cpp
@@ -1,6 +1,8 @@
 #include "PlatformDeployment.h"
 
 #include <algorithm>
+#include <atomic>
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <map>
 #include <mutex>
@@ -144,6 +146,37 @@
         CHECK(mostRequests(*server, since) <= 1.5 * 1 * 4 + 5);
 }
 
+// Guards against items that wait while few calls leave most of a limited rate unused.
+TEST_CASE("Items run beside a trickle of calls at a server that names a limit", "[Platform]")
+{
+    PlatformDeployment deployment;
+    auto &server = deployment.addServer("i-1");
+    server.nameRequestLimit(limit);
+    deployment.writeConfiguration(1);
+    deployment.startEntry("entry1");
+    deployment.waitUntilReady("entry1");
+    std::atomic<bool> isCalling{true};
+    std::thread caller([&] {
+        while (isCalling) {
+            (void)deployment.post("entry1", "/plain/x", "a", makeUniqueId("call"));
+            std::this_thread::sleep_for(Milliseconds(800));
+        }
+    });
+    std::this_thread::sleep_for(contactTime);
+    const bool isAccepted = deployment.submit("entry1", "job1", {"a", "b", "c", "d"}).status == 202;
+    const auto submitted = SteadyClock().now();
+    std::size_t results = 0;
+    while (isAccepted && results < 4 && SteadyClock().now() - submitted < finishTime) {
+        std::this_thread::sleep_for(Milliseconds(200));
+        const auto answer = deployment.get("entry1", "/-/lots/job1?after=0");
+        if (answer.status == 200)
+            results = boost::json::parse(answer.body).at("results").as_array().size();
+    }
+    isCalling = false;
+    caller.join();
+    CHECK(results == 4);
+}
+
 TEST_CASE("The processes together send a server no more requests than it asks for", "[Platform]")
 {
     const std::vector<std::string> entries{"entry1", "entry2", "entry3"};
